--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,14 @@
+//! The interface towards callers: checked requests, answers and refusals.
+//!
+//! Callers speak HTTP. `POST /v1/services/{service}/query` is repeatable and
+//! gathers parts from shards; `POST /v1/services/{service}/run` must not repeat
+//! and carries an `Idempotency-Key`. Refusals are `application/problem+json`
+//! (RFC 9457) with a verdict and `Retry-After`.
+
+mod answer;
+mod problem;
+mod request;
+
+pub use answer::{Answer, Missed, Part, RunAnswer};
+pub use problem::{Problem, problem_response};
+pub use request::{Call, CallError, RunCall, headers};
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,20 @@
+//! Every decision of the query tier as pure state machines.
+//!
+//! Time, randomness and events come in as arguments; actions go out as values.
+//! Nothing here does I/O, reads a clock or starts a thread, so each decision is
+//! model-checked, tested in virtual time and reused unchanged by the daemon.
+
+pub mod admission;
+pub mod budget;
+pub mod claim;
+pub mod config;
+pub mod hedge;
+pub mod leaving;
+pub mod membership;
+pub mod prelude;
+pub mod rendezvous;
+pub mod replica;
+pub mod share;
+pub mod snapshot;
+pub mod text;
+pub mod verdict;
--- /dev/null
+++ b/crates/decide/src/prelude.rs
@@ -0,0 +1,31 @@
+//! The common types, for glob import by the other packages.
+
+pub use crate::text::{ReplicaSpec, Service, Services};
+pub use crate::verdict::{Refusal, RefusalReason, Verdict};
+
+/// Version of the operators' text, as the platform numbers it.
+pub type ConfigVersion = u64;
+
+/// Version of an index, as the backend servers number it.
+pub type IndexVersion = u64;
+
+/// Number of a shard within the partition map of one index version.
+pub type ShardId = u32;
+
+/// Identity of an instance's process: the instance's name and its incarnation.
+///
+/// A restarted process has a higher incarnation, so that its predecessor's
+/// messages are never taken for its own.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InstanceId {
+    /// Name of the instance, as the platform lists it.
+    pub name: String,
+    /// Start time of the process in milliseconds since the epoch.
+    pub incarnation: u64,
+}
+
+impl std::fmt::Display for InstanceId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}#{}", self.name, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/rendezvous.rs
@@ -0,0 +1,40 @@
+//! Rendezvous hashing: who, of many, is in charge of a key.
+//!
+//! Every instance computes the same order from the same members without a
+//! message, and a member that leaves moves only the keys that it held.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Stable 64-bit hash of a name.
+#[must_use]
+pub fn hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Weight of one member for one key; the highest weight is in charge.
+#[must_use]
+pub fn weight(key: u64, member: u64) -> u64 {
+    xxh3_64_with_seed(&member.to_le_bytes(), key)
+}
+
+/// Position in `members` of the one in charge of `key`.
+#[must_use]
+pub fn owner(key: u64, members: &[u64]) -> Option<usize> {
+    (0..members.len()).max_by_key(|&i| (weight(key, members[i]), members[i]))
+}
+
+/// Whether `member` is among the `top` of `members` for `key`.
+#[must_use]
+pub fn is_in_top(key: u64, member: u64, members: &[u64], top: usize) -> bool {
+    let own = (weight(key, member), member);
+    let ahead = members.iter().filter(|&&m| (weight(key, m), m) > own).count();
+    ahead < top
+}
+
+/// The `top` members with the highest weights for `key`, highest first.
+#[must_use]
+pub fn top(key: u64, members: &[u64], top: usize) -> Vec<u64> {
+    let mut ranked: Vec<(u64, u64)> = members.iter().map(|&m| (weight(key, m), m)).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(top).map(|(_, m)| m).collect()
+}
--- /dev/null
+++ b/crates/decide/src/text.rs
@@ -0,0 +1,489 @@
+//! The operators' text: services, their shards and what each depends on.
+//!
+//! The text is INI. One section is one service; `shard.N` lists the replicas of
+//! shard N as `availability-zone@address`. Every error is reported with its line.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use ini::{Ini, Properties};
+
+use crate::prelude::ShardId;
+use crate::rendezvous;
+
+/// Largest text that is accepted, in bytes; the platform holds up to a megabyte.
+pub const MAX_TEXT_BYTES: usize = 900 * 1024;
+
+/// Deadline in milliseconds by default: none, so that callers must say one.
+const DEFAULT_DEADLINE_MS: u64 = 0;
+/// Longest deadline in milliseconds that a caller may ask for by default.
+const DEFAULT_MAX_DEADLINE_MS: u64 = 30_000;
+/// Connections that a replica allows where the text does not say.
+const DEFAULT_CONNECTIONS: u32 = 25;
+/// Requests that a replica runs at a time where the text does not say.
+const DEFAULT_SLOTS: u32 = 2;
+/// Hedges in percent of ordinary parts where the text does not say.
+const DEFAULT_HEDGE_PERCENT: u32 = 5;
+/// Largest request body in bytes by default.
+const DEFAULT_MAX_REQUEST_BYTES: usize = 64 * 1024;
+/// Largest part of an answer in bytes by default.
+const DEFAULT_MAX_PART_BYTES: usize = 256 * 1024;
+/// Most shards of one service.
+const MAX_SHARDS: u32 = 10_000;
+
+/// One replica of a shard: a backend server's address and availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaSpec {
+    /// Hash of the address, the same on every instance.
+    pub id: u64,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+/// One service as the operators describe it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Name in the callers' URLs.
+    pub name: String,
+    /// Replicas of each shard, by shard number.
+    pub shards: Vec<Vec<ReplicaSpec>>,
+    /// Connections that each replica allows in all.
+    pub connections: u32,
+    /// Connections of these that are kept for runs; 0 if the service takes none.
+    pub run_connections: u32,
+    /// Requests that each replica runs at a time.
+    pub slots: u32,
+    /// Deadline where the caller says none; 0 means that it must say one.
+    pub deadline_ms: u64,
+    /// Longest deadline that a caller may ask for.
+    pub max_deadline_ms: u64,
+    /// Hedges in percent of ordinary parts.
+    pub hedge_percent: u32,
+    /// Largest request body in bytes.
+    pub max_request_bytes: usize,
+    /// Largest part of an answer in bytes.
+    pub max_part_bytes: usize,
+    /// Weight of each team that may use the service; empty means anyone.
+    pub teams: BTreeMap<String, u32>,
+    /// Services whose index versions must match this one's.
+    pub depends_on: Vec<String>,
+}
+
+/// All services of one version of the text.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Services {
+    /// The services by name.
+    pub by_name: BTreeMap<String, Arc<Service>>,
+}
+
+/// What is wrong with a line of the text.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Problem {
+    /// not an INI text: {0}
+    Syntax(String),
+    /// the text of {size_bytes} bytes is longer than the platform holds
+    TooLong {
+        /// Length of the text.
+        size_bytes: usize,
+    },
+    /// the text lists no service
+    NoService,
+    /// service {0} is listed twice
+    DuplicateService(String),
+    /// {0} is set twice
+    DuplicateKey(String),
+    /// {0} is not a setting of a service
+    UnknownKey(String),
+    /// {0} stands outside of any service's section
+    OutsideSection(String),
+    /// {0} is not a name of lower-case letters, digits and hyphens
+    BadName(String),
+    /// {key} = {value}: expected {expected}
+    BadValue {
+        /// The setting.
+        key: String,
+        /// What the text says.
+        value: String,
+        /// What it should say.
+        expected: &'static str,
+    },
+    /// service {0} has no shard.0
+    NoShard(String),
+    /// shard {0} is missing though later ones are listed
+    MissingShard(u32),
+    /// replica {0} is listed twice
+    DuplicateReplica(SocketAddr),
+    /// unknown dependency {0}
+    UnknownDependency(String),
+    /// the dependencies form a cycle: {0}
+    Cycle(String),
+    /// deadline_ms is above max_deadline_ms
+    DeadlineAboveMaximum,
+}
+
+/// One error of the text with the line it stands on.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+#[displaydoc("line {line}: {problem}")]
+pub struct TextError {
+    /// Line number, counted from 1.
+    pub line: usize,
+    /// What is wrong there.
+    pub problem: Problem,
+}
+
+/// Every error of a text, in order of lines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TextErrors(pub Vec<TextError>);
+
+impl std::fmt::Display for TextErrors {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for TextErrors {}
+
+impl TryFrom<&str> for Services {
+    type Error = TextErrors;
+
+    fn try_from(text: &str) -> Result<Self, TextErrors> {
+        let mut reader = Reader { lines: Lines::new(text), errors: Vec::new() };
+        let services = reader.read(text);
+        if reader.errors.is_empty() {
+            return Ok(services);
+        }
+        reader.errors.sort_by_key(|e| e.line);
+        reader.errors.dedup();
+        Err(TextErrors(reader.errors))
+    }
+}
+
+impl Services {
+    /// A service and all that it depends on, directly or not.
+    #[must_use]
+    pub fn with_dependencies(&self, name: &str) -> Vec<&Arc<Service>> {
+        let mut seen = BTreeSet::new();
+        let mut open = vec![name];
+        let mut found = Vec::new();
+        while let Some(next) = open.pop() {
+            let Some(service) = self.by_name.get(next) else { continue };
+            if seen.insert(next) {
+                open.extend(service.depends_on.iter().map(String::as_str));
+                found.push(service);
+            }
+        }
+        found
+    }
+}
+
+/// Finds the line of a section or key; the INI library does not keep lines.
+#[derive(Debug)]
+struct Lines<'a> {
+    lines: Vec<&'a str>,
+}
+
+impl<'a> Lines<'a> {
+    fn new(text: &'a str) -> Self {
+        Self { lines: text.lines().map(str::trim).collect() }
+    }
+
+    fn section(&self, name: &str, nth: usize) -> usize {
+        let header = |line: &&str| {
+            line.strip_prefix('[').and_then(|l| l.split(']').next()).map(str::trim) == Some(name)
+        };
+        let mut found = self.lines.iter().enumerate().filter(|(_, l)| header(l));
+        found.nth(nth).map_or(1, |(i, _)| i + 1)
+    }
+
+    /// The line of the `nth` setting of `key` after line `section`.
+    fn key(&self, section: usize, key: &str, nth: usize) -> usize {
+        let body = self.lines.iter().enumerate().skip(section);
+        let mut found = body
+            .take_while(|(_, l)| !l.starts_with('['))
+            .filter(|(_, l)| l.split(['=', ':']).next().map(str::trim) == Some(key));
+        found.nth(nth).map_or(section, |(i, _)| i + 1)
+    }
+}
+
+/// One section while it is being read.
+struct Section<'a> {
+    line: usize,
+    properties: &'a Properties,
+}
+
+struct Reader<'a> {
+    lines: Lines<'a>,
+    errors: Vec<TextError>,
+}
+
+impl Reader<'_> {
+    fn fail(&mut self, line: usize, problem: Problem) {
+        self.errors.push(TextError { line, problem });
+    }
+
+    fn read(&mut self, text: &str) -> Services {
+        let mut services = Services::default();
+        if text.len() > MAX_TEXT_BYTES {
+            self.fail(1, Problem::TooLong { size_bytes: text.len() });
+            return services;
+        }
+        let ini = match Ini::load_from_str_noescape(text) {
+            Ok(ini) => ini,
+            Err(error) => {
+                self.fail(error.line + 1, Problem::Syntax(error.msg.to_string()));
+                return services;
+            }
+        };
+        for (name, properties) in &ini {
+            self.read_section(name, properties, &mut services);
+        }
+        if services.by_name.is_empty() && self.errors.is_empty() {
+            self.fail(1, Problem::NoService);
+        }
+        self.check_dependencies(&services);
+        services
+    }
+
+    fn read_section(&mut self, name: Option<&str>, properties: &Properties, into: &mut Services) {
+        let Some(name) = name else {
+            let stray: Vec<String> = properties.iter().map(|(k, _)| k.to_owned()).collect();
+            for key in stray {
+                let line = self.lines.key(0, &key, 0);
+                self.fail(line, Problem::OutsideSection(key));
+            }
+            return;
+        };
+        let nth = usize::from(into.by_name.contains_key(name));
+        let line = self.lines.section(name, nth);
+        if nth > 0 {
+            return self.fail(line, Problem::DuplicateService(name.to_owned()));
+        }
+        if !is_name(name) {
+            return self.fail(line, Problem::BadName(name.to_owned()));
+        }
+        let section = Section { line, properties };
+        let service = self.read_service(name, &section);
+        into.by_name.insert(name.to_owned(), Arc::new(service));
+    }
+
+    fn read_service(&mut self, name: &str, section: &Section<'_>) -> Service {
+        self.check_keys(section);
+        let service = Service {
+            name: name.to_owned(),
+            shards: self.read_shards(name, section),
+            connections: self.number(section, "connections", DEFAULT_CONNECTIONS, 1, 10_000),
+            run_connections: self.number(section, "run_connections", 0, 0, 10_000),
+            slots: self.number(section, "slots", DEFAULT_SLOTS, 1, 10_000),
+            deadline_ms: self.number(section, "deadline_ms", DEFAULT_DEADLINE_MS, 0, 600_000),
+            max_deadline_ms: self.number(
+                section,
+                "max_deadline_ms",
+                DEFAULT_MAX_DEADLINE_MS,
+                1,
+                600_000,
+            ),
+            hedge_percent: self.number(section, "hedge_percent", DEFAULT_HEDGE_PERCENT, 0, 100),
+            max_request_bytes: self.number(
+                section,
+                "max_request_bytes",
+                DEFAULT_MAX_REQUEST_BYTES,
+                1,
+                1 << 20,
+            ),
+            max_part_bytes: self.number(
+                section,
+                "max_part_bytes",
+                DEFAULT_MAX_PART_BYTES,
+                1,
+                1 << 24,
+            ),
+            teams: self.read_teams(section),
+            depends_on: read_list(section.properties.get("depends_on")),
+        };
+        if service.run_connections >= service.connections {
+            let value = service.run_connections.to_string();
+            self.bad_value(section, "run_connections", &value, "fewer than connections");
+        }
+        if service.deadline_ms > service.max_deadline_ms {
+            let line = self.lines.key(section.line, "deadline_ms", 0);
+            self.fail(line, Problem::DeadlineAboveMaximum);
+        }
+        service
+    }
+
+    fn check_keys(&mut self, section: &Section<'_>) {
+        const KNOWN: [&str; 10] = [
+            "connections",
+            "run_connections",
+            "slots",
+            "deadline_ms",
+            "max_deadline_ms",
+            "hedge_percent",
+            "max_request_bytes",
+            "max_part_bytes",
+            "teams",
+            "depends_on",
+        ];
+        let mut seen = BTreeMap::new();
+        for (key, _) in section.properties {
+            let nth = seen.entry(key).and_modify(|n| *n += 1).or_insert(0);
+            let line = self.lines.key(section.line, key, *nth);
+            if *nth > 0 {
+                self.fail(line, Problem::DuplicateKey(key.to_owned()));
+            } else if !KNOWN.contains(&key) && !key.starts_with("shard.") {
+                self.fail(line, Problem::UnknownKey(key.to_owned()));
+            }
+        }
+    }
+
+    fn number<T>(&mut self, section: &Section<'_>, key: &str, default: T, min: T, max: T) -> T
+    where
+        T: std::str::FromStr + PartialOrd + Copy,
+    {
+        let Some(value) = section.properties.get(key) else { return default };
+        match value.trim().parse::<T>() {
+            Ok(number) if number >= min && number <= max => number,
+            parsed => {
+                let expected = match parsed {
+                    Ok(_) => "a number within the allowed range",
+                    Err(_) => "a whole number without a unit",
+                };
+                self.bad_value(section, key, value, expected);
+                default
+            }
+        }
+    }
+
+    fn bad_value(&mut self, section: &Section<'_>, key: &str, value: &str, expected: &'static str) {
+        let line = self.lines.key(section.line, key, 0);
+        let (key, value) = (key.to_owned(), value.to_owned());
+        self.fail(line, Problem::BadValue { key, value, expected });
+    }
+
+    fn read_shards(&mut self, name: &str, section: &Section<'_>) -> Vec<Vec<ReplicaSpec>> {
+        let mut by_number: BTreeMap<ShardId, Vec<ReplicaSpec>> = BTreeMap::new();
+        let mut seen = BTreeSet::new();
+        for (key, value) in section.properties {
+            let Some(number) = key.strip_prefix("shard.") else { continue };
+            match number.parse::<ShardId>() {
+                Ok(number) if number < MAX_SHARDS => {
+                    let replicas = self.read_replicas(section, key, value, &mut seen);
+                    by_number.entry(number).or_insert(replicas);
+                }
+                _ => self.bad_value(section, key, value, "a shard number below 10000"),
+            }
+        }
+        if by_number.is_empty() {
+            self.fail(section.line, Problem::NoShard(name.to_owned()));
+        }
+        let last = by_number.keys().last().copied().map_or(0, |n| n + 1);
+        for missing in (0..last).filter(|n| !by_number.contains_key(n)) {
+            self.fail(section.line, Problem::MissingShard(missing));
+        }
+        by_number.into_values().collect()
+    }
+
+    fn read_replicas(
+        &mut self,
+        section: &Section<'_>,
+        key: &str,
+        value: &str,
+        seen: &mut BTreeSet<SocketAddr>,
+    ) -> Vec<ReplicaSpec> {
+        const EXPECTED: &str = "a list of availability-zone@address:port";
+        let mut replicas = Vec::new();
+        for entry in read_list(Some(value)) {
+            match ReplicaSpec::try_from(entry.as_str()) {
+                Ok(replica) if seen.insert(replica.addr) => replicas.push(replica),
+                Ok(replica) => {
+                    let line = self.lines.key(section.line, key, 0);
+                    self.fail(line, Problem::DuplicateReplica(replica.addr));
+                }
+                Err(()) => self.bad_value(section, key, &entry, EXPECTED),
+            }
+        }
+        if replicas.is_empty() {
+            self.bad_value(section, key, value, EXPECTED);
+        }
+        replicas
+    }
+
+    fn read_teams(&mut self, section: &Section<'_>) -> BTreeMap<String, u32> {
+        let mut teams = BTreeMap::new();
+        for entry in read_list(section.properties.get("teams")) {
+            let (name, weight) = entry.split_once(':').unwrap_or((&entry, "1"));
+            match weight.trim().parse::<u32>() {
+                Ok(weight @ 1..=1000) if is_name(name.trim()) => {
+                    teams.insert(name.trim().to_owned(), weight);
+                }
+                _ => self.bad_value(section, "teams", &entry, "a list of team:weight"),
+            }
+        }
+        teams
+    }
+
+    fn check_dependencies(&mut self, services: &Services) {
+        for (name, service) in &services.by_name {
+            let section = self.lines.section(name, 0);
+            let line = self.lines.key(section, "depends_on", 0);
+            for dependency in &service.depends_on {
+                if !services.by_name.contains_key(dependency) {
+                    self.fail(line, Problem::UnknownDependency(dependency.clone()));
+                }
+            }
+            if let Some(path) = cycle_from(services, name) {
+                self.fail(line, Problem::Cycle(path));
+            }
+        }
+    }
+}
+
+/// A path along dependencies from `start` back to it.
+fn cycle_from(services: &Services, start: &str) -> Option<String> {
+    let mut open = vec![vec![start]];
+    let mut seen = BTreeSet::new();
+    while let Some(path) = open.pop() {
+        let last = services.by_name.get(*path.last()?)?;
+        for next in last.depends_on.iter().map(String::as_str) {
+            if next == start {
+                return Some([path.join(" -> "), start.to_owned()].join(" -> "));
+            }
+            if services.by_name.contains_key(next) && seen.insert(next) {
+                open.push([path.as_slice(), &[next]].concat());
+            }
+        }
+    }
+    None
+}
+
+impl TryFrom<&str> for ReplicaSpec {
+    type Error = ();
+
+    fn try_from(entry: &str) -> Result<Self, ()> {
+        let (zone, addr) = entry.split_once('@').ok_or(())?;
+        let addr: SocketAddr = addr.trim().parse().map_err(|_| ())?;
+        let zone = zone.trim();
+        if !is_name(zone) {
+            return Err(());
+        }
+        Ok(Self { id: rendezvous::hash(&addr.to_string()), addr, zone: zone.to_owned() })
+    }
+}
+
+/// Whether `name` is made of lower-case letters, digits and hyphens.
+#[must_use]
+pub fn is_name(name: &str) -> bool {
+    const MAX_NAME_BYTES: usize = 64;
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.bytes().all(allowed)
+}
+
+fn read_list(value: Option<&str>) -> Vec<String> {
+    let entries = value.unwrap_or_default().split(',').map(str::trim);
+    entries.filter(|e| !e.is_empty()).map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/control/claims.rs
@@ -0,0 +1,88 @@
+//! Claims on behalf of traffic threads, by way of each bucket's usual owner.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::claim::{Key, Nonce, Outcome};
+use eelgrasspier_decide::membership::State;
+use eelgrasspier_decide::rendezvous;
+use eelgrasspier_peer::wire::{Body, Claim, ClaimOutcome, Claimed};
+use eelgrasspier_platform::ClaimError;
+
+use super::Control;
+
+/// Buckets have owners under this name.
+const OWNERS: &str = "claims";
+/// Bits in the lower half of a key.
+const HALF_BITS: u32 = 64;
+
+impl Control {
+    /// Claims a key: by the bucket's usual owner, or directly where that fails.
+    ///
+    /// Ownership only makes batches large. Both ways end in the same conditional
+    /// update, and the nonce is the same, so it can't be granted twice.
+    pub(super) async fn claim(
+        &self,
+        key: Key,
+        nonce: Nonce,
+        until: Instant,
+    ) -> Result<Outcome, ClaimError> {
+        if let Some(owner) = self.owner(key) {
+            let half = until.saturating_duration_since(Instant::now()) / 2;
+            if let Some(outcome) = self.claim_at(owner, key, nonce, half).await {
+                return Ok(outcome);
+            }
+        }
+        self.claims.claim(key, nonce, until).await
+    }
+
+    /// The instance that owns the key's bucket; `None` if it is this one.
+    fn owner(&self, key: Key) -> Option<SocketAddr> {
+        let membership = self.membership.borrow();
+        let others: Vec<_> = membership.alive().filter(|m| m.state() == State::Ready).collect();
+        let mut keys: Vec<u64> = others.iter().map(|m| m.key()).collect();
+        keys.push(membership.own().key());
+        let bucket = eelgrasspier_platform::bucket_of(key) as u64;
+        let owner = rendezvous::owner(rendezvous::hash(OWNERS) ^ bucket, &keys)?;
+        others.get(owner)?.peer_addr.parse().ok()
+    }
+
+    async fn claim_at(
+        &self,
+        owner: SocketAddr,
+        key: Key,
+        nonce: Nonce,
+        time: Duration,
+    ) -> Option<Outcome> {
+        let time_left_ms = u64::try_from(time.as_millis()).unwrap_or(0);
+        let claim = Claim {
+            key_high: u64::try_from(key.0 >> HALF_BITS).unwrap_or_default(),
+            key_low: u64::try_from(key.0 & u128::from(u64::MAX)).unwrap_or_default(),
+            nonce,
+            time_left_ms,
+        };
+        let Ok(Body::Claimed(claimed)) = self.links.ask(owner, Body::Claim(claim), time).await
+        else {
+            return None;
+        };
+        match claimed.outcome() {
+            ClaimOutcome::Unresolved => None,
+            ClaimOutcome::Granted => Some(Outcome::Granted),
+            ClaimOutcome::Taken => Some(Outcome::Taken),
+            ClaimOutcome::Expired => Some(Outcome::Expired),
+        }
+    }
+
+    /// Claims a key that another instance asks for.
+    pub(super) async fn claim_for_peer(&self, claim: Claim) -> Claimed {
+        let key = Key((u128::from(claim.key_high) << HALF_BITS) | u128::from(claim.key_low));
+        let until = Instant::now() + Duration::from_millis(claim.time_left_ms);
+        let outcome = match self.claims.claim_on_behalf(key, claim.nonce, until).await {
+            Ok(Outcome::Granted) => ClaimOutcome::Granted,
+            Ok(Outcome::Taken) => ClaimOutcome::Taken,
+            Ok(Outcome::Expired) => ClaimOutcome::Expired,
+            Err(ClaimError::Unavailable) => ClaimOutcome::Unresolved,
+        };
+        Claimed { outcome: outcome as i32 }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -0,0 +1,197 @@
+//! Gossip, the platform's list, and the shares that follow from both.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::leaving::Server;
+use eelgrasspier_decide::membership::{Change, Datagram, LeavingServer, Listed, Send};
+use eelgrasspier_decide::share::Agreement;
+use eelgrasspier_peer::Gossip;
+use futures_util::{Stream, StreamExt};
+use tokio::sync::mpsc;
+
+use super::Control;
+use crate::event;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Pause of the control thread after which its shares are no longer trusted.
+///
+/// The others take a silent instance for dead after a few seconds; once the
+/// platform no longer lists it either they grow into its share.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Least time between two reads of the platform's list.
+const LIST_EVERY: Duration = Duration::from_secs(3);
+/// Time between reads for each instance, so that the fleet's rate stays at 20/s.
+const LIST_EVERY_FOR_EACH: Duration = Duration::from_millis(50);
+
+pub(super) async fn send_all(mut gossip: Gossip, mut outgoing: mpsc::UnboundedReceiver<Send>) {
+    while let Some(Send { to, datagram }) = outgoing.recv().await {
+        gossip.send(to, datagram).await;
+    }
+}
+
+pub(super) async fn receive_all(
+    control: Rc<Control>,
+    mut received: Pin<Box<dyn Stream<Item = (Datagram, SocketAddr)>>>,
+) {
+    while let Some((datagram, from)) = received.next().await {
+        control.check_pause();
+        control.shared.timeline.clock().observe(datagram.stamp);
+        let now_ms = control.shared.now_ms();
+        let sends = control.membership.borrow_mut().receive(now_ms, from, &datagram);
+        control.send(sends);
+        control.refresh();
+    }
+}
+
+impl Control {
+    pub(super) async fn tick(self: Rc<Self>) {
+        loop {
+            self.check_pause();
+            let now_ms = self.shared.now_ms();
+            let sends = self.membership.borrow_mut().tick(now_ms, rand::random());
+            self.send(sends);
+            self.greet_seeds();
+            self.leaving.borrow_mut().expire(now_ms);
+            self.refresh();
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Gives up all shares after a pause in which others may have taken them.
+    fn check_pause(&self) {
+        let paused = self.last_tick.replace(Instant::now()).elapsed();
+        if paused < MAX_PAUSE {
+            return;
+        }
+        self.record(event::PAUSED, &self.shared.settings.name, &format!("{paused:?}"));
+        let own = self.membership.borrow().own().key();
+        *self.agreement.borrow_mut() = Agreement::new(own);
+        self.publish();
+    }
+
+    fn greet_seeds(&self) {
+        const RANDOM_ONE_IN: u64 = 10;
+        let mut membership = self.membership.borrow_mut();
+        if membership.alive_count() > 1 || !rand::random::<u64>().is_multiple_of(RANDOM_ONE_IN) {
+            return;
+        }
+        let known = self.shared.settings.seeds.iter();
+        let sends: Vec<Send> = known.map(|&addr| membership.greet(addr)).collect();
+        drop(membership);
+        self.send(sends);
+    }
+
+    fn send(&self, sends: Vec<Send>) {
+        for mut send in sends {
+            send.datagram.stamp = self.shared.timeline.clock().stamp();
+            drop(self.outbox.send(send));
+        }
+    }
+
+    /// Draws the conclusions from what has changed among the members.
+    fn refresh(self: &Rc<Self>) {
+        let changes = self.membership.borrow_mut().take_changes();
+        let has_changes = !changes.is_empty();
+        for change in changes {
+            self.note(change);
+        }
+        let has_moved = self.agree();
+        if has_moved || has_changes {
+            self.publish();
+            self.duties.notify_waiters();
+        }
+        self.fetch_newer_text();
+    }
+
+    fn note(&self, change: Change) {
+        match change {
+            Change::Joined(name) => self.record(event::MEMBER_JOINED, &name, ""),
+            Change::Suspected(name) => self.record(event::MEMBER_SUSPECT, &name, ""),
+            Change::Died(name) => self.record(event::MEMBER_DEAD, &name, ""),
+            Change::Left(name) => self.record(event::MEMBER_LEFT, &name, ""),
+            Change::Refuted => self.record(event::REFUTED, &self.shared.settings.name, ""),
+            Change::ServerLeaving(LeavingServer { replica, incarnation }) => {
+                self.server_leaves(Server { replica, incarnation });
+            }
+        }
+    }
+
+    /// Takes the members into the share agreement; returns whether shares moved.
+    fn agree(&self) -> bool {
+        let mut membership = self.membership.borrow_mut();
+        let mut agreement = self.agreement.borrow_mut();
+        let before = agreement.bounds();
+        agreement.set_members(&membership.holders());
+        for member in membership.others() {
+            agreement.heard(member.key(), member.share_digest);
+        }
+        let digest = agreement.digest();
+        membership.update_own(|m| m.share_digest = digest);
+        let has_moved = agreement.bounds() != before;
+        if has_moved {
+            let about = &self.shared.settings.name;
+            let lists = agreement.bounds();
+            let sizes: Vec<String> = lists.iter().map(|l| l.len().to_string()).collect();
+            self.record(event::SHARE_CHANGED, about, &format!("of {}", sizes.join(", ")));
+        }
+        has_moved
+    }
+
+    /// Notes and spreads that a backend server is leaving.
+    pub(super) fn server_leaves(&self, server: Server) {
+        let is_news = self.leaving.borrow_mut().note(server, self.shared.now_ms());
+        if !is_news {
+            return;
+        }
+        let Server { replica, incarnation } = server;
+        let spread = LeavingServer { replica, incarnation };
+        self.membership.borrow_mut().spread_leaving(spread);
+        self.record(event::SERVER_LEAVING, &self.server_name(replica), "");
+        self.publish();
+    }
+
+    fn server_name(&self, replica: u64) -> String {
+        let services = self.services.borrow();
+        let mut all = services.by_name.values().flat_map(|s| s.shards.iter().flatten());
+        let known = all.find(|r| r.id == replica);
+        known.map_or_else(|| format!("{replica:x}"), |r| r.addr.to_string())
+    }
+
+    /// Reads the platform's list of instances, more rarely the more there are.
+    pub(super) async fn follow_list(self: Rc<Self>) {
+        loop {
+            let read = self.store.instances().await;
+            self.note_platform(read.is_ok());
+            if let Ok(list) = read {
+                let listed: Vec<Listed> = list
+                    .into_iter()
+                    .filter_map(|l| {
+                        let peer_addr = l.peer_addr.parse().ok()?;
+                        Some(Listed { name: l.name, zone: l.zone, peer_addr })
+                    })
+                    .collect();
+                self.membership.borrow_mut().set_listed(&listed);
+                self.refresh();
+            }
+            tokio::time::sleep(self.list_pause()).await;
+        }
+    }
+
+    fn list_pause(&self) -> Duration {
+        let count = u32::try_from(self.membership.borrow().alive_count()).unwrap_or(u32::MAX);
+        let pause = LIST_EVERY.max(LIST_EVERY_FOR_EACH.saturating_mul(count));
+        pause.mul_f64(rand::random_range(0.75..1.25))
+    }
+
+    /// Records when the platform stops or starts answering.
+    pub(super) fn note_platform(&self, is_up: bool) {
+        if self.is_platform_up.replace(is_up) != is_up {
+            let event = if is_up { event::PLATFORM_UP } else { event::PLATFORM_DOWN };
+            self.record(event, &self.shared.settings.platform_url, "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -0,0 +1,206 @@
+//! The control thread: membership, configuration, shares and claims.
+
+mod claims;
+mod members;
+mod peers;
+mod status;
+mod text;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::config::InForce;
+use eelgrasspier_decide::leaving::Leaving;
+use eelgrasspier_decide::membership::{Member, Membership, Send, State};
+use eelgrasspier_decide::prelude::Services;
+use eelgrasspier_decide::share::Agreement;
+use eelgrasspier_peer::Links;
+use eelgrasspier_platform::{Claims, HttpStore, ObjectStore};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::event;
+use crate::shared::{Ask, SharedRef};
+use crate::view::{Peer, View};
+
+/// Instances that are told of a stop at once; gossip tells the rest.
+const FAREWELLS: usize = 16;
+/// Time for which the last datagrams may travel.
+const FAREWELL_TIME: Duration = Duration::from_millis(200);
+
+/// The state of the control thread.
+pub(crate) struct Control {
+    shared: SharedRef,
+    store: Rc<dyn ObjectStore>,
+    links: Links,
+    claims: Claims,
+    membership: RefCell<Membership>,
+    agreement: RefCell<Agreement>,
+    in_force: RefCell<InForce>,
+    services: RefCell<Arc<Services>>,
+    /// The stored object in force, to be handed to other instances.
+    stored: RefCell<Option<bytes::Bytes>>,
+    leaving: RefCell<Leaving>,
+    outbox: mpsc::UnboundedSender<Send>,
+    state: Cell<State>,
+    serial: Cell<u64>,
+    last_tick: Cell<Instant>,
+    is_fetching: Cell<bool>,
+    is_platform_up: Cell<bool>,
+    /// Wakes the text's watcher when its duties may have changed.
+    duties: Notify,
+}
+
+/// What the control thread serves.
+pub(crate) struct Sockets {
+    pub(crate) listener: TcpListener,
+    pub(crate) peer_addr: std::net::SocketAddr,
+    pub(crate) http_addr: std::net::SocketAddr,
+}
+
+impl Control {
+    /// Starts all of control on the thread that calls it.
+    pub(crate) async fn start(
+        shared: SharedRef,
+        sockets: Sockets,
+        asks: mpsc::UnboundedReceiver<Ask>,
+    ) -> std::io::Result<()> {
+        let (gossip, received) = eelgrasspier_peer::Gossip::bind(sockets.peer_addr).await?;
+        let (outbox, outgoing) = mpsc::unbounded_channel();
+        let settings = &shared.settings;
+        let store: Rc<dyn ObjectStore> =
+            Rc::new(HttpStore::new(&settings.platform_url, settings.platform_timeout_ms));
+        let stamps = Arc::clone(&shared);
+        let member = own_member(&shared, &sockets);
+        let control = Rc::new(Self {
+            links: Links::new(Rc::new(move || stamps.timeline.clock().stamp())),
+            claims: Claims::new(Rc::clone(&store)),
+            store,
+            agreement: RefCell::new(Agreement::new(member.key())),
+            membership: RefCell::new(Membership::new(member)),
+            in_force: RefCell::default(),
+            services: RefCell::default(),
+            stored: RefCell::default(),
+            leaving: RefCell::default(),
+            outbox,
+            state: Cell::new(State::Starting),
+            serial: Cell::new(0),
+            last_tick: Cell::new(Instant::now()),
+            is_fetching: Cell::new(false),
+            is_platform_up: Cell::new(true),
+            duties: Notify::new(),
+            shared,
+        });
+        actix_rt::spawn(members::send_all(gossip, outgoing));
+        actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
+        actix_rt::spawn(Rc::clone(&control).tick());
+        actix_rt::spawn(Rc::clone(&control).follow_list());
+        actix_rt::spawn(Rc::clone(&control).follow_text());
+        actix_rt::spawn(Rc::clone(&control).answer_asks(asks));
+        actix_rt::spawn(eelgrasspier_peer::serve(sockets.listener, control));
+        Ok(())
+    }
+
+    async fn answer_asks(self: Rc<Self>, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        while let Some(ask) = asks.recv().await {
+            match ask {
+                Ask::Claim { key, nonce, until, done } => {
+                    let control = Rc::clone(&self);
+                    actix_rt::spawn(async move {
+                        drop(done.send(control.claim(key, nonce, until).await));
+                    });
+                }
+                Ask::Release { key, nonce } => self.claims.release(key, nonce),
+                Ask::Leaving(server) => self.server_leaves(server),
+                Ask::Submit { submitted, done } => {
+                    let control = Rc::clone(&self);
+                    actix_rt::spawn(async move {
+                        drop(done.send(control.submit(submitted).await));
+                    });
+                }
+                Ask::Text { done } => {
+                    // Whoever asked may have gone; then nobody wants the answer.
+                    let _gone = done.send(self.shown_text()).is_err();
+                }
+                Ask::Status { done } => {
+                    let control = Rc::clone(&self);
+                    actix_rt::spawn(async move { drop(done.send(control.all_status().await)) });
+                }
+                Ask::Timeline { about, from_stamp, done } => {
+                    let control = Rc::clone(&self);
+                    actix_rt::spawn(async move {
+                        drop(done.send(control.all_events(&about, from_stamp).await));
+                    });
+                }
+                Ask::Stop => self.set_state(State::Leaving),
+                Ask::Left { done } => self.leave(done),
+            }
+        }
+    }
+
+    fn set_state(&self, state: State) {
+        if self.state.replace(state) != state {
+            self.membership.borrow_mut().update_own(|m| m.state = state as i32);
+            self.publish();
+        }
+    }
+
+    /// Tells the others that all connections are let go, so that they may grow.
+    fn leave(&self, done: oneshot::Sender<()>) {
+        self.set_state(State::Left);
+        for send in self.membership.borrow_mut().farewell(FAREWELLS, rand::random()) {
+            drop(self.outbox.send(send));
+        }
+        actix_rt::spawn(async move {
+            tokio::time::sleep(FAREWELL_TIME).await;
+            let _gone = done.send(()).is_err();
+        });
+    }
+
+    /// Publishes the present state to the traffic threads.
+    fn publish(&self) {
+        self.serial.set(self.serial.get() + 1);
+        let agreement = self.agreement.borrow();
+        let view = View {
+            serial: self.serial.get(),
+            version: self.in_force.borrow().version(),
+            services: Arc::clone(&self.services.borrow()),
+            own: self.membership.borrow().own().key(),
+            bounds: agreement.bounds(),
+            leaving: self.leaving.borrow().clone(),
+            peers: self.peers(),
+            is_stopping: self.state.get() >= State::Leaving,
+        };
+        let is_ready = view.is_ready();
+        self.shared.view.store(Arc::new(view));
+        if is_ready && self.state.get() == State::Starting {
+            self.state.set(State::Ready);
+            self.membership.borrow_mut().update_own(|m| m.state = State::Ready as i32);
+            self.shared.timeline.record(event::READY, &self.shared.settings.name, "");
+        }
+    }
+
+    fn peers(&self) -> Vec<Peer> {
+        let membership = self.membership.borrow();
+        let peer = |m: &Member| Some(Peer { key: m.key(), addr: m.peer_addr.parse().ok()? });
+        membership.alive().filter(|m| m.state() == State::Ready).filter_map(peer).collect()
+    }
+
+    fn record(&self, event: crate::event::Event, about: &str, detail: &str) {
+        self.shared.timeline.record(event, about, detail);
+    }
+}
+
+fn own_member(shared: &SharedRef, sockets: &Sockets) -> Member {
+    Member {
+        name: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        revision: 1,
+        zone: shared.settings.zone.clone(),
+        peer_addr: sockets.peer_addr.to_string(),
+        http_addr: sockets.http_addr.to_string(),
+        ..Member::default()
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/control/peers.rs
@@ -0,0 +1,62 @@
+//! Answers to the questions of other instances.
+
+use bytes::Bytes;
+use eelgrasspier_peer::wire::{Body, Parts, Text};
+use eelgrasspier_peer::{AnswerFuture, PeerService};
+use tokio::sync::oneshot;
+
+use super::Control;
+use crate::shared::PartsAsk;
+
+impl PeerService for Control {
+    fn answer(&self, question: Body) -> AnswerFuture<'_> {
+        Box::pin(async move {
+            match question {
+                Body::TextAbove(version) => Body::Text(self.text_above(version)),
+                Body::Claim(claim) => Body::Claimed(self.claim_for_peer(claim).await),
+                Body::StatusAsk(_) => Body::Status(to_json(&self.own_status())),
+                Body::EventsAsk(ask) => {
+                    let events = self.shared.timeline.entries(&ask.about, ask.from_stamp);
+                    Body::Events(to_json(&events))
+                }
+                Body::Parts(parts) => self.parts(parts).await,
+                _ => Body::Refused("not a question".to_owned()),
+            }
+        })
+    }
+
+    fn stamp(&self) -> u64 {
+        self.shared.timeline.clock().stamp()
+    }
+
+    fn observe(&self, stamp: u64) {
+        self.shared.timeline.clock().observe(stamp);
+    }
+}
+
+impl Control {
+    fn text_above(&self, version: u64) -> Text {
+        let own = self.in_force.borrow().version();
+        let stored = self.stored.borrow().clone();
+        match (own, stored) {
+            (Some(own), Some(stored)) if own > version => Text { version: own, stored },
+            _ => Text::default(),
+        }
+    }
+
+    /// Hands parts that another instance asks for to a traffic thread.
+    async fn parts(&self, parts: Parts) -> Body {
+        let (done, answer) = oneshot::channel();
+        if let Some(gatherer) = self.shared.gatherer(rand::random()) {
+            drop(gatherer.send(PartsAsk { parts, done }));
+        }
+        match answer.await {
+            Ok(done) => Body::PartsDone(done),
+            Err(_) => Body::Refused("no traffic thread".to_owned()),
+        }
+    }
+}
+
+pub(super) fn to_json<T: serde::Serialize>(value: &T) -> Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/control/text.rs
@@ -0,0 +1,220 @@
+//! The operators' text: following it, handing it on, submitting edits.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrasspier_decide::config::{self, Edit, Submission};
+use eelgrasspier_decide::prelude::Services;
+use eelgrasspier_decide::rendezvous;
+use eelgrasspier_operator::{ShownText, SubmitAnswer, Submitted};
+use eelgrasspier_peer::wire::Body;
+use eelgrasspier_platform::stored::{StoredEdit, StoredText, TEXT_OBJECT};
+use eelgrasspier_platform::{Backoff, Object, UpdateError};
+use prost::Message;
+
+use super::Control;
+use crate::event;
+
+/// Watchers of the platform in each availability zone.
+const WATCHERS_PER_ZONE: usize = 2;
+/// Length of one watch in milliseconds.
+const WATCH_MS: u64 = 20_000;
+/// Least time between two polls of an instance that does not watch.
+const POLL_EVERY: Duration = Duration::from_secs(20);
+/// Time between polls for each instance, so that the fleet's rate stays at 10/s.
+const POLL_EVERY_FOR_EACH: Duration = Duration::from_millis(100);
+/// Shortest and longest pause after a failed read, in milliseconds.
+const PAUSE_MS: (u64, u64) = (100, 3_000);
+/// Time in which another instance must hand over its text.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a submission is tried.
+const SUBMIT_TIME: Duration = Duration::from_secs(5);
+
+impl Control {
+    /// Follows the text on the platform for as long as the thread runs.
+    pub(super) async fn follow_text(self: Rc<Self>) {
+        let mut backoff = Backoff::new(PAUSE_MS.0, PAUSE_MS.1);
+        let mut is_first = true;
+        loop {
+            let read = if is_first {
+                self.store.read(TEXT_OBJECT).await
+            } else if self.is_watcher() {
+                let after = self.in_force.borrow().version().unwrap_or(0);
+                self.store.watch(TEXT_OBJECT, after, WATCH_MS).await
+            } else {
+                self.wait_for_poll().await;
+                self.store.read(TEXT_OBJECT).await
+            };
+            self.note_platform(read.is_ok());
+            match read {
+                Ok(object) => {
+                    is_first = false;
+                    backoff.reset();
+                    if let Some(Object { version, value }) = object {
+                        self.offer(version, value, "platform");
+                    }
+                }
+                Err(_) => tokio::time::sleep(backoff.next_pause()).await,
+            }
+        }
+    }
+
+    /// Whether this instance is one of its zone's few that watch the platform.
+    fn is_watcher(&self) -> bool {
+        let membership = self.membership.borrow();
+        let own = membership.own();
+        let near = membership.alive().filter(|m| m.zone == own.zone);
+        let keys: Vec<u64> =
+            near.chain([own]).map(eelgrasspier_decide::membership::Member::key).collect();
+        let key = rendezvous::hash(TEXT_OBJECT);
+        rendezvous::is_in_top(key, own.key(), &keys, WATCHERS_PER_ZONE)
+    }
+
+    /// Waits for the next poll, or until this instance may have become a watcher.
+    async fn wait_for_poll(&self) {
+        let count = u32::try_from(self.membership.borrow().alive_count()).unwrap_or(u32::MAX);
+        let pause = POLL_EVERY.max(POLL_EVERY_FOR_EACH.saturating_mul(count));
+        let until = Instant::now() + pause.mul_f64(rand::random_range(0.75..1.25));
+        while !self.is_watcher() {
+            let changed = self.duties.notified();
+            if tokio::time::timeout_at(until.into(), changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Puts a stored text in force, if it is newer than the one that is.
+    pub(super) fn offer(&self, version: u64, value: Bytes, source: &str) {
+        let current = self.in_force.borrow().version();
+        if current >= Some(version) {
+            if current > Some(version) {
+                let detail = format!("version {version} from {source}, in force {current:?}");
+                self.record(event::TEXT_STALE, &format!("version {version}"), &detail);
+            }
+            return;
+        }
+        let parsed = StoredText::decode(value.clone())
+            .map_err(|e| e.to_string())
+            .and_then(|s| Services::try_from(s.text.as_str()).map_err(|e| e.to_string()));
+        let services = match parsed {
+            Ok(services) => services,
+            Err(errors) => {
+                self.record(event::TEXT_BROKEN, &format!("version {version}"), &errors);
+                return;
+            }
+        };
+        if !self.in_force.borrow_mut().offer(version) {
+            return;
+        }
+        *self.services.borrow_mut() = Arc::new(services);
+        *self.stored.borrow_mut() = Some(value);
+        self.membership.borrow_mut().update_own(|m| m.config_version = version);
+        self.record(event::TEXT_IN_FORCE, &format!("version {version}"), source);
+        self.publish();
+    }
+
+    /// Fetches the text from a member that announces a newer one.
+    pub(super) fn fetch_newer_text(self: &Rc<Self>) {
+        let own = self.in_force.borrow().version().unwrap_or(0);
+        let membership = self.membership.borrow();
+        let newest = membership.alive().max_by_key(|m| m.config_version);
+        let Some(member) = newest.filter(|m| m.config_version > own) else { return };
+        let Ok(addr) = member.peer_addr.parse() else { return };
+        if self.is_fetching.replace(true) {
+            return;
+        }
+        let control = Rc::clone(self);
+        let name = member.name.clone();
+        actix_rt::spawn(async move {
+            let asked = control.links.ask(addr, Body::TextAbove(own), FETCH_TIMEOUT).await;
+            if let Ok(Body::Text(text)) = asked {
+                if text.version > 0 {
+                    control.offer(text.version, text.stored, &name);
+                }
+            } else {
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS.0)).await;
+            }
+            control.is_fetching.set(false);
+        });
+    }
+
+    pub(super) fn shown_text(&self) -> Option<ShownText> {
+        let stored = self.stored.borrow().clone()?;
+        let text = StoredText::decode(stored).ok()?.text;
+        Some(ShownText { version: self.in_force.borrow().version()?, text })
+    }
+
+    /// Submits an edit and finds out what became of it.
+    pub(super) async fn submit(&self, submitted: Submitted) -> SubmitAnswer {
+        if let Err(errors) = Services::try_from(submitted.text.as_str()) {
+            return SubmitAnswer::Broken { errors: errors.to_string() };
+        }
+        let until = Instant::now() + SUBMIT_TIME;
+        let mut backoff = Backoff::new(PAUSE_MS.0, PAUSE_MS.1);
+        let mut reason = String::new();
+        while Instant::now() < until {
+            match self.try_submit(&submitted).await {
+                Ok(answer) => {
+                    self.note_submission(&submitted, &answer);
+                    return answer;
+                }
+                Err(error) => reason = error,
+            }
+            tokio::time::sleep(backoff.next_pause()).await;
+        }
+        let answer = SubmitAnswer::Unknown { reason };
+        self.note_submission(&submitted, &answer);
+        answer
+    }
+
+    /// One read, and one conditional update where the edit is still open.
+    async fn try_submit(&self, submitted: &Submitted) -> Result<SubmitAnswer, String> {
+        let read = self.store.read(TEXT_OBJECT).await.map_err(|e| e.to_string())?;
+        let (version, mut stored) = match read {
+            None => (0, StoredText::default()),
+            Some(object) => {
+                let stored = StoredText::decode(object.value).map_err(|e| e.to_string())?;
+                (object.version, stored)
+            }
+        };
+        let edit = Edit { edit_id: submitted.edit_id, base: submitted.base };
+        match config::resolve(&edit, version, &stored.remembered()) {
+            Submission::Accepted(version) => return Ok(SubmitAnswer::Accepted { version }),
+            Submission::Superseded(version) => return Ok(SubmitAnswer::Superseded { version }),
+            Submission::Conflict(version) => return Ok(SubmitAnswer::Conflict { version }),
+            Submission::Open => {}
+        }
+        stored.text.clone_from(&submitted.text);
+        stored.edits.push(StoredEdit {
+            edit_id: submitted.edit_id,
+            base: submitted.base,
+            submitter: submitted.submitter.clone(),
+        });
+        let surplus = stored.edits.len().saturating_sub(config::REMEMBERED_EDITS);
+        stored.edits.drain(..surplus);
+        let value = Bytes::from(stored.encode_to_vec());
+        let expected = (version > 0).then_some(version);
+        match self.store.update(TEXT_OBJECT, expected, value.clone()).await {
+            Ok(version) => {
+                self.offer(version, value, "submission");
+                Ok(SubmitAnswer::Accepted { version })
+            }
+            // The next try reads again and finds the edit, or another one.
+            Err(UpdateError::Conflict) => Err("conflict".to_owned()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    fn note_submission(&self, submitted: &Submitted, answer: &SubmitAnswer) {
+        let event = match answer {
+            SubmitAnswer::Accepted { .. } | SubmitAnswer::Superseded { .. } => event::EDIT_ACCEPTED,
+            SubmitAnswer::Conflict { .. } => event::EDIT_CONFLICT,
+            _ => event::EDIT_UNKNOWN,
+        };
+        let detail =
+            format!("by {} on version {}: {answer:?}", submitted.submitter, submitted.base);
+        self.record(event, &submitted.edit_id.to_string(), &detail);
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/daemon.rs
@@ -0,0 +1,186 @@
+//! Starts the daemon's threads, serves until a stop, and stops gracefully.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::web::Data;
+use actix_web::{App, HttpServer};
+use arc_swap::ArcSwap;
+use displaydoc::Display;
+use eelgrasspier_decide::prelude::InstanceId;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::clock::epoch_ms;
+use crate::control::{Control, Sockets};
+use crate::event;
+use crate::settings::Settings;
+use crate::shared::{Ask, Shared, SharedRef};
+use crate::timeline::Timeline;
+use crate::traffic::Traffic;
+use crate::view::View;
+use crate::web;
+
+/// Ports that are tried where any free one will do for both TCP and UDP.
+const PORT_TRIES: usize = 50;
+/// Time between two rounds of upkeep of the metrics.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Largest body of an operator's request: the text, escaped as JSON.
+const MAX_ADMIN_BYTES: usize = 4 << 20;
+/// Time for which an idle caller's connection is kept.
+const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// The daemon could not start or go on.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum StartError {
+    /// address can't be bound: {0}
+    Bind(#[source] io::Error),
+    /// metrics can't be set up: {0}
+    Metrics(String),
+    /// the server failed: {0}
+    Serve(#[source] io::Error),
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+/// Fails if an address can't be bound or the server breaks down.
+pub fn run(settings: Settings) -> Result<(), StartError> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| StartError::Metrics(e.to_string()))?;
+    actix_rt::System::new().block_on(serve(settings, metrics))
+}
+
+async fn serve(settings: Settings, metrics: PrometheusHandle) -> Result<(), StartError> {
+    let http = TcpListener::bind(settings.http_addr).map_err(StartError::Bind)?;
+    let peer = bind_peer(settings.peer_addr).map_err(StartError::Bind)?;
+    let http_addr = http.local_addr().map_err(StartError::Bind)?;
+    let peer_addr = peer.local_addr().map_err(StartError::Bind)?;
+    let (control, asks) = mpsc::unbounded_channel();
+    let shared = share(settings, control);
+    let about = &shared.settings.name;
+    let detail = format!("http {http_addr} peer {peer_addr}");
+    shared.timeline.record(event::STARTED, about, &detail);
+    // One line for whoever started this process, with the ports that were picked.
+    println!("{{\"http\":\"{http_addr}\",\"peer\":\"{peer_addr}\"}}");
+
+    let arbiter = actix_rt::Arbiter::new();
+    let (started, is_started) = oneshot::channel();
+    let control_shared = Arc::clone(&shared);
+    arbiter.spawn(async move {
+        let result = start_control(control_shared, peer, peer_addr, http_addr, asks).await;
+        drop(started.send(result));
+    });
+    let result = is_started.await.unwrap_or_else(|_| Err(io::Error::other("control ended")));
+    result.map_err(StartError::Bind)?;
+    actix_rt::spawn(keep_metrics(metrics.clone()));
+
+    let result = serve_http(http, Arc::clone(&shared), metrics).await;
+    shared.ask(|done| Ask::Left { done }).await;
+    shared.timeline.record(event::LEFT, &shared.settings.name, "");
+    arbiter.stop();
+    result.map_err(StartError::Serve)
+}
+
+fn share(settings: Settings, control: mpsc::UnboundedSender<Ask>) -> SharedRef {
+    let incarnation = epoch_ms();
+    let id = InstanceId { name: settings.name.clone(), incarnation };
+    Arc::new(Shared {
+        settings,
+        incarnation,
+        started: Instant::now(),
+        view: ArcSwap::from_pointee(View::default()),
+        timeline: Timeline::new(id),
+        control,
+        warm_threads: std::sync::atomic::AtomicUsize::new(0),
+        snapshots: std::sync::Mutex::default(),
+        gatherers: std::sync::Mutex::default(),
+    })
+}
+
+async fn start_control(
+    shared: SharedRef,
+    listener: TcpListener,
+    peer_addr: SocketAddr,
+    http_addr: SocketAddr,
+    asks: mpsc::UnboundedReceiver<Ask>,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    Control::start(shared, Sockets { listener, peer_addr, http_addr }, asks).await
+}
+
+/// Binds TCP where UDP is free too: peers use the same port for both.
+fn bind_peer(addr: SocketAddr) -> io::Result<TcpListener> {
+    let mut last = io::Error::other("no port free for both TCP and UDP");
+    for _ in 0..PORT_TRIES {
+        let listener = TcpListener::bind(addr)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(_) => return Ok(listener),
+            Err(error) if addr.port() == 0 => last = error,
+            Err(error) => return Err(error),
+        }
+    }
+    Err(last)
+}
+
+async fn serve_http(
+    listener: TcpListener,
+    shared: SharedRef,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    let stop_limit_s = shared.settings.stop_limit_ms.div_ceil(1000);
+    let workers = shared.settings.traffic_threads;
+    let for_workers = Arc::clone(&shared);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::new(Traffic::start(Arc::clone(&for_workers))))
+            .app_data(Data::new(metrics.clone()))
+            .app_data(actix_web::web::JsonConfig::default().limit(MAX_ADMIN_BYTES))
+            .configure(web::routes)
+    })
+    .workers(workers)
+    .keep_alive(CALLER_KEEP_ALIVE)
+    .shutdown_timeout(stop_limit_s)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(async move {
+        wait_for_signal().await;
+        begin_stop(&shared).await;
+        handle.stop(true).await;
+    });
+    server.await
+}
+
+/// Not ready, but still serving: balancers need a moment to notice.
+async fn begin_stop(shared: &Shared) {
+    shared.timeline.record(event::LEAVING, &shared.settings.name, "");
+    drop(shared.control.send(Ask::Stop));
+    tokio::time::sleep(Duration::from_millis(shared.settings.lame_duck_ms)).await;
+}
+
+async fn wait_for_signal() {
+    use actix_rt::signal::unix::{SignalKind, signal};
+    let (Ok(mut term), Ok(mut int)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        // Without signal handlers the system's default action ends the process.
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+async fn keep_metrics(handle: PrometheusHandle) {
+    loop {
+        handle.run_upkeep();
+        tokio::time::sleep(METRICS_UPKEEP).await;
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/event.rs
@@ -0,0 +1,110 @@
+//! The catalogue of numbered events; docs/EVENTS.md lists the same.
+
+use log::Level;
+
+/// One kind of event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, which never changes its meaning.
+    pub number: u16,
+    /// Its level in the log.
+    pub level: Level,
+    /// What it says.
+    pub title: &'static str,
+}
+
+const fn event(number: u16, level: Level, title: &'static str) -> Event {
+    Event { number, level, title }
+}
+
+/// The process has started.
+pub const STARTED: Event = event(101, Level::Info, "process started");
+/// Callers are served from now on.
+pub const READY: Event = event(102, Level::Info, "ready for callers");
+/// A planned stop has begun.
+pub const LEAVING: Event = event(103, Level::Info, "planned stop begun");
+/// All requests have ended and connections are let go.
+pub const LEFT: Event = event(104, Level::Info, "stopped");
+/// The control thread was paused for longer than its state stays valid.
+pub const PAUSED: Event = event(105, Level::Warn, "was paused; shares given up");
+/// A configuration is in force on this instance.
+pub const TEXT_IN_FORCE: Event = event(201, Level::Info, "operators' text in force");
+/// An older text was offered and refused.
+pub const TEXT_STALE: Event = event(202, Level::Warn, "older operators' text refused");
+/// A stored text has errors; the one in force stays.
+pub const TEXT_BROKEN: Event = event(203, Level::Error, "stored operators' text has errors");
+/// An operator's edit was accepted.
+pub const EDIT_ACCEPTED: Event = event(204, Level::Info, "edit accepted");
+/// An operator's edit was refused because the text was changed since.
+pub const EDIT_CONFLICT: Event = event(205, Level::Info, "edit in conflict");
+/// The fate of an edit is not known yet.
+pub const EDIT_UNKNOWN: Event = event(206, Level::Warn, "edit not confirmed");
+/// Another instance was heard of or came back.
+pub const MEMBER_JOINED: Event = event(301, Level::Info, "instance joined");
+/// Another instance did not answer.
+pub const MEMBER_SUSPECT: Event = event(302, Level::Info, "instance suspected");
+/// Another instance is taken for dead.
+pub const MEMBER_DEAD: Event = event(303, Level::Warn, "instance dead");
+/// Another instance has left.
+pub const MEMBER_LEFT: Event = event(304, Level::Info, "instance left");
+/// This instance was suspected and has refuted it.
+pub const REFUTED: Event = event(305, Level::Info, "own suspicion refuted");
+/// The shares of connections have changed.
+pub const SHARE_CHANGED: Event = event(306, Level::Info, "share of connections changed");
+/// A backend server is leaving.
+pub const SERVER_LEAVING: Event = event(401, Level::Info, "backend server leaving");
+/// A backend server can't be reached.
+pub const SERVER_DOWN: Event = event(402, Level::Warn, "backend server down");
+/// A backend server can be reached again.
+pub const SERVER_UP: Event = event(403, Level::Info, "backend server up");
+/// A service is answered from another snapshot than before.
+pub const SNAPSHOT: Event = event(404, Level::Info, "snapshot chosen");
+/// The idempotency key of a run was claimed.
+pub const RUN_CLAIMED: Event = event(501, Level::Debug, "run claimed");
+/// A run was sent to a backend server.
+pub const RUN_SENT: Event = event(502, Level::Debug, "run sent");
+/// A run was answered.
+pub const RUN_DONE: Event = event(503, Level::Debug, "run answered");
+/// A run was refused.
+pub const RUN_REFUSED: Event = event(504, Level::Info, "run refused");
+/// A query was answered without some of its shards.
+pub const QUERY_PARTIAL: Event = event(505, Level::Debug, "query answered in part");
+/// A query was refused.
+pub const QUERY_REFUSED: Event = event(506, Level::Debug, "query refused");
+/// The platform does not answer.
+pub const PLATFORM_DOWN: Event = event(601, Level::Warn, "platform does not answer");
+/// The platform answers again.
+pub const PLATFORM_UP: Event = event(602, Level::Info, "platform answers again");
+
+/// All kinds, by number.
+pub const CATALOGUE: [Event; 29] = [
+    STARTED,
+    READY,
+    LEAVING,
+    LEFT,
+    PAUSED,
+    TEXT_IN_FORCE,
+    TEXT_STALE,
+    TEXT_BROKEN,
+    EDIT_ACCEPTED,
+    EDIT_CONFLICT,
+    EDIT_UNKNOWN,
+    MEMBER_JOINED,
+    MEMBER_SUSPECT,
+    MEMBER_DEAD,
+    MEMBER_LEFT,
+    REFUTED,
+    SHARE_CHANGED,
+    SERVER_LEAVING,
+    SERVER_DOWN,
+    SERVER_UP,
+    SNAPSHOT,
+    RUN_CLAIMED,
+    RUN_SENT,
+    RUN_DONE,
+    RUN_REFUSED,
+    QUERY_PARTIAL,
+    QUERY_REFUSED,
+    PLATFORM_DOWN,
+    PLATFORM_UP,
+];
--- /dev/null
+++ b/crates/eelgrasspier/src/lib.rs
@@ -0,0 +1,27 @@
+//! The query tier's library: joins callers, backend servers, platform and peers.
+//!
+//! One control thread keeps membership, configuration, shares and claims, and
+//! publishes immutable views; traffic threads serve callers from the latest view
+//! and never wait for control, but for the claim of a request that must run once.
+
+pub mod clock;
+mod control;
+mod daemon;
+pub mod event;
+mod flight;
+mod gather;
+mod part;
+mod query;
+mod replica;
+mod run;
+mod service;
+mod settings;
+mod shared;
+mod slices;
+pub mod timeline;
+mod traffic;
+mod view;
+mod web;
+
+pub use daemon::{StartError, run};
+pub use settings::{Policy, Settings, SettingsError};
--- /dev/null
+++ b/crates/eelgrasspier/src/part.rs
@@ -0,0 +1,216 @@
+//! One part of a query: replica, hedge, retry.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use eelgrasspier_backend::{Kind, PartAnswer, PartFailure, PartRequest};
+use eelgrasspier_decide::prelude::ShardId;
+use eelgrasspier_decide::replica::{self, Candidate};
+use eelgrasspier_decide::snapshot::{Held, Snapshot};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use crate::flight::Flight;
+use crate::replica::{Lane, Replica};
+use crate::service::ServiceState;
+use crate::traffic::Traffic;
+
+/// Why a shard is missed.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub(crate) enum Miss {
+    /// late
+    Late,
+    /// no replica holds the index version
+    NoReplica,
+    /// the index version is gone
+    VersionGone,
+    /// shed
+    Shed,
+    /// {0}
+    Failed(String),
+}
+
+/// What all parts of one query have in common.
+#[derive(Debug)]
+pub(crate) struct PartContext {
+    pub(crate) traffic: Rc<Traffic>,
+    pub(crate) service: Rc<ServiceState>,
+    pub(crate) request_id: Rc<str>,
+    pub(crate) body: Bytes,
+    pub(crate) snapshot: Snapshot,
+    pub(crate) cutoff: Instant,
+}
+
+/// One part on its way.
+struct Part<'a> {
+    context: &'a PartContext,
+    shard: ShardId,
+    tried: Vec<u64>,
+    flights: FuturesUnordered<Flight>,
+}
+
+/// What made an exchange start, for the extra load's count.
+#[derive(Debug, Clone, Copy)]
+enum Cause {
+    First,
+    Hedge,
+    Retry,
+}
+
+/// Gathers one part; dropped early, whatever is on its way is cancelled.
+pub(crate) async fn gather(context: &PartContext, shard: ShardId) -> Result<PartAnswer, Miss> {
+    let mut part = Part { context, shard, tried: Vec::new(), flights: FuturesUnordered::new() };
+    part.launch_first().await?;
+    context.service.hedges.borrow_mut().earn();
+    context.service.retries.borrow_mut().earn();
+    part.finish().await
+}
+
+impl Part<'_> {
+    /// Starts the first exchange, waiting for a free connection if need be.
+    async fn launch_first(&mut self) -> Result<(), Miss> {
+        loop {
+            let freed = self.context.traffic.freed.notified();
+            if self.launch(Cause::First) {
+                return Ok(());
+            }
+            if self.holders().next().is_none() {
+                return Err(Miss::NoReplica);
+            }
+            freed.await;
+        }
+    }
+
+    async fn finish(&mut self) -> Result<PartAnswer, Miss> {
+        let mut hedge_after = self.hedge_after();
+        loop {
+            let landed = match hedge_after {
+                None => self.flights.next().await,
+                Some(pause) => {
+                    let waited = tokio::time::timeout(pause, self.flights.next()).await;
+                    let Ok(landed) = waited else {
+                        hedge_after = None;
+                        self.hedge();
+                        continue;
+                    };
+                    landed
+                }
+            };
+            let Some(landed) = landed else { return Err(Miss::NoReplica) };
+            self.context.traffic.landed(&self.context.service, &landed);
+            match landed.result {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => self.failed(failure)?,
+            }
+        }
+    }
+
+    /// The wait before a hedge; `None` where there is to be none.
+    fn hedge_after(&self) -> Option<Duration> {
+        let per_mille = self.context.traffic.shared.settings.policy.hedge_per_mille;
+        if per_mille == 0 || self.context.service.spec.hedge_percent == 0 {
+            return None;
+        }
+        let quantile_us = self.context.service.latency.borrow().value_us(per_mille);
+        quantile_us.map(Duration::from_micros)
+    }
+
+    fn hedge(&mut self) {
+        if !self.candidates().is_empty() && self.context.service.hedges.borrow_mut().spend() {
+            self.launch(Cause::Hedge);
+        }
+    }
+
+    /// Tries another replica where one may do better; else the part is missed.
+    fn failed(&mut self, failure: PartFailure) -> Result<(), Miss> {
+        let may_retry = failure.is_retryable() && !self.candidates().is_empty();
+        if may_retry && self.context.service.retries.borrow_mut().spend() {
+            self.launch(Cause::Retry);
+        }
+        if !self.flights.is_empty() {
+            return Ok(());
+        }
+        Err(match failure {
+            PartFailure::WrongVersion(_) => Miss::VersionGone,
+            PartFailure::Shed(_) => Miss::Shed,
+            PartFailure::TimedOut => Miss::Late,
+            other => Miss::Failed(other.to_string()),
+        })
+    }
+
+    /// Replicas that hold the snapshot and take new work.
+    fn holders(&self) -> impl Iterator<Item = &Rc<Replica>> {
+        let Snapshot { version, shard_count, .. } = self.context.snapshot;
+        let held = Held { version, shard_count };
+        let replicas = self.context.service.shards.get(self.shard as usize);
+        replicas.into_iter().flatten().filter(move |r| {
+            r.limit(Lane::Query) > 0 && self.context.traffic.is_open(r) && r.holds(held)
+        })
+    }
+
+    /// Holders with a free connection that were not tried yet; those that are down
+    /// only where there is no other.
+    fn candidates(&self) -> Vec<Candidate> {
+        let now_ms = self.context.traffic.shared.now_ms();
+        let slots = self.context.service.spec.slots;
+        let replicas = self.context.service.shards.get(self.shard as usize);
+        let position = |replica: &Rc<Replica>| {
+            replicas.and_then(|all| all.iter().position(|r| Rc::ptr_eq(r, replica)))
+        };
+        let free: Vec<&Rc<Replica>> = self
+            .holders()
+            .filter(|r| r.is_free(Lane::Query) && !self.tried.contains(&r.spec.id))
+            .collect();
+        let is_any_up = free.iter().any(|r| !r.is_down());
+        free.into_iter()
+            .filter(|r| !is_any_up || !r.is_down())
+            .filter_map(|r| {
+                let index = position(r)?;
+                let cost_us = r.load.borrow().cost_us(slots, now_ms);
+                Some(Candidate { index, cost_us, is_near: r.is_near })
+            })
+            .collect()
+    }
+
+    /// Starts an exchange with the best candidate; returns whether there was one.
+    fn launch(&mut self, cause: Cause) -> bool {
+        let context = self.context;
+        let choice = context.traffic.shared.settings.policy.choice;
+        let Some(index) = replica::pick(&self.candidates(), choice, rand::random()) else {
+            return false;
+        };
+        let Some(replica) = context.service.shards[self.shard as usize].get(index) else {
+            return false;
+        };
+        let Some(permit) = replica.take(Lane::Query) else { return false };
+        let id = format!("{}.{}.{}", context.request_id, self.shard, self.tried.len());
+        self.tried.push(replica.spec.id);
+        let request = PartRequest {
+            addr: replica.spec.addr,
+            kind: Kind::Query,
+            service: Rc::clone(&context.service.name),
+            shard: self.shard,
+            version: Some(context.snapshot.version),
+            time_left: context.cutoff.saturating_duration_since(Instant::now()),
+            id: id.clone(),
+            body: context.body.clone(),
+            max_bytes: context.service.spec.max_part_bytes,
+        };
+        let exchanger = context.traffic.exchanger();
+        let exchange = exchanger.exchange(request);
+        self.flights.push(Flight::new(exchange, permit, id, exchanger));
+        count(cause);
+        true
+    }
+}
+
+fn count(cause: Cause) {
+    let cause = match cause {
+        Cause::First => "first",
+        Cause::Hedge => "hedge",
+        Cause::Retry => "retry",
+    };
+    metrics::counter!("eelgrasspier_parts_total", "cause" => cause).increment(1);
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/query.rs
@@ -0,0 +1,144 @@
+//! A query: one snapshot, all wanted shards, true coverage.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrasspier_caller::{Answer, Call, CallError, Missed, Part};
+use eelgrasspier_decide::admission::Ending;
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId};
+use eelgrasspier_decide::snapshot::Snapshot;
+
+use crate::clock::epoch_ms;
+use crate::event;
+use crate::gather::{Gathered, Reach, gather};
+use crate::part::PartContext;
+use crate::service::ServiceState;
+use crate::traffic::Traffic;
+
+/// Time that is kept for merging and for the way back to the caller.
+const RETURN_MARGIN: Duration = Duration::from_millis(4);
+/// Least time that is worth a second try on a newer snapshot.
+const LEAST_FOR_SECOND_TRY: Duration = Duration::from_millis(10);
+/// When to come back where no snapshot is known yet.
+const NO_SNAPSHOT_RETRY_MS: u64 = 500;
+
+/// A checked query.
+#[derive(Debug)]
+pub(crate) struct Query {
+    pub(crate) service: Rc<ServiceState>,
+    pub(crate) call: Call,
+    pub(crate) request_id: Rc<str>,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+}
+
+impl Query {
+    /// Answers the query, or refuses it at once.
+    pub(crate) async fn answer(self, traffic: &Rc<Traffic>) -> Result<Answer, Refusal> {
+        let call = &self.call;
+        let cutoff = self.deadline.checked_sub(RETURN_MARGIN).unwrap_or(self.deadline);
+        let entered = self.service.enter(&call.team, call.weight, cutoff, epoch_ms).await?;
+        let snapshot = self.snapshot(traffic)?;
+        let wanted = self.wanted(snapshot)?;
+        let mut context = PartContext {
+            traffic: Rc::clone(traffic),
+            service: Rc::clone(&self.service),
+            request_id: Rc::clone(&self.request_id),
+            body: self.body.clone(),
+            snapshot,
+            cutoff,
+        };
+        let mut gathered = gather(&context, &wanted, Reach::Everywhere).await;
+        if let Some(newer) = self.second_try(&context, &gathered) {
+            context.snapshot = newer;
+            let wanted = self.wanted(newer)?;
+            gathered = gather(&context, &wanted, Reach::Everywhere).await;
+        }
+        entered.end(if gathered.is_strained() { Ending::Strained } else { Ending::InTime });
+        drop(entered);
+        self.check_coverage(&gathered)?;
+        Ok(self.compose(&context, gathered))
+    }
+
+    fn snapshot(&self, traffic: &Traffic) -> Result<Snapshot, Refusal> {
+        let refuse = |reason| Refusal::not_run(reason, Some(NO_SNAPSHOT_RETRY_MS));
+        if let Some(version) = self.call.version {
+            let at = traffic.snapshot_at(&self.service, version);
+            return at.ok_or_else(|| refuse(RefusalReason::SnapshotGone(version)));
+        }
+        let chosen = traffic.choose_snapshot(&self.service);
+        let snapshot = chosen.ok_or_else(|| refuse(RefusalReason::NoSnapshot))?;
+        let shared = &traffic.shared;
+        if shared.note_snapshot(&self.service.name, snapshot.version) {
+            let detail = format!(
+                "version {} with {}/{} shards",
+                snapshot.version, snapshot.reachable, snapshot.shard_count
+            );
+            shared.timeline.record(event::SNAPSHOT, &self.service.name, &detail);
+        }
+        Ok(snapshot)
+    }
+
+    fn wanted(&self, snapshot: Snapshot) -> Result<Vec<ShardId>, Refusal> {
+        let Snapshot { version, shard_count, .. } = snapshot;
+        let Some(chosen) = &self.call.shards else {
+            return Ok((0..shard_count).collect());
+        };
+        if let Some(&shard) = chosen.iter().find(|&&shard| shard >= shard_count) {
+            let error = CallError::UnknownShard { shard, version, shard_count };
+            let reason = RefusalReason::BadRequest(error.to_string());
+            return Err(Refusal::not_run(reason, None));
+        }
+        Ok(chosen.iter().copied().collect())
+    }
+
+    /// A newer snapshot for one more try, where the pinned version vanished.
+    ///
+    /// The parts of the first try are thrown away: an answer never mixes versions.
+    fn second_try(&self, context: &PartContext, gathered: &Gathered) -> Option<Snapshot> {
+        let left = context.cutoff.saturating_duration_since(Instant::now());
+        if self.call.version.is_some() || !gathered.is_version_gone() || left < LEAST_FOR_SECOND_TRY
+        {
+            return None;
+        }
+        let newer = context.traffic.choose_snapshot(&self.service)?;
+        (newer.version > context.snapshot.version).then_some(newer)
+    }
+
+    fn check_coverage(&self, gathered: &Gathered) -> Result<(), Refusal> {
+        const ALL_PERCENT: usize = 100;
+        let covered = gathered.parts.len();
+        let total = covered + gathered.missed.len();
+        let least = (total * self.call.least_coverage_percent as usize).div_ceil(ALL_PERCENT);
+        if covered >= least {
+            return Ok(());
+        }
+        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let reason = RefusalReason::Coverage { covered: number(covered), wanted: number(least) };
+        // Parts of it did run; a query may be repeated, so it is worth coming back.
+        let refusal = Refusal::may_have_run(reason);
+        Err(Refusal { retry_after_ms: Some(NO_SNAPSHOT_RETRY_MS), ..refusal })
+    }
+
+    fn compose(&self, context: &PartContext, gathered: Gathered) -> Answer {
+        if !gathered.missed.is_empty() {
+            let reasons: Vec<String> =
+                gathered.missed.iter().map(|(shard, miss)| format!("{shard}: {miss}")).collect();
+            let timeline = &context.traffic.shared.timeline;
+            timeline.record(event::QUERY_PARTIAL, &self.request_id, &reasons.join(", "));
+        }
+        Answer {
+            request_id: self.request_id.to_string(),
+            index_version: context.snapshot.version,
+            shard_count: context.snapshot.shard_count,
+            covered: gathered.parts.iter().map(|(shard, _)| *shard).collect(),
+            missed: gathered
+                .missed
+                .into_iter()
+                .map(|(shard, miss)| Missed { shard, reason: miss.to_string() })
+                .collect(),
+            parts: gathered.parts.into_iter().map(|(shard, body)| Part { shard, body }).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/replica.rs
@@ -0,0 +1,165 @@
+//! One replica as a traffic thread knows it, and permits for its connections.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use eelgrasspier_backend::Report;
+use eelgrasspier_decide::leaving::{Leaving, Server};
+use eelgrasspier_decide::replica::Load;
+use eelgrasspier_decide::snapshot::Held;
+use eelgrasspier_decide::text::ReplicaSpec;
+use tokio::sync::Notify;
+
+/// Failed contacts in a row after which a replica is taken for down.
+const DOWN_AFTER: u32 = 2;
+
+/// What a connection is used for; each lane has its own share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// Queries, probes and cancellations.
+    Query = 0,
+    /// Requests that must not run twice.
+    Run = 1,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) spec: ReplicaSpec,
+    pub(crate) is_near: bool,
+    pub(crate) load: RefCell<Load>,
+    limits: [Cell<u32>; 2],
+    used: [Cell<u32>; 2],
+    report: RefCell<Report>,
+    heard_ms: Cell<Option<u64>>,
+    failures: Cell<u32>,
+    /// Wakes parts that wait for a free connection.
+    freed: Rc<Notify>,
+}
+
+/// How an answer has changed what is known of a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Learnt {
+    /// What it holds, or whether it can be used.
+    pub(crate) is_change: bool,
+    /// It says that it is leaving, which it did not before.
+    pub(crate) leaving: Option<Server>,
+    /// It was down and is not any more.
+    pub(crate) is_back: bool,
+}
+
+/// Permission to use one connection; dropping it gives the connection back.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    replica: Rc<Replica>,
+    lane: Lane,
+}
+
+impl Permit {
+    pub(crate) fn replica(&self) -> &Rc<Replica> {
+        &self.replica
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let used = &self.replica.used[self.lane as usize];
+        used.set(used.get() - 1);
+        self.replica.load.borrow_mut().outstanding -= 1;
+        self.replica.freed.notify_waiters();
+    }
+}
+
+impl Replica {
+    pub(crate) fn new(spec: ReplicaSpec, is_near: bool, freed: Rc<Notify>) -> Self {
+        Self {
+            spec,
+            is_near,
+            load: RefCell::default(),
+            limits: Default::default(),
+            used: Default::default(),
+            report: RefCell::default(),
+            heard_ms: Cell::new(None),
+            failures: Cell::new(0),
+            freed,
+        }
+    }
+
+    /// Connections of a lane.
+    pub(crate) fn limit(&self, lane: Lane) -> u32 {
+        self.limits[lane as usize].get()
+    }
+
+    /// Sets the connections of a lane; returns whether there are fewer than before.
+    pub(crate) fn set_limit(&self, lane: Lane, limit: u32) -> bool {
+        self.limits[lane as usize].replace(limit) > limit
+    }
+
+    /// Takes a connection, if one is free.
+    pub(crate) fn take(self: &Rc<Self>, lane: Lane) -> Option<Permit> {
+        let used = &self.used[lane as usize];
+        if used.get() >= self.limit(lane) {
+            return None;
+        }
+        used.set(used.get() + 1);
+        self.load.borrow_mut().outstanding += 1;
+        Some(Permit { replica: Rc::clone(self), lane })
+    }
+
+    /// Whether a connection of the lane is free.
+    pub(crate) fn is_free(&self, lane: Lane) -> bool {
+        self.used[lane as usize].get() < self.limit(lane)
+    }
+
+    /// Takes in an answer's report.
+    pub(crate) fn heard(&self, report: &Report, now_ms: u64) -> Learnt {
+        self.heard_ms.set(Some(now_ms));
+        let is_back = self.failures.replace(0) >= DOWN_AFTER;
+        let mut known = self.report.borrow_mut();
+        let is_same_run = known.incarnation == report.incarnation;
+        let is_leaving = report.is_draining && !(is_same_run && known.is_draining);
+        let is_change = known.held != report.held || !is_same_run || is_leaving || is_back;
+        if is_change {
+            known.clone_from(report);
+        }
+        let leaving = is_leaving.then(|| self.server(report.incarnation));
+        Learnt { is_change, leaving, is_back }
+    }
+
+    /// Notes a failed contact; returns whether the replica is down from now on.
+    pub(crate) fn not_heard(&self, now_ms: u64) -> bool {
+        self.load.borrow_mut().failed(now_ms);
+        self.failures.set(self.failures.get().saturating_add(1));
+        self.failures.get() == DOWN_AFTER
+    }
+
+    /// Whether several contacts in a row have failed.
+    pub(crate) fn is_down(&self) -> bool {
+        self.failures.get() >= DOWN_AFTER
+    }
+
+    /// Whether new work may be sent: it neither is leaving nor was said to.
+    pub(crate) fn is_open(&self, leaving: &Leaving) -> bool {
+        let report = self.report.borrow();
+        !report.is_draining && !leaving.contains(self.server(report.incarnation))
+    }
+
+    /// Whether it says that it holds this version in this partition map.
+    pub(crate) fn holds(&self, held: Held) -> bool {
+        self.report.borrow().held.contains(&held)
+    }
+
+    /// The versions that it says it holds.
+    pub(crate) fn held(&self) -> Vec<Held> {
+        self.report.borrow().held.clone()
+    }
+
+    /// When it was last heard of, in milliseconds since this process started.
+    pub(crate) fn heard_ms(&self) -> Option<u64> {
+        self.heard_ms.get()
+    }
+
+    fn server(&self, incarnation: u64) -> Server {
+        Server { replica: self.spec.id, incarnation }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/run.rs
@@ -0,0 +1,210 @@
+//! A request that must not run twice: one claim, one send.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eelgrasspier_backend::{Kind, PartFailure, PartRequest};
+use eelgrasspier_caller::{RunAnswer, RunCall};
+use eelgrasspier_decide::claim::{Attempt, Nonce, Outcome};
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId, Verdict};
+use eelgrasspier_decide::replica::{self, Candidate};
+use eelgrasspier_platform::ClaimError;
+
+use crate::clock::epoch_ms;
+use crate::event;
+use crate::flight::{Flight, Landed};
+use crate::replica::{Lane, Permit};
+use crate::service::ServiceState;
+use crate::shared::Ask;
+use crate::traffic::Traffic;
+
+/// Time that is kept for the backend server's work when a key is being claimed.
+const KEPT_FOR_WORK: Duration = Duration::from_millis(50);
+/// Pause between looks for a free connection.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+/// When to come back where the platform did not confirm.
+const CLAIM_RETRY_MS: u64 = 1_000;
+/// When to come back where no backend server took the request.
+const REPLICA_RETRY_MS: u64 = 500;
+
+/// A checked request that must not run twice.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) service: Rc<ServiceState>,
+    pub(crate) call: RunCall,
+    pub(crate) request_id: Rc<str>,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+}
+
+/// The claim of one attempt; dropped before anything was sent, it is given back.
+struct Claim<'a> {
+    run: &'a Run,
+    traffic: &'a Traffic,
+    nonce: Nonce,
+    attempt: Attempt,
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        if self.attempt == Attempt::Holding {
+            let ask = Ask::Release { key: self.run.call.key, nonce: self.nonce };
+            drop(self.traffic.shared.control.send(ask));
+        }
+    }
+}
+
+impl Run {
+    /// Runs the request at most once, or refuses it with a true verdict.
+    pub(crate) async fn answer(self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
+        let call = &self.call.call;
+        let entered = self.service.enter(&call.team, call.weight, self.deadline, epoch_ms).await?;
+        let result = self.claim_and_send(traffic).await;
+        drop(entered);
+        if let Err(refusal) = &result {
+            let detail = format!("{}: {}", refusal.verdict, refusal.reason);
+            traffic.shared.timeline.record(event::RUN_REFUSED, &self.request_id, &detail);
+        }
+        result
+    }
+
+    async fn claim_and_send(&self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
+        // The connection comes first: a claim without one would only be given back.
+        let permit = self.permit(traffic, None).await?;
+        let mut claim = self.claim(traffic).await?;
+        let record = |e, detail: &str| traffic.shared.timeline.record(e, &self.request_id, detail);
+        record(event::RUN_CLAIMED, &format!("key {} nonce {}", self.call.key_text, claim.nonce));
+        let mut permit = permit;
+        loop {
+            if Instant::now() >= self.deadline {
+                return Err(Refusal::not_run(RefusalReason::TooLate, Some(REPLICA_RETRY_MS)));
+            }
+            let Some(sent) = claim.attempt.send() else {
+                return Err(Refusal::may_have_run(RefusalReason::AlreadyClaimed));
+            };
+            claim.attempt = sent;
+            let replica = Rc::clone(permit.replica());
+            record(event::RUN_SENT, &replica.spec.addr.to_string());
+            let landed = self.send(traffic, permit).await;
+            traffic.landed(&self.service, &landed);
+            match landed.result {
+                Ok(answer) => {
+                    record(event::RUN_DONE, "");
+                    let request_id = self.request_id.to_string();
+                    return Ok(RunAnswer { request_id, body: answer.body });
+                }
+                Err(PartFailure::NotReached(_)) => {
+                    claim.attempt = claim.attempt.not_sent();
+                    permit = self.permit(traffic, Some(replica.spec.id)).await?;
+                }
+                Err(failure) => return Err(refuse(&mut claim, &failure)),
+            }
+        }
+    }
+
+    async fn claim<'a>(&'a self, traffic: &'a Traffic) -> Result<Claim<'a>, Refusal> {
+        let nonce: Nonce = rand::random();
+        let key = self.call.key;
+        let until = self.deadline.checked_sub(KEPT_FOR_WORK).unwrap_or(self.deadline);
+        let asked = traffic.shared.ask(|done| Ask::Claim { key, nonce, until, done }).await;
+        let outcome = asked.unwrap_or(Err(ClaimError::Unavailable));
+        let attempt = outcome.as_ref().map_or(Attempt::GivenUp, |o| Attempt::Claiming.resolved(*o));
+        match outcome {
+            Ok(Outcome::Granted) => Ok(Claim { run: self, traffic, nonce, attempt }),
+            Ok(Outcome::Taken) => Err(Refusal::may_have_run(RefusalReason::AlreadyClaimed)),
+            Ok(Outcome::Expired) => Err(Refusal::may_have_run(RefusalReason::KeyExpired)),
+            Err(ClaimError::Unavailable) => {
+                Err(Refusal::not_run(RefusalReason::ClaimUnavailable, Some(CLAIM_RETRY_MS)))
+            }
+        }
+    }
+
+    /// A connection to a replica, waiting for a free one while there is time.
+    async fn permit(&self, traffic: &Traffic, not: Option<u64>) -> Result<Permit, Refusal> {
+        let none = || Refusal::not_run(RefusalReason::NoReplica, Some(REPLICA_RETRY_MS));
+        let latest = self.deadline.checked_sub(KEPT_FOR_WORK).unwrap_or(self.deadline);
+        loop {
+            let freed = traffic.freed.notified();
+            if let Some(permit) = self.pick(traffic, not) {
+                return Ok(permit);
+            }
+            if !self.has_open_replica(traffic, not) {
+                return Err(none());
+            }
+            let waited = tokio::time::timeout_at(latest.into(), async {
+                tokio::select! {
+                    () = freed => {}
+                    () = tokio::time::sleep(LOOK_EVERY) => {}
+                }
+            });
+            waited.await.map_err(|_| none())?;
+        }
+    }
+
+    fn pick(&self, traffic: &Traffic, not: Option<u64>) -> Option<Permit> {
+        let shard = self.shard()?;
+        let now_ms = traffic.shared.now_ms();
+        let replicas = self.service.shards.get(shard as usize)?;
+        let is_any_up = replicas.iter().any(|r| !r.is_down() && Some(r.spec.id) != not);
+        let candidates: Vec<Candidate> = replicas
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| r.is_free(Lane::Run) && traffic.is_open(r))
+            .filter(|(_, r)| Some(r.spec.id) != not && (!is_any_up || !r.is_down()))
+            .map(|(index, r)| {
+                let cost_us = r.load.borrow().cost_us(self.service.spec.slots, now_ms);
+                Candidate { index, cost_us, is_near: r.is_near }
+            })
+            .collect();
+        let choice = traffic.shared.settings.policy.choice;
+        let index = replica::pick(&candidates, choice, rand::random())?;
+        replicas.get(index)?.take(Lane::Run)
+    }
+
+    fn has_open_replica(&self, traffic: &Traffic, not: Option<u64>) -> bool {
+        let replicas = self.shard().and_then(|shard| self.service.shards.get(shard as usize));
+        replicas
+            .into_iter()
+            .flatten()
+            .any(|r| r.limit(Lane::Run) > 0 && traffic.is_open(r) && Some(r.spec.id) != not)
+    }
+
+    /// The shard that the caller chose, or one by the key.
+    fn shard(&self) -> Option<ShardId> {
+        let chosen = self.call.call.shards.as_ref().and_then(|s| s.first().copied());
+        let count = self.service.shards.len() as u128;
+        chosen.or_else(|| ShardId::try_from(self.call.key.0.checked_rem(count)?).ok())
+    }
+
+    async fn send(&self, traffic: &Traffic, permit: Permit) -> Landed {
+        let request = PartRequest {
+            addr: permit.replica().spec.addr,
+            kind: Kind::Run { key: self.call.key_text.clone() },
+            service: Rc::clone(&self.service.name),
+            shard: self.shard().unwrap_or_default(),
+            version: None,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+            id: self.request_id.to_string(),
+            body: self.body.clone(),
+            max_bytes: self.service.spec.max_part_bytes,
+        };
+        let exchanger = traffic.exchanger();
+        let exchange = exchanger.exchange(request);
+        Flight::new(exchange, permit, self.request_id.to_string(), exchanger).await
+    }
+}
+
+/// The refusal after a failed exchange; a claim that surely did not run is released.
+fn refuse(claim: &mut Claim<'_>, failure: &PartFailure) -> Refusal {
+    if failure.verdict() == Verdict::NotRun {
+        claim.attempt = claim.attempt.not_sent();
+        return Refusal::not_run(RefusalReason::Overloaded, Some(REPLICA_RETRY_MS));
+    }
+    match failure {
+        PartFailure::Status(status) => {
+            Refusal::may_have_run(RefusalReason::BackendRefused(format!("status {status}")))
+        }
+        _ => Refusal::may_have_run(RefusalReason::AnswerLost),
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/service.rs
@@ -0,0 +1,207 @@
+//! One service as a traffic thread serves it: replicas, gate, budgets, snapshot.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::admission::{Decision, Ending, Gate, Resolved, Ticket};
+use eelgrasspier_decide::budget::Budget;
+use eelgrasspier_decide::hedge::Quantile;
+use eelgrasspier_decide::leaving::Leaving;
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason, Service, ShardId};
+use eelgrasspier_decide::snapshot::{Catalogue, Held};
+use tokio::sync::oneshot;
+
+use crate::replica::{Lane, Replica};
+
+/// Hedges that may be saved up.
+const HEDGE_BURST: u32 = 20;
+/// Retries in percent of ordinary parts.
+const RETRY_PERCENT: u32 = 10;
+/// Retries that may be saved up.
+const RETRY_BURST: u32 = 50;
+
+/// One service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) spec: Arc<Service>,
+    pub(crate) name: Rc<str>,
+    pub(crate) shards: Vec<Vec<Rc<Replica>>>,
+    pub(crate) latency: RefCell<Quantile>,
+    pub(crate) hedges: RefCell<Budget>,
+    pub(crate) retries: RefCell<Budget>,
+    gate: RefCell<Gate>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Result<(), Refusal>>>>,
+    catalogue: RefCell<Rc<Catalogue>>,
+    catalogue_epoch: Cell<u64>,
+}
+
+impl ServiceState {
+    pub(crate) fn new(spec: &Arc<Service>, shards: Vec<Vec<Rc<Replica>>>) -> Self {
+        Self {
+            name: spec.name.as_str().into(),
+            shards,
+            latency: RefCell::default(),
+            hedges: RefCell::new(Budget::new(spec.hedge_percent, HEDGE_BURST)),
+            retries: RefCell::new(Budget::new(RETRY_PERCENT, RETRY_BURST)),
+            gate: RefCell::new(Gate::new(1)),
+            waiting: RefCell::default(),
+            catalogue: RefCell::default(),
+            catalogue_epoch: Cell::new(u64::MAX),
+            spec: Arc::clone(spec),
+        }
+    }
+
+    /// Bounds the requests in progress by the connections of the poorest shard.
+    pub(crate) fn fit_gate(&self) {
+        let shard_limit =
+            |shard: &Vec<Rc<Replica>>| -> u32 { shard.iter().map(|r| r.limit(Lane::Query)).sum() };
+        let most = self.shards.iter().map(shard_limit).filter(|&limit| limit > 0).min();
+        self.gate.borrow_mut().set_most(most.unwrap_or(1));
+    }
+
+    /// What the open replicas hold; computed anew when `epoch` has moved.
+    pub(crate) fn catalogue(&self, epoch: u64, leaving: &Leaving) -> Rc<Catalogue> {
+        if self.catalogue_epoch.replace(epoch) != epoch {
+            *self.catalogue.borrow_mut() = Rc::new(self.read_catalogue(leaving));
+        }
+        Rc::clone(&self.catalogue.borrow())
+    }
+
+    fn read_catalogue(&self, leaving: &Leaving) -> Catalogue {
+        let mut catalogue = Catalogue::default();
+        let mut all: Vec<Held> = Vec::new();
+        for (number, replicas) in self.numbered() {
+            for replica in replicas.iter().filter(|r| !r.is_down() && r.is_open(leaving)) {
+                let held = replica.held();
+                catalogue.add(number, &held);
+                all.extend(held);
+            }
+        }
+        all.sort_unstable();
+        all.dedup();
+        // What replicas in other instances' slices hold is found out by asking.
+        for (number, replicas) in self.numbered() {
+            if !is_in_slice(replicas) {
+                catalogue.add(number, &all);
+            }
+        }
+        catalogue
+    }
+
+    fn numbered(&self) -> impl Iterator<Item = (ShardId, &Vec<Rc<Replica>>)> {
+        self.shards.iter().enumerate().map(|(i, r)| (ShardId::try_from(i).unwrap_or(0), r))
+    }
+
+    /// Enters the gate, at once or after a wait that leaves time for the work.
+    pub(crate) async fn enter(
+        self: &Rc<Self>,
+        team: &str,
+        weight: u32,
+        deadline: Instant,
+        clock: fn() -> u64,
+    ) -> Result<Entered, Refusal> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let deadline_ms = clock() + u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let decision = self.gate.borrow_mut().offer(team, weight, deadline_ms, clock());
+        let entered = |service: &Rc<Self>| Entered {
+            service: Rc::clone(service),
+            team: team.to_owned(),
+            started: Instant::now(),
+            ending: Cell::new(Ending::Neutral),
+            clock,
+        };
+        match decision {
+            Decision::Run => Ok(entered(self)),
+            Decision::Refuse(refusal) => Err(refusal),
+            Decision::Wait(ticket) => {
+                self.wait(ticket, deadline).await?;
+                Ok(entered(self))
+            }
+        }
+    }
+
+    async fn wait(self: &Rc<Self>, ticket: Ticket, deadline: Instant) -> Result<(), Refusal> {
+        let (done, resolved) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, done);
+        let guard = Waiting { service: Rc::clone(self), ticket };
+        let waited = tokio::time::timeout_at(deadline.into(), resolved).await;
+        drop(guard);
+        match waited {
+            Ok(Ok(result)) => result,
+            _ => Err(Refusal::not_run(RefusalReason::Overloaded, Some(LEAST_RETRY_AFTER_MS))),
+        }
+    }
+
+    /// Refuses waiting requests whose time no longer suffices.
+    pub(crate) fn expire(&self, now_ms: u64) {
+        let resolved = self.gate.borrow_mut().expire(now_ms);
+        self.resolve(resolved);
+    }
+
+    fn resolve(&self, resolved: Vec<Resolved>) {
+        for one in resolved {
+            let (ticket, result) = match one {
+                Resolved::Start(ticket) => (ticket, Ok(())),
+                Resolved::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(done) = self.waiting.borrow_mut().remove(&ticket) {
+                drop(done.send(result));
+            }
+        }
+    }
+}
+
+/// When a request that ran out of time while waiting should come back.
+const LEAST_RETRY_AFTER_MS: u64 = 100;
+
+/// Whether this instance holds connections to any replica of a shard.
+pub(crate) fn is_in_slice(replicas: &[Rc<Replica>]) -> bool {
+    replicas.iter().any(|r| r.limit(Lane::Query) > 0)
+}
+
+/// A waiting request; dropped early it leaves the queue.
+struct Waiting {
+    service: Rc<ServiceState>,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.service.waiting.borrow_mut().remove(&self.ticket).is_some() {
+            self.service.gate.borrow_mut().cancel(self.ticket);
+        }
+    }
+}
+
+/// A request inside the gate; dropping it lets the next one in.
+#[derive(Debug)]
+pub(crate) struct Entered {
+    service: Rc<ServiceState>,
+    team: String,
+    started: Instant,
+    ending: Cell<Ending>,
+    clock: fn() -> u64,
+}
+
+impl Entered {
+    /// Says how the request has ended.
+    pub(crate) fn end(&self, ending: Ending) {
+        self.ending.set(ending);
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        let took: Duration = self.started.elapsed();
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let now_ms = (self.clock)();
+        let resolved = {
+            let mut gate = self.service.gate.borrow_mut();
+            gate.finish(&self.team, self.ending.get(), took_us, now_ms)
+        };
+        self.service.resolve(resolved);
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/slices.rs
@@ -0,0 +1,134 @@
+//! Shards whose replicas only other instances hold connections to.
+//!
+//! Where a replica allows fewer connections than there are instances, each one
+//! holds connections to a slice of the replicas. The other parts of a query are
+//! asked of instances that hold them, in one message each.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::prelude::ShardId;
+use eelgrasspier_decide::rendezvous;
+use eelgrasspier_peer::wire::{Body, Missed, Part, Parts, PartsDone};
+use tokio::sync::mpsc;
+
+use crate::gather::{self, Gathered, Outcomes, Reach};
+use crate::part::{Miss, PartContext};
+use crate::shared::PartsAsk;
+use crate::traffic::Traffic;
+
+/// Time that is kept for the way back from another instance.
+const WAY_BACK: Duration = Duration::from_millis(2);
+
+/// Groups shards by an instance that holds a connection to one of their replicas.
+pub(crate) fn by_peer(
+    context: &PartContext,
+    shards: &[ShardId],
+) -> BTreeMap<SocketAddr, Vec<ShardId>> {
+    let mut groups: BTreeMap<SocketAddr, Vec<ShardId>> = BTreeMap::new();
+    for &shard in shards {
+        if let Some(addr) = holder(context, shard) {
+            groups.entry(addr).or_default().push(shard);
+        }
+    }
+    groups
+}
+
+/// A live instance in the slice of one of the shard's replicas, drawn at random.
+fn holder(context: &PartContext, shard: ShardId) -> Option<SocketAddr> {
+    let view = context.traffic.view.borrow();
+    let members = view.bounds.last()?;
+    let spec = &context.service.spec;
+    let limit = spec.connections - spec.run_connections;
+    let replicas = spec.shards.get(shard as usize)?;
+    let holds = |key: u64| {
+        replicas.iter().any(|r| rendezvous::is_in_top(r.id, key, members, limit as usize))
+    };
+    let random: u64 = rand::random();
+    let live = view.peers.iter().filter(|peer| holds(peer.key));
+    live.max_by_key(|peer| rendezvous::weight(random, peer.key)).map(|peer| peer.addr)
+}
+
+/// Asks another instance for parts.
+pub(crate) async fn ask(context: &PartContext, peer: SocketAddr, shards: Vec<ShardId>) -> Outcomes {
+    let left = context.cutoff.saturating_duration_since(Instant::now());
+    let time_left_ms = u64::try_from(left.saturating_sub(WAY_BACK).as_millis()).unwrap_or(0);
+    let parts = Parts {
+        service: context.service.name.to_string(),
+        request_id: context.request_id.to_string(),
+        version: context.snapshot.version,
+        shards: shards.clone(),
+        time_left_ms,
+        body: context.body.clone(),
+    };
+    metrics::counter!("eelgrasspier_slices_asked_total").increment(1);
+    match context.traffic.links.ask(peer, Body::Parts(parts), left).await {
+        Ok(Body::PartsDone(done)) => outcomes(done),
+        Ok(_) => all_missed(&shards, "peer refused"),
+        Err(error) => all_missed(&shards, &error.to_string()),
+    }
+}
+
+fn outcomes(done: PartsDone) -> Outcomes {
+    let parts = done.parts.into_iter().map(|part| (part.shard, Ok(part.body)));
+    let missed = done.missed.into_iter().map(|m| (m.shard, Err(read_miss(&m.reason))));
+    parts.chain(missed).collect()
+}
+
+fn all_missed(shards: &[ShardId], reason: &str) -> Outcomes {
+    shards.iter().map(|&shard| (shard, Err(Miss::Failed(reason.to_owned())))).collect()
+}
+
+fn read_miss(reason: &str) -> Miss {
+    let known = [Miss::Late, Miss::NoReplica, Miss::VersionGone, Miss::Shed];
+    let named = known.into_iter().find(|miss| miss.to_string() == reason);
+    named.unwrap_or_else(|| Miss::Failed(reason.to_owned()))
+}
+
+/// Gathers parts that other instances ask for, for as long as the thread runs.
+pub(crate) async fn serve(traffic: Rc<Traffic>, mut asked: mpsc::UnboundedReceiver<PartsAsk>) {
+    while let Some(PartsAsk { parts, mut done }) = asked.recv().await {
+        let traffic = Rc::clone(&traffic);
+        actix_rt::spawn(async move {
+            // The asker may give up or go away: then the work here stops too.
+            tokio::select! {
+                answer = gather_for_peer(&traffic, parts) => drop(done.send(answer)),
+                () = done.closed() => {}
+            }
+        });
+    }
+}
+
+async fn gather_for_peer(traffic: &Rc<Traffic>, parts: Parts) -> PartsDone {
+    let service = traffic.service(&parts.service);
+    let snapshot = service.as_ref().and_then(|s| traffic.snapshot_at(s, parts.version));
+    let (Some(service), Some(snapshot)) = (service, snapshot) else {
+        return none(&parts.shards, &Miss::VersionGone);
+    };
+    let context = PartContext {
+        traffic: Rc::clone(traffic),
+        service,
+        request_id: parts.request_id.as_str().into(),
+        body: parts.body,
+        snapshot,
+        cutoff: Instant::now() + Duration::from_millis(parts.time_left_ms),
+    };
+    let gathered = gather::gather(&context, &parts.shards, Reach::OwnSlice).await;
+    to_wire(gathered)
+}
+
+fn none(shards: &[ShardId], miss: &Miss) -> PartsDone {
+    let missed = shards.iter().map(|&shard| Missed { shard, reason: miss.to_string() });
+    PartsDone { parts: Vec::new(), missed: missed.collect() }
+}
+
+fn to_wire(gathered: Gathered) -> PartsDone {
+    let part = |(shard, body)| Part { shard, body };
+    let missed = |(shard, miss): (ShardId, Miss)| Missed { shard, reason: miss.to_string() };
+    PartsDone {
+        parts: gathered.parts.into_iter().map(part).collect(),
+        missed: gathered.missed.into_iter().map(missed).collect(),
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/timeline.rs
@@ -0,0 +1,63 @@
+//! The events of this process, in bounded memory.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+use eelgrasspier_decide::prelude::InstanceId;
+use eelgrasspier_operator::TimelineEntry;
+
+use crate::clock::Clock;
+use crate::event::Event;
+
+/// Events that are kept; at about 200 bytes each they take under a megabyte.
+const KEPT: usize = 4096;
+
+/// Recorder of the events of one process.
+#[derive(Debug)]
+pub struct Timeline {
+    id: InstanceId,
+    clock: Clock,
+    entries: Mutex<VecDeque<TimelineEntry>>,
+}
+
+impl Timeline {
+    /// An empty time line of the process `id`.
+    #[must_use]
+    pub fn new(id: InstanceId) -> Self {
+        Self { id, clock: Clock::default(), entries: Mutex::default() }
+    }
+
+    /// The clock that stamps the events.
+    #[must_use]
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Records an event that concerns `about`, such as a request, and logs it.
+    pub fn record(&self, event: Event, about: &str, detail: &str) {
+        log::log!(event.level, "E{} {}: {about} {detail}", event.number, event.title);
+        let entry = TimelineEntry {
+            stamp: self.clock.stamp(),
+            instance: self.id.name.clone(),
+            incarnation: self.id.incarnation,
+            number: event.number,
+            title: event.title.to_owned(),
+            about: about.to_owned(),
+            detail: detail.to_owned(),
+        };
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if entries.len() >= KEPT {
+            entries.pop_front();
+        }
+        entries.push_back(entry);
+    }
+
+    /// The events about `about` (all if empty) from `from_stamp` on.
+    #[must_use]
+    pub fn entries(&self, about: &str, from_stamp: u64) -> Vec<TimelineEntry> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let wanted =
+            |e: &&TimelineEntry| e.stamp >= from_stamp && (about.is_empty() || e.about == about);
+        entries.iter().filter(wanted).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/view.rs
@@ -0,0 +1,52 @@
+//! The immutable view of control state that traffic threads work from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eelgrasspier_decide::leaving::Leaving;
+use eelgrasspier_decide::prelude::{ConfigVersion, Services};
+use eelgrasspier_decide::share;
+
+/// Another instance, as traffic threads need it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Key in member lists.
+    pub key: u64,
+    /// Where it takes peer connections.
+    pub addr: SocketAddr,
+}
+
+/// One state of control, published as a whole.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Counts up with each view.
+    pub serial: u64,
+    /// Version of the text in force; `None` before there is one.
+    pub version: Option<ConfigVersion>,
+    /// The services of that text.
+    pub services: Arc<Services>,
+    /// Key of this instance in member lists.
+    pub own: u64,
+    /// Member lists that bound the share of connections.
+    pub bounds: Vec<Vec<u64>>,
+    /// Backend servers that are leaving.
+    pub leaving: Leaving,
+    /// The other live instances.
+    pub peers: Vec<Peer>,
+    /// Whether the instance takes no new callers.
+    pub is_stopping: bool,
+}
+
+impl View {
+    /// Connections that this process may hold to `replica`.
+    #[must_use]
+    pub fn share(&self, replica: u64, limit: u32) -> u32 {
+        share::share_within(&self.bounds, self.own, replica, limit)
+    }
+
+    /// Whether callers can be served: there is a text and a share of connections.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.version.is_some() && !self.bounds.is_empty() && !self.is_stopping
+    }
+}
--- /dev/null
+++ b/crates/eelgrasspier/src/web.rs
@@ -0,0 +1,239 @@
+//! HTTP towards callers and operators.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_web::http::header;
+use actix_web::web::{self, Bytes, Data, Json, Path, Payload, Query as UrlQuery};
+use actix_web::{HttpRequest, HttpResponse};
+use eelgrasspier_caller::{Call, CallError, RunCall, problem_response};
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
+use eelgrasspier_operator::{SubmitAnswer, Submitted, is_same_token};
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Deserialize;
+
+use crate::clock::epoch_ms;
+use crate::event;
+use crate::query::Query;
+use crate::run::Run;
+use crate::service::ServiceState;
+use crate::shared::Ask;
+use crate::traffic::Traffic;
+
+/// When to come back to an instance that is not ready or is stopping.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
+/// Declares every route.
+pub(crate) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/services/{service}/query", web::post().to(query))
+        .route("/v1/services/{service}/run", web::post().to(run))
+        .route("/healthz", web::get().to(HttpResponse::Ok))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics_text))
+        .route("/admin/status", web::get().to(status))
+        .route("/admin/timeline", web::get().to(timeline))
+        .route("/admin/text", web::get().to(show_text))
+        .route("/admin/text", web::put().to(submit_text));
+}
+
+type TrafficData = Data<Rc<Traffic>>;
+
+async fn query(
+    request: HttpRequest,
+    name: Path<String>,
+    payload: Payload,
+    traffic: TrafficData,
+) -> HttpResponse {
+    let started = Instant::now();
+    let request_id = fresh_id();
+    let prepared = prepare(&request, &name, payload, &traffic, |service| {
+        Call::try_from((&request, &*service.spec))
+    });
+    let result = match prepared.await {
+        Ok((service, call, body)) => {
+            let deadline = started + Duration::from_millis(call.deadline_ms);
+            let request_id = Rc::clone(&request_id);
+            Query { service, call, request_id, body, deadline }.answer(&traffic).await
+        }
+        Err(refusal) => Err(refusal),
+    };
+    let response = match &result {
+        Ok(answer) => {
+            let missed = answer.missed.len() as u64;
+            metrics::counter!("eelgrasspier_shards_missed_total").increment(missed);
+            let covered = answer.covered.len() as u64;
+            metrics::counter!("eelgrasspier_shards_covered_total").increment(covered);
+            answer.to_response(&request)
+        }
+        Err(refusal) => {
+            let detail = refusal.reason.to_string();
+            traffic.shared.timeline.record(event::QUERY_REFUSED, &request_id, &detail);
+            refused(refusal, &request_id)
+        }
+    };
+    let took_s = started.elapsed().as_secs_f64();
+    metrics::histogram!("eelgrasspier_query_seconds").record(took_s);
+    finish(response, &traffic)
+}
+
+async fn run(
+    request: HttpRequest,
+    name: Path<String>,
+    payload: Payload,
+    traffic: TrafficData,
+) -> HttpResponse {
+    let started = Instant::now();
+    let request_id = fresh_id();
+    let prepared = prepare(&request, &name, payload, &traffic, |service| {
+        RunCall::check(&request, &service.spec, epoch_ms())
+    });
+    let result = match prepared.await {
+        Ok((service, call, body)) => {
+            let deadline = started + Duration::from_millis(call.call.deadline_ms);
+            let run = Run { service, call, request_id: Rc::clone(&request_id), body, deadline };
+            let traffic = Rc::clone(&traffic);
+            // A task of its own: a caller that goes away must not stop a run half way.
+            let task = actix_rt::spawn(async move { run.answer(&traffic).await });
+            let lost = |_| Err(Refusal::may_have_run(RefusalReason::AnswerLost));
+            task.await.unwrap_or_else(lost)
+        }
+        Err(refusal) => Err(refusal),
+    };
+    let response = match &result {
+        Ok(answer) => answer.to_response(),
+        Err(refusal) => refused(refusal, &request_id),
+    };
+    finish(response, &traffic)
+}
+
+/// Finds the service, checks the headers and reads the body; no server is touched.
+async fn prepare<C>(
+    request: &HttpRequest,
+    name: &str,
+    payload: Payload,
+    traffic: &Rc<Traffic>,
+    check: impl FnOnce(&ServiceState) -> Result<C, CallError>,
+) -> Result<(Rc<ServiceState>, C, Bytes), Refusal> {
+    let service = find(traffic, name)?;
+    let call = check(&service).map_err(|error| bad_request(&error))?;
+    let limit = service.spec.max_request_bytes;
+    let body = payload.to_bytes_limited(limit).await;
+    let body = match body {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            let reason = RefusalReason::BadRequest(error.to_string());
+            return Err(Refusal::not_run(reason, None));
+        }
+        Err(_) => return Err(Refusal::not_run(RefusalReason::BodyTooLarge(limit), None)),
+    };
+    log::trace!("{} {}", request.method(), request.path());
+    Ok((service, call, body))
+}
+
+fn find(traffic: &Rc<Traffic>, name: &str) -> Result<Rc<ServiceState>, Refusal> {
+    let service = traffic.service(name);
+    let view = traffic.view.borrow();
+    if view.version.is_none() || view.bounds.is_empty() {
+        return Err(Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY_MS)));
+    }
+    service.ok_or_else(|| Refusal::not_run(RefusalReason::UnknownService(name.to_owned()), None))
+}
+
+fn bad_request(error: &CallError) -> Refusal {
+    Refusal::not_run(RefusalReason::BadRequest(error.to_string()), None)
+}
+
+fn refused(refusal: &Refusal, request_id: &str) -> HttpResponse {
+    let verdict = refusal.verdict.to_string();
+    metrics::counter!("eelgrasspier_refusals_total", "verdict" => verdict).increment(1);
+    problem_response(refusal, request_id)
+}
+
+/// Asks callers to close their connections while the instance is stopping.
+///
+/// A request written on an idle connection just as the server closes it would be
+/// lost to the caller, who sees an end of file in place of an answer.
+fn finish(mut response: HttpResponse, traffic: &Traffic) -> HttpResponse {
+    if traffic.shared.view.load().is_stopping {
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
+
+fn fresh_id() -> Rc<str> {
+    uuid::Uuid::now_v7().simple().to_string().into()
+}
+
+async fn ready(traffic: TrafficData) -> HttpResponse {
+    let response = if traffic.shared.is_ready() {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    };
+    finish(response, &traffic)
+}
+
+async fn metrics_text(handle: Data<PrometheusHandle>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(handle.render())
+}
+
+async fn status(traffic: TrafficData) -> HttpResponse {
+    json(traffic.shared.ask(|done| Ask::Status { done }).await)
+}
+
+#[derive(Debug, Deserialize)]
+struct TimelineQuery {
+    #[serde(default)]
+    about: String,
+    #[serde(default)]
+    from_stamp: u64,
+}
+
+async fn timeline(query: UrlQuery<TimelineQuery>, traffic: TrafficData) -> HttpResponse {
+    let TimelineQuery { about, from_stamp } = query.into_inner();
+    json(traffic.shared.ask(|done| Ask::Timeline { about, from_stamp, done }).await)
+}
+
+async fn show_text(traffic: TrafficData) -> HttpResponse {
+    match traffic.shared.ask(|done| Ask::Text { done }).await {
+        Some(Some(shown)) => HttpResponse::Ok().json(shown),
+        Some(None) => HttpResponse::NotFound().finish(),
+        None => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn submit_text(
+    request: HttpRequest,
+    submitted: Json<Submitted>,
+    traffic: TrafficData,
+) -> HttpResponse {
+    if !may_submit(&request, traffic.shared.settings.admin_token.as_deref()) {
+        return HttpResponse::Forbidden().json(SubmitAnswer::Forbidden);
+    }
+    let submitted = submitted.into_inner();
+    let answer = traffic.shared.ask(|done| Ask::Submit { submitted, done }).await;
+    let Some(answer) = answer else { return HttpResponse::ServiceUnavailable().finish() };
+    let mut response = match &answer {
+        SubmitAnswer::Accepted { .. } | SubmitAnswer::Superseded { .. } => HttpResponse::Ok(),
+        SubmitAnswer::Conflict { .. } => HttpResponse::Conflict(),
+        SubmitAnswer::Broken { .. } => HttpResponse::UnprocessableEntity(),
+        SubmitAnswer::Unknown { .. } => HttpResponse::ServiceUnavailable(),
+        SubmitAnswer::Forbidden => HttpResponse::Forbidden(),
+    };
+    response.json(answer)
+}
+
+/// Edits need the token of the settings; without one there they are refused.
+fn may_submit(request: &HttpRequest, token: Option<&str>) -> bool {
+    let given = request.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let given = given.and_then(|v| v.strip_prefix("Bearer "));
+    matches!((given, token), (Some(given), Some(wanted)) if is_same_token(given, wanted))
+}
+
+fn json<T: serde::Serialize>(value: Option<T>) -> HttpResponse {
+    match value {
+        Some(value) => HttpResponse::Ok().json(value),
+        None => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,108 @@
+//! Client of the administration API.
+
+use std::time::Duration;
+
+use awc::Client;
+use awc::http::StatusCode;
+use displaydoc::Display;
+use serde::de::DeserializeOwned;
+
+use crate::messages::{InstanceStatus, ShownText, SubmitAnswer, Submitted, TimelineEntry};
+
+/// Time-out of a call, in seconds.
+const TIMEOUT: Duration = Duration::from_secs(15);
+/// Largest answer in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// A call of the administration API failed.
+#[derive(Debug, Display, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum AdminError {
+    /// the instance does not answer: {0}
+    Unreachable(String),
+    /// the instance answered with status {0}
+    Status(u16),
+    /// the answer makes no sense: {0}
+    Malformed(String),
+}
+
+/// Calls the administration API of one instance.
+#[derive(Clone)]
+pub struct AdminClient {
+    base: String,
+    token: Option<String>,
+    client: Client,
+}
+
+impl std::fmt::Debug for AdminClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AdminClient").field("base", &self.base).finish_non_exhaustive()
+    }
+}
+
+impl AdminClient {
+    /// A client for the instance at `base`, such as `http://127.0.0.1:8080`.
+    #[must_use]
+    pub fn new(base: &str, token: Option<&str>) -> Self {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        let base = base.trim_end_matches('/').to_owned();
+        Self { base, token: token.map(str::to_owned), client }
+    }
+
+    /// Status of all instances.
+    ///
+    /// # Errors
+    /// Fails if the instance does not answer.
+    pub async fn status(&self) -> Result<Vec<InstanceStatus>, AdminError> {
+        self.get("/admin/status").await
+    }
+
+    /// The text in force.
+    ///
+    /// # Errors
+    /// Fails if the instance does not answer or has no text.
+    pub async fn text(&self) -> Result<ShownText, AdminError> {
+        self.get("/admin/text").await
+    }
+
+    /// Events of all instances in one order.
+    ///
+    /// # Errors
+    /// Fails if the instance does not answer.
+    pub async fn timeline(
+        &self,
+        about: &str,
+        from_stamp: u64,
+    ) -> Result<Vec<TimelineEntry>, AdminError> {
+        self.get(&format!("/admin/timeline?about={about}&from_stamp={from_stamp}")).await
+    }
+
+    /// Submits an edit.
+    ///
+    /// # Errors
+    /// Fails if the instance does not answer; submitting the same again is safe.
+    pub async fn submit(&self, edit: &Submitted) -> Result<SubmitAnswer, AdminError> {
+        let mut request = self.client.put(format!("{}/admin/text", self.base));
+        if let Some(token) = &self.token {
+            request = request.bearer_auth(token);
+        }
+        let sent = request.send_json(edit).await;
+        let mut answer = sent.map_err(|e| AdminError::Unreachable(e.to_string()))?;
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|e| AdminError::Unreachable(e.to_string()))?;
+        decode(&body)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, AdminError> {
+        let sent = self.client.get(format!("{}{path}", self.base)).send().await;
+        let mut answer = sent.map_err(|e| AdminError::Unreachable(e.to_string()))?;
+        if answer.status() != StatusCode::OK {
+            return Err(AdminError::Status(answer.status().as_u16()));
+        }
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+        decode(&body.map_err(|e| AdminError::Unreachable(e.to_string()))?)
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, AdminError> {
+    serde_json::from_slice(body).map_err(|e| AdminError::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/operator/src/main.rs
@@ -0,0 +1,8 @@
+//! The operators' command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = eelgrasspier_operator::options().run();
+    actix_rt::System::new().block_on(eelgrasspier_operator::run(&command))
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,10 @@
+//! Instance to instance: gossip datagrams and framed questions over TCP.
+
+mod gossip;
+mod link;
+mod server;
+pub mod wire;
+
+pub use gossip::Gossip;
+pub use link::{Links, PeerError};
+pub use server::{AnswerFuture, PeerService, serve};
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,187 @@
+//! Messages between instances, framed by their length.
+
+use prost::Message;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest frame in bytes; the operators' text fits with room to spare.
+const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// One frame: a question or its answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Number of the question on this connection.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The sender's clock stamp, which orders events over all processes.
+    #[prost(uint64, tag = "2")]
+    pub stamp: u64,
+    /// What is asked or answered.
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    pub body: Option<Body>,
+}
+
+/// What is asked or answered.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Asks for the text if its version is above the given one.
+    #[prost(uint64, tag = "3")]
+    TextAbove(u64),
+    /// Answers [`Body::TextAbove`].
+    #[prost(message, tag = "4")]
+    Text(Text),
+    /// Asks the owner of a bucket to claim a key.
+    #[prost(message, tag = "5")]
+    Claim(Claim),
+    /// Answers [`Body::Claim`].
+    #[prost(message, tag = "6")]
+    Claimed(Claimed),
+    /// Asks for the instance's state, as JSON.
+    #[prost(message, tag = "7")]
+    StatusAsk(Nothing),
+    /// Answers [`Body::StatusAsk`].
+    #[prost(bytes = "bytes", tag = "8")]
+    Status(bytes::Bytes),
+    /// Asks for events of the time line, as JSON.
+    #[prost(message, tag = "9")]
+    EventsAsk(EventsAsk),
+    /// Answers [`Body::EventsAsk`].
+    #[prost(bytes = "bytes", tag = "10")]
+    Events(bytes::Bytes),
+    /// Asks for parts of a query from replicas in the receiver's slice.
+    #[prost(message, tag = "11")]
+    Parts(Parts),
+    /// Answers [`Body::Parts`].
+    #[prost(message, tag = "12")]
+    PartsDone(PartsDone),
+    /// The question could not be answered.
+    #[prost(string, tag = "13")]
+    Refused(String),
+    /// Tells that the answer to the question with this number is not wanted.
+    #[prost(uint64, tag = "14")]
+    Cancel(u64),
+}
+
+/// Nothing.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Nothing {}
+
+/// A version of the operators' text.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Text {
+    /// Its version; 0 if the sender has none above the one asked for.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The stored object's value; empty with version 0.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub stored: bytes::Bytes,
+}
+
+/// A key to be claimed.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Claim {
+    /// Upper half of the key.
+    #[prost(fixed64, tag = "1")]
+    pub key_high: u64,
+    /// Lower half of the key.
+    #[prost(fixed64, tag = "2")]
+    pub key_low: u64,
+    /// Random number of the attempt.
+    #[prost(fixed64, tag = "3")]
+    pub nonce: u64,
+    /// Time that is left, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub time_left_ms: u64,
+}
+
+/// What became of a claim.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Claimed {
+    /// The outcome.
+    #[prost(enumeration = "ClaimOutcome", tag = "1")]
+    pub outcome: i32,
+}
+
+/// Outcome of a claim as it travels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum ClaimOutcome {
+    /// Not resolved in time; the asker must find out for itself or give up.
+    Unresolved = 0,
+    /// The attempt holds the key.
+    Granted = 1,
+    /// Another attempt holds it.
+    Taken = 2,
+    /// The key is too old.
+    Expired = 3,
+}
+
+/// Which events are wanted.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EventsAsk {
+    /// Only events that name this, such as a request id; empty for all.
+    #[prost(string, tag = "1")]
+    pub about: String,
+    /// Only events with a clock stamp from here on.
+    #[prost(uint64, tag = "2")]
+    pub from_stamp: u64,
+}
+
+/// Parts of a query that the receiver is to gather.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Parts {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Id of the caller's request.
+    #[prost(string, tag = "2")]
+    pub request_id: String,
+    /// The index version that every part must be made from.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Shards wanted.
+    #[prost(uint32, repeated, tag = "4")]
+    pub shards: Vec<u32>,
+    /// Time that is left, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub time_left_ms: u64,
+    /// The caller's body.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body: bytes::Bytes,
+}
+
+/// The parts that were gathered, and the shards that were not.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PartsDone {
+    /// The parts.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<Part>,
+    /// The missed shards, with reasons.
+    #[prost(message, repeated, tag = "2")]
+    pub missed: Vec<Missed>,
+}
+
+/// One part.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Part {
+    /// Its shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// Its body.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: bytes::Bytes,
+}
+
+/// One missed shard.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Missed {
+    /// The shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// Why it was missed.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+}
+
+pub(crate) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,157 @@
+//! The object API over HTTP.
+
+use std::time::Duration;
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{StatusCode, header};
+use awc::{Client, Connector};
+use bytes::Bytes;
+
+use crate::store::{ListedInstance, Object, ObjectStore, ReadError, StoreFuture, UpdateError};
+
+/// Largest object that is read, in bytes; the platform holds up to a megabyte.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+/// Connections to the platform of one process.
+const MAX_CONNECTIONS: usize = 16;
+/// Time in milliseconds that a watch's answer may lag behind its own wait.
+const WATCH_MARGIN_MS: u64 = 2_000;
+
+/// The platform's object API at one base address.
+#[derive(Clone)]
+pub struct HttpStore {
+    base: String,
+    client: Client,
+    timeout_ms: u64,
+}
+
+impl std::fmt::Debug for HttpStore {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpStore").field("base", &self.base).finish_non_exhaustive()
+    }
+}
+
+impl HttpStore {
+    /// A client for the API at `base`, such as `http://127.0.0.1:7000`.
+    ///
+    /// Must be called on the thread that will use it.
+    #[must_use]
+    pub fn new(base: &str, timeout_ms: u64) -> Self {
+        let connector =
+            Connector::new().limit(MAX_CONNECTIONS).timeout(Duration::from_millis(timeout_ms));
+        let client = Client::builder()
+            .connector(connector)
+            .timeout(Duration::from_millis(timeout_ms))
+            .finish();
+        Self { base: base.trim_end_matches('/').to_owned(), client, timeout_ms }
+    }
+
+    fn object_url(&self, name: &str) -> String {
+        format!("{}/objects/{name}", self.base)
+    }
+
+    async fn get(&self, url: &str, timeout_ms: u64) -> Result<Option<Object>, ReadError> {
+        let sent = self.client.get(url).timeout(Duration::from_millis(timeout_ms)).send().await;
+        let mut answer = sent.map_err(|e| ReadError::Unavailable(e.to_string()))?;
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => return Ok(None),
+            status => return Err(ReadError::Unavailable(format!("status {status}"))),
+        }
+        let version = version_of(answer.headers())
+            .ok_or_else(|| ReadError::Malformed("no version in ETag".to_owned()))?;
+        let body = answer.body().limit(MAX_OBJECT_BYTES).await;
+        let value = body.map_err(|e| ReadError::Unavailable(e.to_string()))?;
+        Ok(Some(Object { version, value }))
+    }
+
+    async fn put(
+        &self,
+        name: &str,
+        expected: Option<u64>,
+        value: Bytes,
+    ) -> Result<u64, UpdateError> {
+        let request = self.client.put(self.object_url(name));
+        let request = match expected {
+            Some(version) => request.insert_header((header::IF_MATCH, format!("\"{version}\""))),
+            None => request.insert_header((header::IF_NONE_MATCH, "*")),
+        };
+        let answer = request.send_body(value).await.map_err(|e| update_error(&e))?;
+        match answer.status() {
+            StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => {
+                version_of(answer.headers())
+                    .ok_or_else(|| UpdateError::Unknown("no version in ETag".to_owned()))
+            }
+            StatusCode::PRECONDITION_FAILED => Err(UpdateError::Conflict),
+            status if status.is_client_error() => {
+                Err(UpdateError::NotApplied(format!("status {status}")))
+            }
+            status => Err(UpdateError::Unknown(format!("status {status}"))),
+        }
+    }
+}
+
+/// Only a failure before any byte could go out says that nothing took effect.
+fn update_error(error: &SendRequestError) -> UpdateError {
+    match error {
+        SendRequestError::Connect(ConnectError::Timeout | ConnectError::Resolver(_)) => {
+            UpdateError::NotApplied(error.to_string())
+        }
+        SendRequestError::Connect(ConnectError::Io(io))
+            if io.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            UpdateError::NotApplied(error.to_string())
+        }
+        _ => UpdateError::Unknown(error.to_string()),
+    }
+}
+
+fn version_of(headers: &header::HeaderMap) -> Option<u64> {
+    headers.get(header::ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
+}
+
+fn count(kind: &'static str) {
+    metrics::counter!("eelgrasspier_platform_calls_total", "kind" => kind).increment(1);
+}
+
+impl ObjectStore for HttpStore {
+    fn read<'a>(&'a self, name: &'a str) -> StoreFuture<'a, Result<Option<Object>, ReadError>> {
+        count("read");
+        Box::pin(async move { self.get(&self.object_url(name), self.timeout_ms).await })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        name: &'a str,
+        after: u64,
+        wait_ms: u64,
+    ) -> StoreFuture<'a, Result<Option<Object>, ReadError>> {
+        count("watch");
+        let url = format!("{}?watch_after={after}&wait_ms={wait_ms}", self.object_url(name));
+        Box::pin(async move { self.get(&url, wait_ms + WATCH_MARGIN_MS).await })
+    }
+
+    fn update<'a>(
+        &'a self,
+        name: &'a str,
+        expected: Option<u64>,
+        value: Bytes,
+    ) -> StoreFuture<'a, Result<u64, UpdateError>> {
+        count("update");
+        Box::pin(self.put(name, expected, value))
+    }
+
+    fn instances(&self) -> StoreFuture<'_, Result<Vec<ListedInstance>, ReadError>> {
+        count("instances");
+        Box::pin(async move {
+            let url = format!("{}/instances", self.base);
+            let sent = self.client.get(url).send().await;
+            let mut answer = sent.map_err(|e| ReadError::Unavailable(e.to_string()))?;
+            if answer.status() != StatusCode::OK {
+                return Err(ReadError::Unavailable(format!("status {}", answer.status())));
+            }
+            let body = answer.body().limit(MAX_OBJECT_BYTES).await;
+            let body = body.map_err(|e| ReadError::Unavailable(e.to_string()))?;
+            serde_json::from_slice(&body).map_err(|e| ReadError::Malformed(e.to_string()))
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backends.rs
@@ -0,0 +1,399 @@
+//! Stand-in for the backend servers of one service, all in one process.
+//!
+//! Each replica listens on its own port and has its own slots, connections and
+//! faults. `PUT /standin/faults` on a replica's port changes how it behaves.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_web::dev::Extensions;
+use actix_web::rt::net::TcpStream;
+use actix_web::web::{self, Bytes, Data, Json, Path};
+use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer};
+use bpaf::Bpaf;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, Semaphore};
+
+/// Requests that wait for a slot before the server sheds.
+const MAX_QUEUE: u64 = 40;
+/// Time for which a silent connection says nothing.
+const SILENCE: Duration = Duration::from_mins(1);
+
+/// Shape of one service.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Shape {
+    /// Name of the service
+    #[bpaf(long, argument("NAME"))]
+    pub service: String,
+    /// Number of shards
+    #[bpaf(long, argument("N"), fallback(20))]
+    pub shards: u32,
+    /// Replicas of each shard
+    #[bpaf(long, argument("N"), fallback(2))]
+    pub replicas: u32,
+    /// Requests that a replica runs at a time
+    #[bpaf(long, argument("N"), fallback(2))]
+    pub slots: u32,
+    /// Connections that a replica allows
+    #[bpaf(long, argument("N"), fallback(25))]
+    pub connections: u32,
+    /// Time that the first request on a connection waits
+    #[bpaf(long, argument("MS"), fallback(6))]
+    pub connect_ms: u64,
+    /// Mean time of work, in microseconds
+    #[bpaf(long, argument("US"), fallback(3000))]
+    pub work_us: u64,
+    /// Requests in a thousand that take ten times as long
+    #[bpaf(long, argument("N"), fallback(5))]
+    pub stragglers_per_mille: u64,
+    /// Availability zones over which replicas are spread
+    #[bpaf(long, argument("LIST"), fallback("zone-a,zone-b".to_owned()))]
+    pub zones: String,
+}
+
+/// Faults that a replica shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// It says that it is leaving, and still serves.
+    pub is_draining: bool,
+    /// It refuses all work.
+    pub is_shedding: bool,
+    /// It takes this many times as long.
+    pub slowness: u64,
+    /// It says this load, whatever it has.
+    pub said_load: Option<u32>,
+    /// It holds these versions, with their shard counts.
+    pub versions: Vec<(u64, u32)>,
+    /// It takes requests and answers nothing, on all connections open now.
+    pub silences_open: bool,
+}
+
+/// What a replica has counted.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Parts that it has begun.
+    pub parts: u64,
+    /// Parts and runs that it took after it said that it was leaving.
+    pub after_drain: u64,
+    /// Parts that were cancelled.
+    pub cancelled: u64,
+    /// Requests that it shed.
+    pub shed: u64,
+    /// Most connections that were open at a time.
+    pub peak_connections: u64,
+    /// Connections that were opened in all.
+    pub opened: u64,
+    /// Runs by idempotency key.
+    pub runs: BTreeMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct Replica {
+    shape: Shape,
+    shard: u32,
+    started_ms: u64,
+    slots: Semaphore,
+    load: AtomicU64,
+    open: AtomicU64,
+    faults: Mutex<Faults>,
+    counters: Mutex<Counters>,
+    working: Mutex<HashMap<String, Arc<Notify>>>,
+    /// Connections opened up to this number are silent.
+    silent_up_to: AtomicU64,
+}
+
+type Replicas = Arc<HashMap<u16, Arc<Replica>>>;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// One open connection; counted until it closes.
+struct Connection {
+    replica: Arc<Replica>,
+    number: u64,
+    is_warm: AtomicBool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.replica.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves every replica on a free port; prints the addresses as one line of JSON.
+///
+/// # Errors
+/// Fails if a port can't be bound.
+pub async fn serve(shape: Shape) -> std::io::Result<()> {
+    let zones: Vec<String> = shape.zones.split(',').map(str::to_owned).collect();
+    let mut replicas = HashMap::new();
+    let mut listeners = Vec::new();
+    let mut text = Vec::new();
+    for shard in 0..shape.shards {
+        let mut entries = Vec::new();
+        for number in 0..shape.replicas {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let addr = listener.local_addr()?;
+            let zone = &zones[(shard + number) as usize % zones.len()];
+            entries.push(format!("{zone}@{addr}"));
+            replicas.insert(addr.port(), Arc::new(Replica::new(shape.clone(), shard)));
+            listeners.push(listener);
+        }
+        text.push(entries);
+    }
+    let replicas: Replicas = Arc::new(replicas);
+    let by_port = Arc::clone(&replicas);
+    let mut server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::new(Arc::clone(&replicas)))
+            .route("/query", web::post().to(query))
+            .route("/run", web::post().to(run))
+            .route("/state", web::get().to(state))
+            .route("/requests/{id}", web::delete().to(cancel))
+            .route("/standin/faults", web::put().to(put_faults))
+            .route("/standin/counters", web::get().to(get_counters))
+    })
+    .workers(1)
+    .on_connect(move |io, data| accept(&by_port, io, data));
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    println!("{}", serde_json::json!({ "service": shape.service, "shards": text }));
+    server.run().await
+}
+
+fn accept(replicas: &Replicas, io: &dyn std::any::Any, data: &mut Extensions) {
+    let port = io.downcast_ref::<TcpStream>().and_then(|s| s.local_addr().ok()).map(|a| a.port());
+    let Some(replica) = port.and_then(|port| replicas.get(&port)) else { return };
+    let open = replica.open.fetch_add(1, Ordering::AcqRel) + 1;
+    let mut counters = lock(&replica.counters);
+    counters.peak_connections = counters.peak_connections.max(open);
+    counters.opened += 1;
+    data.insert(Connection {
+        replica: Arc::clone(replica),
+        number: counters.opened,
+        is_warm: AtomicBool::new(false),
+    });
+}
+
+impl Replica {
+    fn new(shape: Shape, shard: u32) -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let versions = vec![(1, shape.shards)];
+        Self {
+            shard,
+            started_ms: u64::try_from(since.as_millis()).unwrap_or(1),
+            slots: Semaphore::new(shape.slots as usize),
+            load: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            faults: Mutex::new(Faults { versions, slowness: 1, ..Faults::default() }),
+            counters: Mutex::default(),
+            working: Mutex::default(),
+            silent_up_to: AtomicU64::new(0),
+            shape,
+        }
+    }
+
+    /// An answer with what the server says of itself.
+    fn respond(&self, status: u16) -> HttpResponseBuilder {
+        let faults = lock(&self.faults);
+        let versions: Vec<String> =
+            faults.versions.iter().map(|(v, count)| format!("{v}/{count}")).collect();
+        let load = faults.said_load.map_or(self.load.load(Ordering::Acquire), u64::from);
+        let status = actix_web::http::StatusCode::from_u16(status).unwrap_or_default();
+        let mut response = HttpResponse::build(status);
+        response
+            .insert_header(("index-versions", versions.join(",")))
+            .insert_header(("server-load", load))
+            .insert_header(("server-started-ms", self.started_ms));
+        if faults.is_draining {
+            response.insert_header(("server-draining", "1"));
+        }
+        response
+    }
+
+    fn work_time(&self) -> Duration {
+        const STRAGGLER_FACTOR: u64 = 10;
+        let mean_us = self.shape.work_us;
+        // Half fixed, half exponential; and now and then a straggler.
+        let uniform: f64 = rand::random_range(f64::EPSILON..1.0);
+        let random = Duration::from_micros(mean_us / 2).mul_f64(-uniform.ln());
+        let mut work = Duration::from_micros(mean_us / 2) + random;
+        if rand::random_range(0..1000) < self.shape.stragglers_per_mille {
+            work *= u32::try_from(STRAGGLER_FACTOR).unwrap_or(1);
+        }
+        work * u32::try_from(lock(&self.faults).slowness.max(1)).unwrap_or(1)
+    }
+
+    /// Waits for a slot and works; `false` if it was cancelled or out of time.
+    async fn work(&self, time_left: Duration, cancelled: &Notify) -> bool {
+        let working = async {
+            let Ok(_slot) = self.slots.acquire().await else { return };
+            tokio::time::sleep(self.work_time()).await;
+        };
+        tokio::select! {
+            () = working => true,
+            () = cancelled.notified() => false,
+            () = tokio::time::sleep(time_left) => false,
+        }
+    }
+}
+
+/// Counts a request as load until it ends.
+struct Loaded<'a>(&'a Replica);
+
+impl<'a> Loaded<'a> {
+    fn new(replica: &'a Replica) -> Self {
+        replica.load.fetch_add(1, Ordering::AcqRel);
+        Self(replica)
+    }
+}
+
+impl Drop for Loaded<'_> {
+    fn drop(&mut self) {
+        self.0.load.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn replica_of(request: &HttpRequest, replicas: &Replicas) -> Option<Arc<Replica>> {
+    replicas.get(&request.app_config().local_addr().port()).cloned()
+}
+
+fn number(request: &HttpRequest, name: &str) -> Option<u64> {
+    request.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn text(request: &HttpRequest, name: &str) -> String {
+    let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// What a connection does before the request on it is looked at.
+async fn begin(request: &HttpRequest, replica: &Replica) {
+    let Some(connection) = request.conn_data::<Connection>() else { return };
+    if connection.number <= replica.silent_up_to.load(Ordering::Acquire) {
+        tokio::time::sleep(SILENCE).await;
+    }
+    if !connection.is_warm.swap(true, Ordering::AcqRel) {
+        tokio::time::sleep(Duration::from_millis(replica.shape.connect_ms)).await;
+    }
+}
+
+fn is_shed(replica: &Replica) -> bool {
+    let is_full = replica.load.load(Ordering::Acquire) > MAX_QUEUE;
+    let sheds = is_full || lock(&replica.faults).is_shedding;
+    let mut counters = lock(&replica.counters);
+    counters.shed += u64::from(sheds);
+    sheds
+}
+
+async fn query(request: HttpRequest, body: Bytes, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    begin(&request, &replica).await;
+    let version = number(&request, "index-version").unwrap_or_default();
+    let faults = lock(&replica.faults).clone();
+    if !faults.versions.iter().any(|(held, _)| *held == version) {
+        return replica.respond(409).finish();
+    }
+    if is_shed(&replica) {
+        return replica.respond(503).finish();
+    }
+    let _loaded = Loaded::new(&replica);
+    {
+        let mut counters = lock(&replica.counters);
+        counters.parts += 1;
+        counters.after_drain += u64::from(faults.is_draining);
+    }
+    let id = text(&request, "request-id");
+    let cancelled = Arc::new(Notify::new());
+    lock(&replica.working).insert(id.clone(), Arc::clone(&cancelled));
+    let time_left = Duration::from_millis(number(&request, "time-left-ms").unwrap_or(0));
+    let is_done = replica.work(time_left, &cancelled).await;
+    lock(&replica.working).remove(&id);
+    if !is_done {
+        lock(&replica.counters).cancelled += 1;
+        return replica.respond(504).finish();
+    }
+    let answer = serde_json::json!({
+        "service": text(&request, "query-service"),
+        "shard": replica.shard,
+        "version": version,
+        "echo": String::from_utf8_lossy(&body),
+    });
+    replica.respond(200).insert_header(("index-version", version)).json(answer)
+}
+
+async fn run(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    begin(&request, &replica).await;
+    if is_shed(&replica) {
+        return replica.respond(503).finish();
+    }
+    let _loaded = Loaded::new(&replica);
+    let key = text(&request, "idempotency-key");
+    {
+        let is_draining = lock(&replica.faults).is_draining;
+        let mut counters = lock(&replica.counters);
+        *counters.runs.entry(key.clone()).or_default() += 1;
+        counters.after_drain += u64::from(is_draining);
+    }
+    let time_left = Duration::from_millis(number(&request, "time-left-ms").unwrap_or(0));
+    replica.work(time_left, &Notify::new()).await;
+    replica.respond(200).body(format!("ran {key}"))
+}
+
+async fn state(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    begin(&request, &replica).await;
+    replica.respond(200).finish()
+}
+
+async fn cancel(request: HttpRequest, id: Path<String>, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    begin(&request, &replica).await;
+    if let Some(cancelled) = lock(&replica.working).get(id.as_str()) {
+        cancelled.notify_one();
+    }
+    replica.respond(200).finish()
+}
+
+async fn put_faults(
+    request: HttpRequest,
+    faults: Json<Faults>,
+    replicas: Data<Replicas>,
+) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    let mut faults = faults.into_inner();
+    let mut current = lock(&replica.faults);
+    if faults.versions.is_empty() {
+        faults.versions.clone_from(&current.versions);
+    }
+    if faults.silences_open {
+        let opened = lock(&replica.counters).opened;
+        replica.silent_up_to.store(opened, Ordering::Release);
+    }
+    *current = faults;
+    HttpResponse::NoContent().finish()
+}
+
+async fn get_counters(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    HttpResponse::Ok().json(&*lock(&replica.counters))
+}
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,117 @@
+//! A whole deployment on this machine, queried and measured.
+
+use bpaf::Bpaf;
+
+use crate::backends::Shape;
+use crate::fleet::{Fleet, Plan as FleetPlan, ServicePlan};
+use crate::load;
+
+/// Shards of grid-builder.
+const GRID_SHARDS: u64 = 20;
+
+/// What the demo runs.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Plan {
+    /// Number of instances
+    #[bpaf(long, argument("N"), fallback(7))]
+    pub instances: usize,
+    /// Queries a second
+    #[bpaf(long, argument("N"), fallback(150))]
+    pub rate: u32,
+    /// Seconds to offer them for
+    #[bpaf(long, argument("S"), fallback(10))]
+    pub seconds: u32,
+    /// Deadline of each query
+    #[bpaf(long, argument("MS"), fallback(100))]
+    pub deadline_ms: u64,
+    /// Policy of replica choice: least-cost or random
+    #[bpaf(long, argument("NAME"), fallback("least-cost".to_owned()))]
+    pub choice: String,
+    /// Quantile in thousandths after which a part is hedged; 0 for never
+    #[bpaf(long, argument("N"), fallback(950))]
+    pub hedge_per_mille: u32,
+    /// Requests in a thousand that take ten times as long
+    #[bpaf(long, argument("N"), fallback(5))]
+    pub stragglers_per_mille: u64,
+    /// Connections that a replica allows
+    #[bpaf(long, argument("N"), fallback(25))]
+    pub connections: u32,
+    /// Print JSON
+    #[bpaf(long, switch)]
+    pub json: bool,
+}
+
+/// The services of tt-north.
+#[must_use]
+pub fn tt_north(stragglers_per_mille: u64, connections: u32) -> Vec<ServicePlan> {
+    let zones = "pos-hall,chag-hall,arima-hall,tuna-hall";
+    let shape = |name: &str, shards, replicas, connections, connect_ms| Shape {
+        service: name.to_owned(),
+        shards,
+        replicas,
+        slots: 2,
+        connections,
+        connect_ms,
+        work_us: 3_000,
+        stragglers_per_mille,
+        zones: zones.to_owned(),
+    };
+    let plan = |shape, text: &str| ServicePlan { shape, text: text.to_owned() };
+    vec![
+        plan(shape("grid-builder", 20, 2, connections, 6), "depends_on = detail-page\n"),
+        plan(shape("member-portal", 30, 2, connections, 6), ""),
+        plan(shape("detail-page", 1, 5, 100, 1), "run_connections = 30\n"),
+        plan(shape("ad-reports", 1, 4, 100, 1), ""),
+    ]
+}
+
+/// Starts the deployment, offers queries to grid-builder, and prints the measures.
+///
+/// # Errors
+/// Fails if something can't be started or a promise was broken.
+pub async fn run(plan: &Plan) -> Result<(), String> {
+    let zones = ["pos-hall", "chag-hall", "arima-hall", "tuna-hall"];
+    let fleet = Fleet::start(FleetPlan {
+        instances: plan.instances,
+        zones: zones.map(str::to_owned).to_vec(),
+        services: tt_north(plan.stragglers_per_mille, plan.connections),
+        settings: format!(
+            "lame_duck_ms = 500\n[policy]\nreplica_choice = {}\nhedge_per_mille = {}",
+            plan.choice, plan.hedge_per_mille
+        ),
+    })
+    .await?;
+    let usage_before: Vec<_> = fleet.instances.iter().map(|i| i.process.usage()).collect();
+    let calls_before: u64 = fleet.platform_calls().await?.values().sum();
+    let service = "grid-builder";
+    let counters = fleet.backends.get(service).map(|b| b.addrs().join(","));
+    let offered = load::Plan {
+        instances: fleet.urls().join(","),
+        service: service.to_owned(),
+        rate: plan.rate,
+        seconds: plan.seconds,
+        deadline_ms: plan.deadline_ms,
+        team: "newspaper".to_owned(),
+        shards: GRID_SHARDS,
+        counters: counters.unwrap_or_default(),
+        json: plan.json,
+    };
+    let result = load::run_and_print(&offered).await;
+    let calls_after: u64 = fleet.platform_calls().await?.values().sum();
+    print_cost(&fleet, &usage_before, plan);
+    println!("platform calls while offering: {}", calls_after - calls_before);
+    result
+}
+
+fn print_cost(fleet: &Fleet, before: &[(u64, u64)], plan: &Plan) {
+    let offered = u64::from(plan.rate) * u64::from(plan.seconds);
+    let after: Vec<_> = fleet.instances.iter().map(|i| i.process.usage()).collect();
+    let spent: u64 = after.iter().zip(before).map(|(a, b)| a.0 - b.0).sum();
+    let used_us = spent * 1000;
+    let (a_query, a_part) = (used_us / offered, used_us / offered / GRID_SHARDS);
+    println!("processor time  {a_query} us a query, {a_part} us a part");
+    let count = after.len().max(1) as u64;
+    let idle: u64 = before.iter().map(|u| u.1).sum::<u64>() / count;
+    let busy: u64 = after.iter().map(|u| u.1).sum::<u64>() / count;
+    println!("memory of a daemon  {idle} KB idle, {busy} KB loaded");
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,234 @@
+//! Stand-in for the platform: objects with versions, conditional updates, watches.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_web::http::header;
+use actix_web::web::{self, Bytes, Data, Json, Path, Query};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// Time for which a lost answer is held back; clients time out well before.
+const LOST: Duration = Duration::from_secs(20);
+/// Largest object.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+/// Faults that the platform shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Answers 503 to everything.
+    pub is_down: bool,
+    /// Delays every answer by this much.
+    pub delay_ms: u64,
+    /// The answers to the next so many updates are lost after they took effect.
+    pub lost_updates: u32,
+    /// The next so many updates are lost before they take effect.
+    pub dropped_updates: u32,
+    /// Reads show the version before the last, as from a replica that lags.
+    pub is_stale: bool,
+}
+
+/// An instance in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where it gossips.
+    pub peer_addr: String,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, Vec<(u64, Bytes)>>,
+    faults: Faults,
+    listed: Vec<Listed>,
+    /// A newer list and when it is to be seen.
+    next_list: Option<(Instant, Vec<Listed>)>,
+    calls: BTreeMap<&'static str, u64>,
+}
+
+#[derive(Debug, Default)]
+struct Platform {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Platform {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn count(&self, kind: &'static str) -> Faults {
+        let mut state = self.lock();
+        *state.calls.entry(kind).or_default() += 1;
+        state.faults.clone()
+    }
+
+    /// The visible version of an object, and its value.
+    fn read(&self, name: &str) -> Option<(u64, Bytes)> {
+        let state = self.lock();
+        let versions = state.objects.get(name)?;
+        let last = versions.len() - 1;
+        let shown = if state.faults.is_stale { last.saturating_sub(1) } else { last };
+        versions.get(shown).cloned()
+    }
+
+    fn update(&self, name: &str, expected: Option<u64>, value: Bytes) -> Result<u64, ()> {
+        const KEPT_VERSIONS: usize = 4;
+        let mut state = self.lock();
+        let versions = state.objects.entry(name.to_owned()).or_default();
+        let current = versions.last().map(|(version, _)| *version);
+        if current != expected {
+            return Err(());
+        }
+        let version = current.unwrap_or(0) + 1;
+        versions.push((version, value));
+        let surplus = versions.len().saturating_sub(KEPT_VERSIONS);
+        versions.drain(..surplus);
+        drop(state);
+        self.changed.notify_waiters();
+        Ok(version)
+    }
+}
+
+type PlatformData = Data<Arc<Platform>>;
+
+/// Serves on a free port, printed as one line of JSON, until killed.
+///
+/// # Errors
+/// Fails if no port can be bound.
+pub async fn serve() -> std::io::Result<()> {
+    let platform = Arc::new(Platform::default());
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(Data::new(Arc::clone(&platform)))
+            .app_data(web::PayloadConfig::new(MAX_OBJECT_BYTES))
+            .route("/objects/{name}", web::get().to(get_object))
+            .route("/objects/{name}", web::put().to(put_object))
+            .route("/instances", web::get().to(get_instances))
+            .route("/standin/faults", web::put().to(put_faults))
+            .route("/standin/instances", web::put().to(put_instances))
+            .route("/standin/calls", web::get().to(get_calls))
+    })
+    .workers(1)
+    .bind("127.0.0.1:0")?;
+    for addr in server.addrs() {
+        println!("{{\"addr\":\"{addr}\"}}");
+    }
+    server.run().await
+}
+
+#[derive(Debug, Deserialize)]
+struct Watch {
+    watch_after: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn get_object(
+    name: Path<String>,
+    watch: Query<Watch>,
+    platform: PlatformData,
+) -> HttpResponse {
+    let kind = if watch.watch_after.is_some() { "watch" } else { "read" };
+    let faults = platform.count(kind);
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.is_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let Some(after) = watch.watch_after else {
+        return platform.read(&name).map_or_else(|| HttpResponse::NotFound().finish(), found);
+    };
+    let until = Instant::now() + Duration::from_millis(watch.wait_ms);
+    loop {
+        let changed = platform.changed.notified();
+        if let Some((version, value)) = platform.read(&name).filter(|(v, _)| *v > after) {
+            return found((version, value));
+        }
+        if tokio::time::timeout_at(until.into(), changed).await.is_err() {
+            return HttpResponse::NotModified().finish();
+        }
+        if platform.lock().faults.is_down {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+    }
+}
+
+fn found((version, value): (u64, Bytes)) -> HttpResponse {
+    HttpResponse::Ok().insert_header((header::ETAG, format!("\"{version}\""))).body(value)
+}
+
+async fn put_object(
+    request: HttpRequest,
+    name: Path<String>,
+    value: Bytes,
+    platform: PlatformData,
+) -> HttpResponse {
+    let faults = platform.count("update");
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.is_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    if faults.dropped_updates > 0 {
+        platform.lock().faults.dropped_updates -= 1;
+        tokio::time::sleep(LOST).await;
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let expected = request.headers().get(header::IF_MATCH);
+    let expected = expected.and_then(|v| v.to_str().ok()?.trim_matches('"').parse().ok());
+    let updated = platform.update(&name, expected, value);
+    if faults.lost_updates > 0 {
+        platform.lock().faults.lost_updates -= 1;
+        tokio::time::sleep(LOST).await;
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match updated {
+        Ok(version) => {
+            HttpResponse::Ok().insert_header((header::ETAG, format!("\"{version}\""))).finish()
+        }
+        Err(()) => HttpResponse::PreconditionFailed().finish(),
+    }
+}
+
+async fn get_instances(platform: PlatformData) -> HttpResponse {
+    let faults = platform.count("instances");
+    if faults.is_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let mut state = platform.lock();
+    if let Some((_, list)) = state.next_list.take_if(|(due, _)| Instant::now() >= *due) {
+        state.listed = list;
+    }
+    HttpResponse::Ok().json(&state.listed)
+}
+
+async fn put_faults(faults: Json<Faults>, platform: PlatformData) -> HttpResponse {
+    platform.lock().faults = faults.into_inner();
+    platform.changed.notify_waiters();
+    HttpResponse::NoContent().finish()
+}
+
+#[derive(Debug, Deserialize)]
+struct Lag {
+    #[serde(default)]
+    lag_ms: u64,
+}
+
+async fn put_instances(
+    lag: Query<Lag>,
+    list: Json<Vec<Listed>>,
+    platform: PlatformData,
+) -> HttpResponse {
+    let due = Instant::now() + Duration::from_millis(lag.lag_ms);
+    platform.lock().next_list = Some((due, list.into_inner()));
+    HttpResponse::NoContent().finish()
+}
+
+async fn get_calls(platform: PlatformData) -> HttpResponse {
+    HttpResponse::Ok().json(&platform.lock().calls)
+}
--- /dev/null
+++ b/crates/standin/src/process.rs
@@ -0,0 +1,106 @@
+//! Child processes on loopback that end with their owner.
+
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use serde_json::Value;
+
+/// A process that has printed its first line; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// What its first line said.
+    pub said: Value,
+}
+
+impl Process {
+    /// Starts a program of this workspace and waits for its first line of JSON.
+    ///
+    /// # Errors
+    /// Fails if it can't be started or says nothing.
+    pub fn start(program: &str, args: &[String]) -> Result<Self, String> {
+        let path = find(program)?;
+        let mut child = Command::new(&path)
+            .args(args)
+            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned()))
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|e| format!("{}: {e}", path.display()))?;
+        let stdout = child.stdout.take().ok_or("no output")?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).map_err(|e| e.to_string())?;
+        let said = serde_json::from_str(&line).map_err(|e| format!("{program}: {line:?}: {e}"));
+        if said.is_err() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+        Ok(Self { child, said: said? })
+    }
+
+    /// A field of the first line.
+    #[must_use]
+    pub fn field(&self, name: &str) -> String {
+        self.said[name].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal such as `STOP`, by the system's own tool.
+    pub fn signal(&self, name: &str) {
+        let mut kill = Command::new("kill");
+        drop(kill.arg(format!("-{name}")).arg(self.id().to_string()).status());
+    }
+
+    /// Kills it at once and waits until it is gone.
+    pub fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Processor time so far in milliseconds, and resident memory in kilobytes.
+    #[must_use]
+    pub fn usage(&self) -> (u64, u64) {
+        const TICK_MS: u64 = 10;
+        const PAGE_KB: u64 = 4;
+        const USER: usize = 10;
+        const SYSTEM: usize = 11;
+        let read = |file: &str| {
+            std::fs::read_to_string(format!("/proc/{}/{file}", self.id())).unwrap_or_default()
+        };
+        let stat = read("stat");
+        // Fields are counted after the name, which may hold spaces.
+        let after = stat.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<u64> =
+            after.split_whitespace().skip(1).map(|f| f.parse().unwrap_or(0)).collect();
+        let ticks = fields.get(USER).unwrap_or(&0) + fields.get(SYSTEM).unwrap_or(&0);
+        let statm = read("statm");
+        let pages: u64 = statm.split_whitespace().nth(1).and_then(|p| p.parse().ok()).unwrap_or(0);
+        (ticks * TICK_MS, pages * PAGE_KB)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Finds a program beside this one, or one folder up as for tests.
+fn find(program: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folders = own.ancestors().skip(1).take(2);
+    let paths: Vec<PathBuf> = folders.map(|folder: &Path| folder.join(program)).collect();
+    let found = paths.iter().find(|path| path.is_file());
+    found.cloned().ok_or_else(|| format!("{program} is not built: cargo build --workspace"))
+}
--- /dev/null
+++ b/crates/standin/src/report.rs
@@ -0,0 +1,170 @@
+//! Tail latency, coverage and extra load of one run, and broken promises.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 120_000_000;
+/// Broken promises that are described.
+const MAX_DESCRIBED: usize = 20;
+
+/// What has been measured so far.
+#[derive(Debug)]
+pub struct Tally {
+    latency_us: Histogram<u64>,
+    accepted_us: Histogram<u64>,
+    refused_us: Histogram<u64>,
+    /// Queries offered.
+    pub offered: u64,
+    /// Answers that came within the deadline.
+    pub in_time: u64,
+    /// Answers that came after it.
+    pub late: u64,
+    /// Answers with every shard.
+    pub full: u64,
+    /// Refusals by verdict and kind.
+    pub refused: BTreeMap<String, u64>,
+    /// Queries that ended without an answer, by error.
+    pub lost: BTreeMap<String, u64>,
+    /// Shards covered and wanted over all offered queries.
+    pub covered: u64,
+    /// Shards wanted over all offered queries.
+    pub wanted: u64,
+    /// Broken promises.
+    pub violations: Vec<String>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let histogram = || {
+            Histogram::new_with_max(MAX_LATENCY_US, 3)
+                .unwrap_or_else(|e| unreachable!("fixed bounds are valid: {e}"))
+        };
+        Self {
+            latency_us: histogram(),
+            accepted_us: histogram(),
+            refused_us: histogram(),
+            offered: 0,
+            in_time: 0,
+            late: 0,
+            full: 0,
+            refused: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            covered: 0,
+            wanted: 0,
+            violations: Vec::new(),
+        }
+    }
+}
+
+impl Tally {
+    /// Notes how long an answered query took.
+    pub fn answered(&mut self, took_us: u64) {
+        self.latency_us.saturating_record(took_us);
+        self.accepted_us.saturating_record(took_us);
+    }
+
+    /// Notes a refusal.
+    pub fn refused(&mut self, kind: String, took_us: u64) {
+        *self.refused.entry(kind).or_default() += 1;
+        self.refused_us.saturating_record(took_us);
+    }
+
+    /// Notes a query that got no answer; its latency counts as without end.
+    pub fn lost(&mut self, error: String) {
+        *self.lost.entry(error).or_default() += 1;
+        self.latency_us.saturating_record(MAX_LATENCY_US);
+    }
+
+    /// Notes a broken promise.
+    pub fn violated(&mut self, what: String) {
+        if self.violations.len() < MAX_DESCRIBED {
+            self.violations.push(what);
+        }
+    }
+
+    /// The report, with parts that the backend servers counted meanwhile.
+    #[must_use]
+    pub fn report(&self, parts: u64, wanted_parts: u64) -> Report {
+        const MS_US: f64 = 1000.0;
+        let at = |histogram: &Histogram<u64>, quantile: f64| {
+            ratio(histogram.value_at_quantile(quantile), 1) / MS_US
+        };
+        Report {
+            offered: self.offered,
+            in_time: self.in_time,
+            late: self.late,
+            full: self.full,
+            refused: self.refused.clone(),
+            lost: self.lost.clone(),
+            p50_ms: at(&self.latency_us, 0.50),
+            p99_ms: at(&self.latency_us, 0.99),
+            p999_ms: at(&self.latency_us, 0.999),
+            refused_p99_ms: at(&self.refused_us, 0.99),
+            coverage_percent: ratio(self.covered * 100, self.wanted),
+            extra_load_percent: ratio(parts * 100, wanted_parts) - 100.0,
+            violations: self.violations.clone(),
+        }
+    }
+}
+
+/// A quotient for display; 0 where there is nothing to divide by.
+#[expect(clippy::cast_precision_loss, reason = "for display only")]
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
+
+/// The three measures of one run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Queries offered.
+    pub offered: u64,
+    /// Answers within the deadline.
+    pub in_time: u64,
+    /// Answers after it, which count as lost.
+    pub late: u64,
+    /// Answers with every shard.
+    pub full: u64,
+    /// Refusals by verdict and kind.
+    pub refused: BTreeMap<String, u64>,
+    /// Queries without any answer.
+    pub lost: BTreeMap<String, u64>,
+    /// Median latency of answers.
+    pub p50_ms: f64,
+    /// 99 in 100 answers came within this.
+    pub p99_ms: f64,
+    /// 999 in 1000 answers came within this.
+    pub p999_ms: f64,
+    /// 99 in 100 refusals came within this.
+    pub refused_p99_ms: f64,
+    /// Shards covered, of those wanted by answered queries.
+    pub coverage_percent: f64,
+    /// Parts that backend servers began beyond one for each shard wanted.
+    pub extra_load_percent: f64,
+    /// Broken promises; there must be none.
+    pub violations: Vec<String>,
+}
+
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(
+            f,
+            "offered {}  in time {}  late {}  full {}  refused {:?}  lost {:?}",
+            self.offered, self.in_time, self.late, self.full, self.refused, self.lost
+        )?;
+        writeln!(
+            f,
+            "tail latency  p50 {:.1} ms  p99 {:.1} ms  p99.9 {:.1} ms  (refusals p99 {:.1} ms)",
+            self.p50_ms, self.p99_ms, self.p999_ms, self.refused_p99_ms
+        )?;
+        writeln!(f, "coverage      {:.3} %", self.coverage_percent)?;
+        writeln!(f, "extra load    {:.2} %", self.extra_load_percent)?;
+        write!(f, "broken promises: {}", self.violations.len())?;
+        for violation in &self.violations {
+            write!(f, "\n  {violation}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! A small deployment, and requests to it.
+#![allow(dead_code, reason = "each test file uses its own part of this module")]
+
+use awc::Client;
+use eelgrasspier_caller::{Answer, Problem};
+use eelgrasspier_standin::backends::Shape;
+use eelgrasspier_standin::fleet::{Fleet, Plan, ServicePlan};
+use eelgrasspier_standin::load;
+use prost::Message;
+
+/// The service that tests query.
+pub const SERVICE: &str = "search";
+
+/// A service with two replicas for each shard, and connections for runs.
+pub fn service(shards: u32) -> ServicePlan {
+    let shape = Shape {
+        service: SERVICE.to_owned(),
+        shards,
+        replicas: 2,
+        slots: 2,
+        connections: 25,
+        connect_ms: 6,
+        work_us: 2_000,
+        stragglers_per_mille: 0,
+        zones: "zone-a,zone-b".to_owned(),
+    };
+    ServicePlan { shape, text: "run_connections = 8\n".to_owned() }
+}
+
+/// The plan of a small deployment.
+pub fn plan(instances: usize, shards: u32) -> Plan {
+    Plan {
+        instances,
+        zones: vec!["zone-a".to_owned(), "zone-b".to_owned()],
+        services: vec![service(shards)],
+        settings: "lame_duck_ms = 500".to_owned(),
+    }
+}
+
+/// A small deployment that is ready.
+pub async fn fleet(instances: usize, shards: u32) -> Fleet {
+    Fleet::start(plan(instances, shards)).await.unwrap()
+}
+
+/// Gentle load with a deadline that a busy machine can keep.
+pub fn load_plan(fleet: &Fleet, rate: u32, seconds: u32) -> load::Plan {
+    load::Plan {
+        instances: fleet.urls().join(","),
+        service: SERVICE.to_owned(),
+        rate,
+        seconds,
+        deadline_ms: 2_000,
+        team: "default".to_owned(),
+        shards: 4,
+        counters: String::new(),
+        json: false,
+    }
+}
+
+/// Parts that all backend servers have begun.
+pub async fn parts(fleet: &Fleet) -> u64 {
+    fleet.counters(SERVICE).await.unwrap().iter().map(|c| c.parts).sum()
+}
+
+/// Runs that backend servers have begun for a key.
+pub async fn runs(fleet: &Fleet, key: &str) -> u64 {
+    let counters = fleet.counters(SERVICE).await.unwrap();
+    counters.iter().filter_map(|c| c.runs.get(key)).sum()
+}
+
+/// What came back over HTTP.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after: Option<String>,
+}
+
+impl Reply {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn problem(&self) -> Problem {
+        serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {}", self.text()))
+    }
+
+    pub fn answer(&self) -> Answer {
+        assert_eq!(self.status, 200, "{}", self.text());
+        Answer::decode(self.body.as_slice()).unwrap()
+    }
+}
+
+/// Posts a request to one instance.
+pub async fn post(url: &str, headers: &[(&str, &str)], body: Vec<u8>) -> Result<Reply, String> {
+    let client = Client::builder().disable_timeout().finish();
+    let mut request = client.post(url).insert_header(("accept", "application/x-protobuf"));
+    for &(name, value) in headers {
+        request = request.insert_header((name, value));
+    }
+    let mut answer = request.send_body(body).await.map_err(|e| e.to_string())?;
+    let retry_after = answer.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let status = answer.status().as_u16();
+    let body = answer.body().limit(16 << 20).await.map_err(|e| e.to_string())?.to_vec();
+    Ok(Reply { status, body, retry_after })
+}
+
+/// A query to one instance.
+pub async fn query(
+    fleet: &Fleet,
+    at: usize,
+    service: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+) -> Reply {
+    let url = format!("{}/v1/services/{service}/query", fleet.instances[at].url());
+    post(&url, headers, body).await.unwrap()
+}
+
+/// A request that must not run twice, to one instance.
+pub async fn run(fleet: &Fleet, at: usize, key: &str, deadline_ms: u64) -> Result<Reply, String> {
+    let url = format!("{}/v1/services/{SERVICE}/run", fleet.instances[at].url());
+    let deadline = deadline_ms.to_string();
+    post(&url, &[("deadline-ms", &deadline), ("idempotency-key", key)], b"run".to_vec()).await
+}
+
+/// A fresh idempotency key.
+pub fn key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
--- /dev/null
+++ b/crates/standin/tests/whole_path.rs
@@ -0,0 +1,48 @@
+//! The whole path: callers, instances, backend servers and platform as processes.
+
+mod common;
+
+use eelgrasspier_standin::load;
+
+/// Names and values of a request's headers.
+type Headers = &'static [(&'static str, &'static str)];
+
+/// Queries through several instances come back whole, from one snapshot, with true
+/// coverage; the load driver checks every answer.
+#[actix_web::test]
+async fn queries_are_answered_from_every_shard() {
+    let fleet = common::fleet(3, 4).await;
+    let report = load::run(&common::load_plan(&fleet, 20, 3)).await.unwrap();
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert_eq!(report.lost.len(), 0, "{report}");
+    assert!(report.full > 0, "{report}");
+}
+
+/// Bad input gets a clear refusal that names what is wrong, and no backend server
+/// sees any of it.
+#[actix_web::test]
+async fn bad_input_is_refused_before_any_backend_server_is_touched() {
+    let fleet = common::fleet(1, 2).await;
+    let before = common::parts(&fleet).await;
+    let cases: [(&str, Headers, u16, &str); 8] = [
+        ("search", &[], 400, "deadline-ms is required"),
+        ("search", &[("deadline-ms", "soon")], 400, "deadline-ms makes no sense: soon"),
+        ("search", &[("deadline-ms", "0")], 400, "between 1 and"),
+        ("search", &[("deadline-ms", "99999999")], 400, "between 1 and"),
+        ("nothing", &[("deadline-ms", "100")], 404, "unknown service nothing"),
+        ("search", &[("deadline-ms", "100"), ("shards", "7")], 400, "unknown shard 7"),
+        ("search", &[("deadline-ms", "100"), ("shards", "5-2")], 400, "shards makes no sense"),
+        ("search", &[("deadline-ms", "100"), ("least-coverage-percent", "101")], 400, "101"),
+    ];
+    for (service, headers, status, detail) in cases {
+        let answer = common::query(&fleet, 0, service, headers, b"q".to_vec()).await;
+        assert_eq!(answer.status, status, "{headers:?}: {}", answer.text());
+        let problem = answer.problem();
+        assert!(problem.detail.contains(detail), "{headers:?}: {}", problem.detail);
+        assert_eq!(problem.verdict, "not_run");
+    }
+    let huge = vec![b'x'; 65 * 1024];
+    let answer = common::query(&fleet, 0, "search", &[("deadline-ms", "100")], huge).await;
+    assert_eq!(answer.status, 413, "{}", answer.text());
+    assert_eq!(common::parts(&fleet).await, before);
+}
