--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -4,7 +4,7 @@
 //! update was on its way. An update whose answer was lost is resolved by reading
 //! the bucket again and looking for the attempt's nonce.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -28,6 +28,8 @@
 const MOST_CLAIMS: usize = 25_000;
 /// Most given-up attempts of a bucket that wait to be released.
 const MOST_RELEASES: usize = 10_000;
+/// Time without any success after which claims are given up at the next failure.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(500);
 /// Shortest and longest pause between tries, in milliseconds.
 const PAUSE_MS: (u64, u64) = (10, 1_000);
 
@@ -61,6 +63,8 @@
 pub struct Claims {
     store: Rc<dyn ObjectStore>,
     buckets: Rc<Vec<RefCell<BucketState>>>,
+    /// Since when no call to the platform has succeeded.
+    failing_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl std::fmt::Debug for Claims {
@@ -83,7 +87,7 @@
     #[must_use]
     pub fn new(store: Rc<dyn ObjectStore>) -> Self {
         let buckets = (0..BUCKETS).map(|_| RefCell::default()).collect();
-        Self { store, buckets: Rc::new(buckets) }
+        Self { store, buckets: Rc::new(buckets), failing_since: Rc::default() }
     }
 
     /// Claims `key` for the own attempt `nonce`; resolved by `until` at the latest.
@@ -155,12 +159,30 @@
         while self.has_work(bucket) {
             self.keep_interval(bucket).await;
             match self.step(bucket).await {
-                Ok(()) => backoff.reset(),
-                Err(()) => tokio::time::sleep(backoff.next_pause()).await,
+                Ok(()) => {
+                    self.failing_since.set(None);
+                    backoff.reset();
+                }
+                Err(()) => {
+                    self.note_failure(bucket);
+                    tokio::time::sleep(backoff.next_pause()).await;
+                }
             }
         }
     }
 
+    /// Gives up the waiting claims once the platform has been failing for a while.
+    ///
+    /// Callers then learn at once that nothing was run and when to come back; to
+    /// hold each of them until its deadline would help nobody in a long outage.
+    fn note_failure(&self, bucket: usize) {
+        let since = self.failing_since.get().unwrap_or_else(Instant::now);
+        self.failing_since.set(Some(since));
+        if since.elapsed() >= GIVE_UP_AFTER {
+            self.buckets[bucket].borrow_mut().waiting.clear();
+        }
+    }
+
     fn has_work(&self, bucket: usize) -> bool {
         let mut state = self.buckets[bucket].borrow_mut();
         let now = Instant::now();
