--- /dev/null
+++ b/crates/standin/tests/runs.rs
@@ -0,0 +1,227 @@
+//! Requests that must not run twice, under failure. The stand-in backend servers
+//! count the runs of each key over the whole test: never two.
+
+mod common;
+
+use std::time::Duration;
+
+use eelgrasspier_standin::backends::Faults as BackendFaults;
+use eelgrasspier_standin::fleet::{Fleet, addr_of};
+use eelgrasspier_standin::platform::Faults as PlatformFaults;
+use futures_util::future::join;
+
+/// A deadline that leaves room for lost answers and busy machines.
+const LONG_MS: u64 = 8_000;
+
+async fn slow_down(fleet: &Fleet, slowness: u64) {
+    for addr in fleet.backends[common::SERVICE].addrs() {
+        let faults = BackendFaults { slowness, ..BackendFaults::default() };
+        fleet.backend_faults(&addr, &faults).await.unwrap();
+    }
+}
+
+/// Symptom: a viewer gets two reminders.
+/// Sequence: the caller's first try is answered, the answer is lost on its way, and
+/// the retry reaches another instance.
+/// Cause: without a claim that both instances see, each would send.
+#[actix_web::test]
+async fn a_retry_on_another_instance_does_not_run_again() {
+    let fleet = common::fleet(2, 2).await;
+    let key = common::key();
+    let first = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+    assert_eq!((first.status, first.text()), (200, format!("ran {key}")));
+    for at in [1, 0] {
+        let retry = common::run(&fleet, at, &key, LONG_MS).await.unwrap();
+        assert_eq!(retry.status, 409, "{}", retry.text());
+        assert_eq!(retry.problem().verdict, "may_have_run");
+    }
+    assert_eq!(common::runs(&fleet, &key).await, 1);
+}
+
+/// Symptom: a match request is sent twice.
+/// Sequence: the caller's try and its impatient retry reach two instances at the
+/// same moment; both claim the key.
+/// Cause: a check before the write, or a write without the version, lets both in.
+#[actix_web::test]
+async fn of_two_tries_at_the_same_moment_one_runs() {
+    let fleet = common::fleet(3, 2).await;
+    for _ in 0..20 {
+        let key = common::key();
+        let (a, b) =
+            join(common::run(&fleet, 0, &key, LONG_MS), common::run(&fleet, 1, &key, LONG_MS))
+                .await;
+        let statuses = [a.unwrap().status, b.unwrap().status];
+        assert!(statuses == [200, 409] || statuses == [409, 200], "{statuses:?}");
+        assert_eq!(common::runs(&fleet, &key).await, 1);
+    }
+}
+
+/// Symptom: a request is refused for good though it never ran, or runs twice.
+/// Sequence: the claim takes effect on the platform, but the answer never comes.
+/// Cause: taken for a failure the key would stay claimed by nobody; taken for
+/// success without reading again it could be somebody else's.
+#[actix_web::test]
+async fn a_claim_whose_answer_is_lost_is_found_by_reading_again() {
+    let fleet = common::fleet(2, 2).await;
+    for faults in [
+        PlatformFaults { lost_updates: 1, ..PlatformFaults::default() },
+        PlatformFaults { dropped_updates: 1, ..PlatformFaults::default() },
+    ] {
+        fleet.platform_faults(&faults).await.unwrap();
+        let key = common::key();
+        let answer = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(common::runs(&fleet, &key).await, 1);
+    }
+}
+
+/// Symptom: a reminder is never sent, though the caller retried as it was told.
+/// Sequence: the platform loses the claim's answer and then goes down; the request
+/// is refused as not run; the caller comes back after the outage.
+/// Cause: the lost claim is still on the platform and must be given back.
+#[actix_web::test]
+async fn a_request_refused_in_an_outage_runs_on_the_retry_after_it() {
+    let fleet = common::fleet(2, 2).await;
+    let key = common::key();
+    let down = PlatformFaults { is_down: true, ..PlatformFaults::default() };
+    fleet.platform_faults(&down).await.unwrap();
+    let refused = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert_eq!(refused.problem().verdict, "not_run");
+    assert!(refused.retry_after.is_some());
+    assert_eq!(common::runs(&fleet, &key).await, 0);
+
+    let lossy = PlatformFaults { lost_updates: 1, ..PlatformFaults::default() };
+    fleet.platform_faults(&lossy).await.unwrap();
+    let refused = common::run(&fleet, 0, &key, 300).await.unwrap();
+    assert_eq!(refused.problem().verdict, "not_run", "{}", refused.text());
+
+    fleet.platform_faults(&PlatformFaults::default()).await.unwrap();
+    eelgrasspier_standin::fleet::until("the claim is given back and the retry runs", async || {
+        let retry = common::run(&fleet, 1, &key, LONG_MS).await;
+        retry.is_ok_and(|r| r.status == 200)
+    })
+    .await
+    .unwrap();
+    assert_eq!(common::runs(&fleet, &key).await, 1);
+}
+
+/// Symptom: two runs, the second one long after the first.
+/// Sequence: an instance claims the key and is stopped by the system for longer than
+/// every time-out; the caller's retry reaches another instance; the first wakes up.
+/// Cause: a lease would have lapsed meanwhile, and both would believe they hold it.
+#[actix_web::test]
+async fn a_paused_holder_that_wakes_up_does_not_run_again() {
+    let fleet = common::fleet(3, 2).await;
+    slow_down(&fleet, 50).await;
+    for pause_ms in [0, 2, 5, 10, 20, 40, 80] {
+        let key = common::key();
+        let holder = &fleet.instances[0].process;
+        let first = async {
+            let answer = common::run(&fleet, 0, &key, 1_500).await;
+            answer.map(|reply| reply.status)
+        };
+        let rest = async {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            holder.signal("STOP");
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            let retry = common::run(&fleet, 1, &key, 1_500).await.unwrap();
+            holder.signal("CONT");
+            retry.status
+        };
+        let statuses = join(first, rest).await;
+        let runs = common::runs(&fleet, &key).await;
+        assert!(runs <= 1, "{runs} runs after {pause_ms} ms, answers {statuses:?}");
+        fleet.wait_ready().await.unwrap();
+    }
+}
+
+/// Symptom: a refusal says "not run" though the request ran.
+/// Sequence: the backend server is killed after it took the request; the connection
+/// breaks without an answer.
+/// Cause: the HTTP client names this a connect error; only a failure before any byte
+/// went out may be called not run.
+#[actix_web::test]
+async fn a_run_whose_server_dies_may_have_run() {
+    let mut fleet = common::fleet(2, 1).await;
+    slow_down(&fleet, 500).await;
+    let key = common::key();
+    let url = format!("{}/v1/services/{}/run", fleet.instances[0].url(), common::SERVICE);
+    let headers = [("deadline-ms", "8000"), ("idempotency-key", key.as_str())];
+    let kill = async {
+        eelgrasspier_standin::fleet::until("the run has begun", async || {
+            common::runs(&fleet, &key).await == 1
+        })
+        .await
+        .unwrap();
+        fleet.backends[common::SERVICE].process.signal("KILL");
+    };
+    let (answer, ()) = join(common::post(&url, &headers, b"run".to_vec()), kill).await;
+    let problem = answer.unwrap().problem();
+    assert_eq!(problem.verdict, "may_have_run", "{problem:?}");
+    let retry = common::run(&fleet, 1, &key, 2_000).await.unwrap();
+    assert_ne!(retry.status, 200);
+    fleet.backends.clear();
+}
+
+/// Symptom: a caller that hangs up stops its own reminder half way.
+/// Sequence: the caller closes its connection between claim and send.
+/// Cause: the key stays claimed, so the request would never run.
+#[actix_web::test]
+async fn a_caller_that_hangs_up_does_not_stop_a_run() {
+    let fleet = common::fleet(2, 2).await;
+    let delay = PlatformFaults { delay_ms: 200, ..PlatformFaults::default() };
+    fleet.platform_faults(&delay).await.unwrap();
+    let key = common::key();
+    let impatient = common::run(&fleet, 0, &key, LONG_MS);
+    let hung_up = tokio::time::timeout(Duration::from_millis(100), impatient).await;
+    assert!(hung_up.is_err(), "the claim was to take longer than the caller waits");
+    eelgrasspier_standin::fleet::until("the run has begun", async || {
+        common::runs(&fleet, &key).await == 1
+    })
+    .await
+    .unwrap();
+}
+
+/// Keys that make no sense, or are too old to be told from a retry, are refused.
+#[actix_web::test]
+async fn bad_keys_are_refused() {
+    let fleet = common::fleet(1, 1).await;
+    let old = uuid::Uuid::new_v7(uuid::Timestamp::from_unix(uuid::NoContext, 1_000_000, 0));
+    for (key, status, verdict) in [
+        ("reminder-7", 400, "not_run"),
+        ("", 400, "not_run"),
+        (&uuid::Uuid::nil().to_string(), 400, "not_run"),
+        (&old.to_string(), 409, "may_have_run"),
+    ] {
+        let answer = common::run(&fleet, 0, key, LONG_MS).await.unwrap();
+        assert_eq!(answer.status, status, "{key}: {}", answer.text());
+        assert_eq!(answer.problem().verdict, verdict);
+        assert_eq!(common::runs(&fleet, key).await, 0);
+    }
+}
+
+/// A server that sheds did not run the request: the refusal says so, and the same
+/// key may run later.
+#[actix_web::test]
+async fn a_shed_run_may_be_tried_again() {
+    let fleet = common::fleet(1, 1).await;
+    let addrs: Vec<String> =
+        fleet.backends[common::SERVICE].shards.iter().flatten().map(|e| addr_of(e)).collect();
+    for is_shedding in [true, false] {
+        for addr in &addrs {
+            let faults = BackendFaults { is_shedding, ..BackendFaults::default() };
+            fleet.backend_faults(addr, &faults).await.unwrap();
+        }
+        if !is_shedding {
+            break;
+        }
+        let key = common::key();
+        let refused = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+        assert_eq!(refused.problem().verdict, "not_run", "{}", refused.text());
+        assert_eq!(common::runs(&fleet, &key).await, 0);
+    }
+    let key = common::key();
+    let answer = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
