Serve only with the newest text that any member knows

Cause: a restarted instance was ready for callers with version 1 while version 2 was in force, because the platform had served it a stale read. Seen by the new test: 'ready with an old text, left 1, right 2'. Ruled out: reading the platform twice (it may lag both times). Change: a starting instance is ready only when its version is at least the highest that any live member announces; it hears all of them, because a share is agreed on only then. One that has neither read the list nor heard a peer no longer agrees with itself alone and takes all connections.

--- a/crates/decide/tests/model_config.rs
+++ b/crates/decide/tests/model_config.rs
@@ -91,7 +91,9 @@
         }
         for at in 0..self.updates.len() {
             next.push(self.with(|s| s.deliver(at, mutant)));
-            next.push(self.with(|s| drop(s.updates.remove(at))));
+            next.push(self.with(|s| {
+                let _lost = s.updates.remove(at);
+            }));
         }
         next
     }
--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -122,6 +122,11 @@
 
     /// Takes the members into the share agreement; returns whether shares moved.
     fn agree(&self) -> bool {
+        // An instance that knows of nobody yet must not agree with itself alone and
+        // take all connections: it first reads the list or hears a peer.
+        if !self.has_list.get() && self.membership.borrow().alive_count() == 1 {
+            return false;
+        }
         let mut membership = self.membership.borrow_mut();
         let mut agreement = self.agreement.borrow_mut();
         let before = agreement.bounds();
@@ -175,6 +180,7 @@
                     })
                     .collect();
                 self.membership.borrow_mut().set_listed(&listed);
+                self.has_list.set(true);
                 self.refresh();
             }
             tokio::time::sleep(self.list_pause()).await;
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -49,6 +49,8 @@
     last_tick: Cell<Instant>,
     is_fetching: Cell<bool>,
     is_platform_up: Cell<bool>,
+    /// Whether the platform's list was read since the process started.
+    has_list: Cell<bool>,
     /// Wakes the text's watcher when its duties may have changed.
     duties: Notify,
 }
@@ -90,6 +92,7 @@
             last_tick: Cell::new(Instant::now()),
             is_fetching: Cell::new(false),
             is_platform_up: Cell::new(true),
+            has_list: Cell::new(false),
             duties: Notify::new(),
             shared,
         });
@@ -161,25 +164,35 @@
 
     /// Publishes the present state to the traffic threads.
     fn publish(&self) {
+        if self.state.get() == State::Starting && self.may_serve() {
+            self.state.set(State::Ready);
+            self.membership.borrow_mut().update_own(|m| m.state = State::Ready as i32);
+            self.record(event::READY, &self.shared.settings.name, "");
+        }
         self.serial.set(self.serial.get() + 1);
-        let agreement = self.agreement.borrow();
         let view = View {
             serial: self.serial.get(),
             version: self.in_force.borrow().version(),
             services: Arc::clone(&self.services.borrow()),
             own: self.membership.borrow().own().key(),
-            bounds: agreement.bounds(),
+            bounds: self.agreement.borrow().bounds(),
             leaving: self.leaving.borrow().clone(),
             peers: self.peers(),
-            is_stopping: self.state.get() >= State::Leaving,
+            state: self.state.get(),
         };
-        let is_ready = view.is_ready();
         self.shared.view.store(Arc::new(view));
-        if is_ready && self.state.get() == State::Starting {
-            self.state.set(State::Ready);
-            self.membership.borrow_mut().update_own(|m| m.state = State::Ready as i32);
-            self.shared.timeline.record(event::READY, &self.shared.settings.name, "");
-        }
+    }
+
+    /// Whether a starting instance has all that it needs to serve callers.
+    ///
+    /// The platform may answer with an old version. Members announce the version
+    /// that they have in force, and a share is agreed on only once all of them were
+    /// heard: whoever serves has the newest version that any of them knew.
+    fn may_serve(&self) -> bool {
+        let membership = self.membership.borrow();
+        let newest = membership.alive().map(|m| m.config_version).max();
+        let version = self.in_force.borrow().version();
+        version.is_some() && version >= newest && !self.agreement.borrow().bounds().is_empty()
     }
 
     fn peers(&self) -> Vec<Peer> {
--- a/crates/eelgrasspier/src/view.rs
+++ b/crates/eelgrasspier/src/view.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasspier_decide::leaving::Leaving;
+use eelgrasspier_decide::membership::State;
 use eelgrasspier_decide::prelude::{ConfigVersion, Services};
 use eelgrasspier_decide::share;
 
@@ -33,8 +34,8 @@
     pub leaving: Leaving,
     /// The other live instances.
     pub peers: Vec<Peer>,
-    /// Whether the instance takes no new callers.
-    pub is_stopping: bool,
+    /// What this instance says of itself.
+    pub state: State,
 }
 
 impl View {
@@ -44,9 +45,15 @@
         share::share_within(&self.bounds, self.own, replica, limit)
     }
 
-    /// Whether callers can be served: there is a text and a share of connections.
+    /// Whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.version.is_some() && !self.bounds.is_empty() && !self.is_stopping
+        self.state == State::Ready
+    }
+
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.state >= State::Leaving
     }
 }
--- a/crates/eelgrasspier/src/web.rs
+++ b/crates/eelgrasspier/src/web.rs
@@ -155,7 +155,7 @@
 /// A request written on an idle connection just as the server closes it would be
 /// lost to the caller, who sees an end of file in place of an answer.
 fn finish(mut response: HttpResponse, traffic: &Traffic) -> HttpResponse {
-    if traffic.shared.view.load().is_stopping {
+    if traffic.shared.view.load().is_stopping() {
         response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
     }
     response
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -158,15 +158,12 @@
         let mut backoff = Backoff::new(PAUSE_MS.0, PAUSE_MS.1);
         while self.has_work(bucket) {
             self.keep_interval(bucket).await;
-            match self.step(bucket).await {
-                Ok(()) => {
-                    self.failing_since.set(None);
-                    backoff.reset();
-                }
-                Err(()) => {
-                    self.note_failure(bucket);
-                    tokio::time::sleep(backoff.next_pause()).await;
-                }
+            if self.step(bucket).await.is_ok() {
+                self.failing_since.set(None);
+                backoff.reset();
+            } else {
+                self.note_failure(bucket);
+                tokio::time::sleep(backoff.next_pause()).await;
             }
         }
     }
@@ -251,11 +248,12 @@
         let mut state = self.buckets[bucket].borrow_mut();
         let waiting = std::mem::take(&mut state.waiting);
         for one in waiting {
-            match known.outcome(one.key, one.nonce) {
-                None => state.waiting.push(one),
-                // Where nobody listens any more, the attempt's guard releases.
-                Some(outcome) => drop(one.done.send(outcome)),
-            }
+            let Some(outcome) = known.outcome(one.key, one.nonce) else {
+                state.waiting.push(one);
+                continue;
+            };
+            // Where nobody listens any more, the attempt's guard releases.
+            let _gone = one.done.send(outcome).is_err();
         }
     }
 
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -129,3 +129,16 @@
 pub fn key() -> String {
     uuid::Uuid::now_v7().to_string()
 }
+
+/// Status of a GET.
+pub async fn get(url: &str) -> Result<u16, String> {
+    let answer = Client::default().get(url).send().await.map_err(|e| e.to_string())?;
+    Ok(answer.status().as_u16())
+}
+
+/// Sets the same faults on every replica of the service.
+pub async fn all_faults(fleet: &Fleet, faults: &eelgrasspier_standin::backends::Faults) {
+    for addr in fleet.backends[SERVICE].addrs() {
+        fleet.backend_faults(&addr, faults).await.unwrap();
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/configuration.rs
@@ -0,0 +1,103 @@
+//! Configuration under races, lost answers, restarts and outages.
+
+mod common;
+
+use eelgrasspier_operator::{SubmitAnswer, Submitted};
+use eelgrasspier_standin::fleet::{Fleet, until};
+use eelgrasspier_standin::platform::Faults;
+use futures_util::future::join;
+
+fn edit(base: u64, edit_id: u64, text: &str) -> Submitted {
+    Submitted { edit_id, base, submitter: "test".to_owned(), text: text.to_owned() }
+}
+
+async fn wait_in_force(fleet: &Fleet, version: u64) {
+    let count = fleet.instances.len();
+    fleet
+        .wait_status(&format!("version {version} is in force everywhere"), |all| {
+            all.len() == count && all.iter().all(|s| s.config_version == Some(version))
+        })
+        .await
+        .unwrap();
+}
+
+/// Symptom: an operator's change disappears without a word.
+/// Sequence: two operators edit the same version and submit at the same moment.
+/// Cause: an update without the version overwrites the other's edit.
+#[actix_web::test]
+async fn of_two_racing_edits_one_is_accepted_and_the_other_told() {
+    let fleet = common::fleet(3, 2).await;
+    for round in 0..5 {
+        let base = round + 1;
+        let text = fleet.text();
+        let (one, two) = (edit(base, 2 * round + 100, &text), edit(base, 2 * round + 101, &text));
+        let (first, second) = (fleet.admin(0), fleet.admin(1));
+        let (a, b) = join(first.submit(&one), second.submit(&two)).await;
+        let (a, b) = (a.unwrap(), b.unwrap());
+        let accepted = SubmitAnswer::Accepted { version: base + 1 };
+        let conflict = SubmitAnswer::Conflict { version: base + 1 };
+        let pairs = [(accepted.clone(), conflict.clone()), (conflict, accepted)];
+        assert!(pairs.contains(&(a.clone(), b.clone())), "{a:?} {b:?}");
+        wait_in_force(&fleet, base + 1).await;
+    }
+}
+
+/// Symptom: an operator is told of a conflict with its own edit.
+/// Sequence: the update takes effect, its answer is lost, the retry finds the text
+/// changed.
+/// Cause: without the edit's id nobody can tell the own edit from another's.
+#[actix_web::test]
+async fn an_edit_whose_answer_is_lost_is_found() {
+    let fleet = common::fleet(2, 2).await;
+    let lost = Faults { lost_updates: 1, ..Faults::default() };
+    fleet.platform_faults(&lost).await.unwrap();
+    let answer = fleet.admin(0).submit(&edit(1, 7, &fleet.text())).await.unwrap();
+    assert_eq!(answer, SubmitAnswer::Accepted { version: 2 });
+    // The same edit once more, as by an operator who was cut off, changes nothing.
+    let again = fleet.admin(1).submit(&edit(1, 7, &fleet.text())).await.unwrap();
+    assert_eq!(again, SubmitAnswer::Accepted { version: 2 });
+    wait_in_force(&fleet, 2).await;
+}
+
+/// Symptom: a withdrawn replica gets work again after an instance was replaced.
+/// Sequence: version 2 is in force; the platform serves a stale answer, or none at
+/// all; an instance restarts.
+/// Cause: an instance that trusts the platform alone takes version 1, or none.
+#[actix_web::test]
+async fn a_restarted_instance_gets_the_newest_text_from_its_peers() {
+    let mut fleet = common::fleet(3, 2).await;
+    fleet.submit(1, 8, &fleet.text()).await.unwrap();
+    wait_in_force(&fleet, 2).await;
+    for faults in [
+        Faults { is_stale: true, ..Faults::default() },
+        Faults { is_down: true, ..Faults::default() },
+    ] {
+        fleet.platform_faults(&faults).await.unwrap();
+        fleet.restart_instance(2).unwrap();
+        let url = fleet.instances[2].url();
+        let admin = fleet.admin(2);
+        until("the restarted instance is ready", async || {
+            let is_ready = common::get(&format!("{url}/readyz")).await == Ok(200);
+            if is_ready {
+                let shown = admin.text().await.unwrap();
+                assert_eq!(shown.version, 2, "ready with an old text");
+            }
+            is_ready
+        })
+        .await
+        .unwrap();
+    }
+}
+
+/// Texts with errors, and edits without the token, change nothing.
+#[actix_web::test]
+async fn broken_texts_and_strangers_are_refused() {
+    let fleet = common::fleet(1, 1).await;
+    let broken = fleet.admin(0).submit(&edit(1, 9, "[a]\ndepends_on = b\n")).await.unwrap();
+    let SubmitAnswer::Broken { errors } = broken else { panic!("{broken:?}") };
+    assert!(errors.contains("line 2: unknown dependency b"), "{errors}");
+    let stranger = eelgrasspier_operator::AdminClient::new(&fleet.instances[0].url(), Some("x"));
+    let answer = stranger.submit(&edit(1, 10, &fleet.text())).await.unwrap();
+    assert_eq!(answer, SubmitAnswer::Forbidden);
+    assert_eq!(fleet.admin(0).text().await.unwrap().version, 1);
+}
