Test members that leave, pause, die and start in an outage

Cause: shares, leaving servers and planned stops are joint matters of many processes; the model covers the rule, not the wiring. Change: five tests over processes: a leaving server gets no work from any of four instances; shares hold while three instances are replaced one by one under load with a list that lags; a planned stop cuts nothing, also what comes in the lame-duck time; a paused instance keeps its share until the platform drops it; an instance starts and serves in an outage.

--- /dev/null
+++ b/crates/standin/tests/members.rs
@@ -0,0 +1,180 @@
+//! Instances and backend servers that come, leave, pause and die.
+
+mod common;
+
+use std::time::Duration;
+
+use eelgrasspier_standin::backends::Faults;
+use eelgrasspier_standin::fleet::{Fleet, addr_of, until};
+use eelgrasspier_standin::load;
+use eelgrasspier_standin::platform::Faults as PlatformFaults;
+use futures_util::future::join;
+
+/// Connections that the stand-in's own questions may hold to a replica.
+const TEST_CONNECTIONS: u64 = 1;
+
+async fn peak_connections(fleet: &Fleet) -> u64 {
+    let counters = fleet.counters(common::SERVICE).await.unwrap();
+    counters.iter().map(|c| c.peak_connections).max().unwrap()
+}
+
+async fn after_drain(fleet: &Fleet) -> u64 {
+    fleet.counters(common::SERVICE).await.unwrap().iter().map(|c| c.after_drain).sum()
+}
+
+/// Symptom: a server that is being taken away still gets work and cuts it off.
+/// Sequence: a server says in its answers that it is leaving; the platform's list
+/// lags behind.
+/// Cause: each instance would have to find out for itself, by sending it work.
+#[actix_web::test]
+async fn a_leaving_server_gets_no_new_work_from_any_instance() {
+    let fleet = common::fleet(4, 2).await;
+    let plan = common::load_plan(&fleet, 40, 8);
+    let addr = addr_of(&fleet.backends[common::SERVICE].shards[0][0]);
+    let drain = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let faults = Faults { is_draining: true, ..Faults::default() };
+        fleet.backend_faults(&addr, &faults).await.unwrap();
+        fleet
+            .wait_status("all know of the leaving server", |all| {
+                all.len() == 4 && all.iter().all(|s| s.leaving_servers == 1)
+            })
+            .await
+            .unwrap();
+        let before = after_drain(&fleet).await;
+        // A part that was on its way may still arrive.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let settled = after_drain(&fleet).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        (before, settled, after_drain(&fleet).await)
+    };
+    let (report, (before, settled, last)) = join(load::run(&plan), drain).await;
+    let report = report.unwrap();
+    assert_eq!(settled, last, "work after all knew: {before} {settled} {last}");
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert_eq!(report.full, report.offered, "{report}");
+}
+
+/// Symptom: a replica refuses connections, because instances together hold too many.
+/// Sequence: all instances are replaced one by one, each new one starting before an
+/// old one stops, while the platform's list lags and queries run.
+/// Cause: two instances count different members at the same moment.
+#[actix_web::test]
+async fn shares_hold_while_all_instances_are_replaced() {
+    let mut fleet = common::fleet(3, 2).await;
+    for _ in 0..3 {
+        let new = fleet.add_instance().unwrap();
+        fleet.list_instances(300).await.unwrap();
+        fleet.wait_ready().await.unwrap();
+        let name = fleet.instances[new].name.clone();
+        let report = load::run(&common::load_plan(&fleet, 60, 1)).await.unwrap();
+        assert_eq!(report.violations, Vec::<String>::new(), "{name}");
+        assert_eq!(report.lost.len(), 0, "{name}: {report}");
+        let mut old = fleet.instances.remove(0);
+        old.process.signal("TERM");
+        until("the old instance has stopped", async || {
+            common::get(&format!("{}/healthz", old.url())).await.is_err()
+        })
+        .await
+        .unwrap();
+        while !old.process.has_ended() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        fleet.list_instances(300).await.unwrap();
+    }
+    fleet
+        .wait_status("the new instances agree on shares", |all| {
+            all.len() == 3 && all.iter().all(|s| s.holders == 3 && s.is_share_agreed)
+        })
+        .await
+        .unwrap();
+    let peak = peak_connections(&fleet).await;
+    assert!(peak <= 25 + TEST_CONNECTIONS, "{peak} connections at one replica");
+}
+
+/// Symptom: a planned stop cuts requests.
+/// Sequence: an instance is told to stop while queries run on it and keep coming for
+/// as long as the balancer lags.
+/// Cause: a server that closes idle connections at once cuts what is written on them.
+#[actix_web::test]
+async fn a_planned_stop_cuts_nothing() {
+    let mut fleet = common::fleet(2, 2).await;
+    let faults = Faults { slowness: 40, ..Faults::default() };
+    common::all_faults(&fleet, &faults).await;
+    let url = fleet.instances[1].url();
+    let process = &fleet.instances[1].process;
+    let headers: &[(&str, &str)] = &[("deadline-ms", "5000")];
+    let query = format!("{url}/v1/services/{}/query", common::SERVICE);
+    let offer = async |after_ms: u64| {
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+        common::post(&query, headers, vec![]).await
+    };
+    // The stop comes at 50 ms; the balancer notices at 300 ms, before the 500 ms in
+    // which the instance still serves are over.
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        process.signal("TERM");
+        until("the instance says that it is not ready", async || {
+            common::get(&format!("{url}/readyz")).await == Ok(503)
+        })
+        .await
+        .unwrap();
+    };
+    let offers = futures_util::future::join_all([0, 20, 100, 200, 300].map(offer));
+    let (answers, ()) = join(offers, stop).await;
+    for answer in answers {
+        let answer = answer.expect("a request was cut").answer();
+        assert_eq!(answer.missed, vec![]);
+    }
+    until("the instance has ended", async || common::get(&query).await.is_err()).await.unwrap();
+    fleet.instances.truncate(1);
+    let answer = common::query(&fleet, 0, common::SERVICE, headers, vec![]).await;
+    assert_eq!(answer.status, 200);
+}
+
+/// Symptom: an instance that crashed keeps its share for ever, or another takes it
+/// though it was only paused.
+/// Sequence: one instance is paused, the others take it for dead; the platform still
+/// lists it, then no longer does; it wakes up.
+/// Cause: silence alone does not tell a pause from a crash.
+#[actix_web::test]
+async fn a_paused_instance_keeps_its_share_until_the_platform_drops_it() {
+    let mut fleet = common::fleet(3, 2).await;
+    fleet.instances[2].process.signal("STOP");
+    fleet.wait_status("the paused instance is taken for dead", |all| all.len() == 2).await.unwrap();
+    let held = fleet.admin(0).status().await.unwrap();
+    assert!(held.iter().all(|s| s.holders == 3), "{held:?}");
+    let paused = fleet.instances.remove(2);
+    fleet.list_instances(0).await.unwrap();
+    fleet
+        .wait_status("the others take over the share", |all| {
+            all.iter().all(|s| s.holders == 2 && s.is_share_agreed)
+        })
+        .await
+        .unwrap();
+    paused.process.signal("CONT");
+    fleet
+        .wait_status("it is back and shares are split again", |all| {
+            all.len() == 3 && all.iter().all(|s| s.holders == 3 && s.is_share_agreed)
+        })
+        .await
+        .unwrap();
+    fleet.instances.push(paused);
+    let peak = peak_connections(&fleet).await;
+    assert!(peak <= 25 + TEST_CONNECTIONS, "{peak} connections at one replica");
+}
+
+/// Symptom: an instance that is replaced during an outage of the platform stays away.
+/// Sequence: the platform is down; an instance starts; queries come.
+/// Cause: everything that it needs, but for claims and edits, its peers know.
+#[actix_web::test]
+async fn an_instance_starts_and_serves_during_an_outage() {
+    let mut fleet = common::fleet(3, 2).await;
+    let down = PlatformFaults { is_down: true, ..PlatformFaults::default() };
+    fleet.platform_faults(&down).await.unwrap();
+    fleet.restart_instance(1).unwrap();
+    fleet.wait_ready().await.unwrap();
+    let report = load::run(&common::load_plan(&fleet, 30, 2)).await.unwrap();
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert_eq!(report.full, report.offered, "{report}");
+}
