Keep shares at a cold start, and reach slices through ready peers

Cause 1: with three connections a replica and seven instances started at once, a replica saw 5 connections. The lagging list is empty at first, so each instance agreed with itself alone and took every connection. Cause 2 (seen once the first was mended): 103 of 120 queries missed shards as late. Traffic threads kept a view in which the peers were not ready yet: a member's change of state alone published no new view. Ruled out: growth before agreement (the model holds), idle connections of an old pool (all instances were new). Change: an instance agrees on shares only once the platform's list shows it, or a peer that is ready is heard: of two instances that see themselves listed, the later sees the earlier. A change of state publishes a view. A shard for which no instance is known is missed as 'no replica' at once instead of late.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -184,6 +184,8 @@
 pub enum Change {
     /// An instance was heard of for the first time, or came back.
     Joined(String),
+    /// An instance says something new of its state.
+    State(String),
     /// An instance is suspected.
     Suspected(String),
     /// An instance is taken for dead.
@@ -424,8 +426,12 @@
             return;
         }
         let was_over = known.is_none_or(Known::is_over);
+        let is_same_state = known.is_some_and(|k| k.member.state == member.state);
         let is_listed = self.listed.contains_key(&member.name);
         let known = Known { member: member.clone(), addr, since_ms: now_ms, is_listed };
+        if !is_same_state {
+            self.changes.push(Change::State(member.name.clone()));
+        }
         self.note_change(&known, was_over);
         self.others.insert(member.name.clone(), known);
         let sends = self.sends();
--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrasspier_decide::leaving::Server;
-use eelgrasspier_decide::membership::{Change, Datagram, LeavingServer, Listed, Send};
+use eelgrasspier_decide::membership::{Change, Datagram, LeavingServer, Listed, Send, State};
 use eelgrasspier_decide::share::Agreement;
 use eelgrasspier_peer::Gossip;
 use futures_util::{Stream, StreamExt};
@@ -27,6 +27,9 @@
 /// Time between reads for each instance, so that the fleet's rate stays at 20/s.
 const LIST_EVERY_FOR_EACH: Duration = Duration::from_millis(50);
 
+/// Pause between reads while the list does not show this instance yet.
+const UNLISTED_PAUSE: Duration = Duration::from_millis(500);
+
 pub(super) async fn send_all(mut gossip: Gossip, mut outgoing: mpsc::UnboundedReceiver<Send>) {
     while let Some(Send { to, datagram }) = outgoing.recv().await {
         gossip.send(to, datagram).await;
@@ -109,6 +112,8 @@
 
     fn note(&self, change: Change) {
         match change {
+            // Seen in the next view; not worth an event.
+            Change::State(_) => {}
             Change::Joined(name) => self.record(event::MEMBER_JOINED, &name, ""),
             Change::Suspected(name) => self.record(event::MEMBER_SUSPECT, &name, ""),
             Change::Died(name) => self.record(event::MEMBER_DEAD, &name, ""),
@@ -122,9 +127,7 @@
 
     /// Takes the members into the share agreement; returns whether shares moved.
     fn agree(&self) -> bool {
-        // An instance that knows of nobody yet must not agree with itself alone and
-        // take all connections: it first reads the list or hears a peer.
-        if !self.has_list.get() && self.membership.borrow().alive_count() == 1 {
+        if !self.may_agree() {
             return false;
         }
         let mut membership = self.membership.borrow_mut();
@@ -146,6 +149,18 @@
         has_moved
     }
 
+    /// Whether this instance can be sure to know of someone who holds connections.
+    ///
+    /// When many instances start at once, the lagging list is empty at first, and
+    /// each would agree with itself alone and take every connection; one would notice
+    /// more connections at a replica than it allows. Of two instances that each see
+    /// themselves listed, the later one sees the earlier. In an outage of the
+    /// platform a peer that is ready knows the others.
+    fn may_agree(&self) -> bool {
+        let membership = self.membership.borrow();
+        self.is_listed.get() || membership.alive().any(|m| m.state() == State::Ready)
+    }
+
     /// Notes and spreads that a backend server is leaving.
     pub(super) fn server_leaves(&self, server: Server) {
         let is_news = self.leaving.borrow_mut().note(server, self.shared.now_ms());
@@ -180,7 +195,10 @@
                     })
                     .collect();
                 self.membership.borrow_mut().set_listed(&listed);
-                self.has_list.set(true);
+                let own = &self.shared.settings.name;
+                if listed.iter().any(|l| l.name == *own) {
+                    self.is_listed.set(true);
+                }
                 self.refresh();
             }
             tokio::time::sleep(self.list_pause()).await;
@@ -188,6 +206,9 @@
     }
 
     fn list_pause(&self) -> Duration {
+        if !self.is_listed.get() {
+            return UNLISTED_PAUSE;
+        }
         let count = u32::try_from(self.membership.borrow().alive_count()).unwrap_or(u32::MAX);
         let pause = LIST_EVERY.max(LIST_EVERY_FOR_EACH.saturating_mul(count));
         pause.mul_f64(rand::random_range(0.75..1.25))
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -49,8 +49,8 @@
     last_tick: Cell<Instant>,
     is_fetching: Cell<bool>,
     is_platform_up: Cell<bool>,
-    /// Whether the platform's list was read since the process started.
-    has_list: Cell<bool>,
+    /// Whether the platform's list has shown this instance.
+    is_listed: Cell<bool>,
     /// Wakes the text's watcher when its duties may have changed.
     duties: Notify,
 }
@@ -92,7 +92,7 @@
             last_tick: Cell::new(Instant::now()),
             is_fetching: Cell::new(false),
             is_platform_up: Cell::new(true),
-            has_list: Cell::new(false),
+            is_listed: Cell::new(false),
             duties: Notify::new(),
             shared,
         });
--- a/crates/eelgrasspier/src/gather.rs
+++ b/crates/eelgrasspier/src/gather.rs
@@ -72,10 +72,12 @@
     for shard in own {
         sources.push(Box::pin(one(context, shard)));
     }
-    for (peer, shards) in slices::by_peer(context, &elsewhere) {
+    let mut gathered = Gathered::default();
+    let (by_peer, unreachable) = slices::by_peer(context, &elsewhere);
+    gathered.missed.extend(unreachable.into_iter().map(|shard| (shard, Miss::NoReplica)));
+    for (peer, shards) in by_peer {
         sources.push(Box::pin(slices::ask(context, peer, shards)));
     }
-    let mut gathered = Gathered::default();
     let collecting = collect(sources, &mut gathered);
     // At the cut-off the sources are dropped, which cancels what is on its way.
     drop(tokio::time::timeout_at(context.cutoff.into(), collecting).await);
--- a/crates/eelgrasspier/src/slices.rs
+++ b/crates/eelgrasspier/src/slices.rs
@@ -23,17 +23,21 @@
 const WAY_BACK: Duration = Duration::from_millis(2);
 
 /// Groups shards by an instance that holds a connection to one of their replicas.
+///
+/// The second list names shards for which there is no such instance now.
 pub(crate) fn by_peer(
     context: &PartContext,
     shards: &[ShardId],
-) -> BTreeMap<SocketAddr, Vec<ShardId>> {
+) -> (BTreeMap<SocketAddr, Vec<ShardId>>, Vec<ShardId>) {
     let mut groups: BTreeMap<SocketAddr, Vec<ShardId>> = BTreeMap::new();
+    let mut unreachable = Vec::new();
     for &shard in shards {
-        if let Some(addr) = holder(context, shard) {
-            groups.entry(addr).or_default().push(shard);
+        match holder(context, shard) {
+            Some(addr) => groups.entry(addr).or_default().push(shard),
+            None => unreachable.push(shard),
         }
     }
-    groups
+    (groups, unreachable)
 }
 
 /// A live instance in the slice of one of the shard's replicas, drawn at random.
