Spend less processor time on each part

Cause: perf over a daemon at 10,000 parts/s: 40 % in the client's send, of which redirect handling copies every request's headers, and header names are parsed anew for each part. Change: header names are statics; redirects and default headers are off. The rest is system calls (32 %) and the client itself.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -108,7 +108,11 @@
     pub fn new(connect_timeout: Duration) -> Self {
         let connector = || Connector::new().limit(NO_LIMIT).timeout(connect_timeout);
         let pooled = connector().conn_keep_alive(KEEP_IDLE).conn_lifetime(KEEP_LIFETIME);
-        let client = |c| Client::builder().disable_timeout().connector(c).finish();
+        // Following redirects would cost a copy of every header and body.
+        let client = |c| {
+            let builder = Client::builder().disable_timeout().disable_redirects();
+            builder.no_default_headers().connector(c).finish()
+        };
         Self { pooled: client(pooled), fresh: client(connector()) }
     }
 
@@ -118,17 +122,17 @@
             Kind::Query => self.pooled.post(url("query")),
             Kind::Run { key } => {
                 let request = self.fresh.post(url("run")).force_close();
-                request.insert_header((headers::IDEMPOTENCY_KEY, key.as_str()))
+                request.insert_header((headers::IDEMPOTENCY_KEY.clone(), key.as_str()))
             }
         };
         let time_left_ms = u64::try_from(part.time_left.as_millis()).unwrap_or(u64::MAX);
         let request = request
-            .insert_header((headers::SERVICE, &*part.service))
-            .insert_header((headers::SHARD, part.shard))
-            .insert_header((headers::TIME_LEFT, time_left_ms))
-            .insert_header((headers::REQUEST_ID, part.id.as_str()));
+            .insert_header((headers::SERVICE.clone(), &*part.service))
+            .insert_header((headers::SHARD.clone(), part.shard))
+            .insert_header((headers::TIME_LEFT.clone(), time_left_ms))
+            .insert_header((headers::REQUEST_ID.clone(), part.id.as_str()));
         match part.version {
-            Some(version) => request.insert_header((headers::VERSION, version)),
+            Some(version) => request.insert_header((headers::VERSION.clone(), version)),
             None => request,
         }
     }
@@ -139,7 +143,7 @@
         let mut answer = sent.map_err(|e| PartFailure::from(&e))?;
         let report = Report::from(answer.headers());
         check_status(answer.status(), &report)?;
-        let version = number(answer.headers(), headers::VERSION);
+        let version = number(answer.headers(), &headers::VERSION);
         if part.version.is_some() && version != part.version {
             return Err(PartFailure::WrongVersion(Box::new(report)));
         }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -17,24 +17,26 @@
 
 /// Headers of the servers' protocol.
 pub mod headers {
+    use awc::http::header::HeaderName;
+
     /// Name of the service that is asked.
-    pub const SERVICE: &str = "query-service";
+    pub static SERVICE: HeaderName = HeaderName::from_static("query-service");
     /// Number of the shard that is asked.
-    pub const SHARD: &str = "query-shard";
+    pub static SHARD: HeaderName = HeaderName::from_static("query-shard");
     /// Index version that the answer must be made from, or was made from.
-    pub const VERSION: &str = "index-version";
+    pub static VERSION: HeaderName = HeaderName::from_static("index-version");
     /// Versions that the server holds, as `version/shard-count`, comma separated.
-    pub const VERSIONS: &str = "index-versions";
+    pub static VERSIONS: HeaderName = HeaderName::from_static("index-versions");
     /// Time in milliseconds that is left to answer.
-    pub const TIME_LEFT: &str = "time-left-ms";
+    pub static TIME_LEFT: HeaderName = HeaderName::from_static("time-left-ms");
     /// Id of the request, for cancellation.
-    pub const REQUEST_ID: &str = "request-id";
+    pub static REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
     /// Requests that the server runs or holds in its queue.
-    pub const LOAD: &str = "server-load";
+    pub static LOAD: HeaderName = HeaderName::from_static("server-load");
     /// Set to 1 by a server that is leaving.
-    pub const DRAINING: &str = "server-draining";
+    pub static DRAINING: HeaderName = HeaderName::from_static("server-draining");
     /// Start time of the server's process in milliseconds since the epoch.
-    pub const STARTED: &str = "server-started-ms";
+    pub static STARTED: HeaderName = HeaderName::from_static("server-started-ms");
     /// The caller's idempotency key, for a run.
-    pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+    pub static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 }
--- a/crates/backend/src/report.rs
+++ b/crates/backend/src/report.rs
@@ -1,6 +1,6 @@
 //! What a backend server says of itself with each answer.
 
-use awc::http::header::HeaderMap;
+use awc::http::header::{HeaderMap, HeaderName};
 use eelgrasspier_decide::snapshot::Held;
 
 use crate::headers;
@@ -21,20 +21,20 @@
 impl From<&HeaderMap> for Report {
     fn from(map: &HeaderMap) -> Self {
         Self {
-            load: number(map, headers::LOAD),
-            is_draining: text(map, headers::DRAINING) == Some("1"),
-            incarnation: number(map, headers::STARTED).unwrap_or_default(),
-            held: text(map, headers::VERSIONS).map(read_held).unwrap_or_default(),
+            load: number(map, &headers::LOAD),
+            is_draining: text(map, &headers::DRAINING) == Some("1"),
+            incarnation: number(map, &headers::STARTED).unwrap_or_default(),
+            held: text(map, &headers::VERSIONS).map(read_held).unwrap_or_default(),
         }
     }
 }
 
-fn text<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn text<'a>(map: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     map.get(name)?.to_str().ok()
 }
 
 /// A number in a header; `None` if it is absent or not one.
-pub(crate) fn number<T: std::str::FromStr>(map: &HeaderMap, name: &str) -> Option<T> {
+pub(crate) fn number<T: std::str::FromStr>(map: &HeaderMap, name: &HeaderName) -> Option<T> {
     text(map, name)?.trim().parse().ok()
 }
 
