Compare ways of the policy under faults

Cause: the policy's worth has to be measured as A against B at the same load. Change: a compare command starts a deployment for each way, offers the same load to grid-builder through 7 instances, and lets a fault begin after a third of the time: slow, lying, silent or lost replicas, a lost availability zone.

--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -57,6 +57,7 @@
 /// Faults that a replica shows.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
+#[expect(clippy::struct_excessive_bools, reason = "each fault is on or off by itself")]
 pub struct Faults {
     /// It says that it is leaving, and still serves.
     pub is_draining: bool,
@@ -68,6 +69,8 @@
     pub said_load: Option<u32>,
     /// It holds these versions, with their shard counts.
     pub versions: Vec<(u64, u32)>,
+    /// It takes connections and requests, and answers nothing any more.
+    pub is_lost: bool,
     /// It takes requests and answers nothing, on all connections open now.
     pub silences_open: bool,
 }
@@ -276,7 +279,10 @@
 /// What a connection does before the request on it is looked at.
 async fn begin(request: &HttpRequest, replica: &Replica) {
     let Some(connection) = request.conn_data::<Connection>() else { return };
-    if connection.number <= replica.silent_up_to.load(Ordering::Acquire) {
+    // Not for the test's own questions, which begin no work.
+    if lock(&replica.faults).is_lost
+        || connection.number <= replica.silent_up_to.load(Ordering::Acquire)
+    {
         tokio::time::sleep(SILENCE).await;
     }
     if !connection.is_warm.swap(true, Ordering::AcqRel) {
--- /dev/null
+++ b/crates/standin/src/compare.rs
@@ -0,0 +1,143 @@
+//! Ways A and B of the policy at the same load and under the same faults.
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use futures_util::future::join;
+
+use crate::backends::Faults;
+use crate::demo;
+use crate::fleet::{Fleet, addr_of};
+use crate::load;
+
+/// What goes wrong in a third of the run's time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Nothing but the stragglers.
+    Calm,
+    /// One replica in ten takes eight times as long.
+    Slow,
+    /// One replica in ten is slow and says that it has no load.
+    Lying,
+    /// All open connections to one replica in ten go silent for good.
+    Silent,
+    /// One replica in twenty is lost without a word.
+    Lost,
+    /// All replicas in one availability zone are lost without a word.
+    ZoneLost,
+}
+
+impl std::str::FromStr for Scenario {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        match name {
+            "calm" => Ok(Self::Calm),
+            "slow" => Ok(Self::Slow),
+            "lying" => Ok(Self::Lying),
+            "silent" => Ok(Self::Silent),
+            "lost" => Ok(Self::Lost),
+            "zone-lost" => Ok(Self::ZoneLost),
+            _ => Err("calm, slow, lying, silent, lost or zone-lost".to_owned()),
+        }
+    }
+}
+
+/// What to compare.
+#[derive(Debug, Clone, Bpaf)]
+pub struct Plan {
+    /// Number of instances
+    #[bpaf(long, argument("N"), fallback(7))]
+    pub instances: usize,
+    /// Queries a second
+    #[bpaf(long, argument("N"), fallback(300))]
+    pub rate: u32,
+    /// Seconds to offer them for
+    #[bpaf(long, argument("S"), fallback(9))]
+    pub seconds: u32,
+    /// Deadline of each query
+    #[bpaf(long, argument("MS"), fallback(100))]
+    pub deadline_ms: u64,
+    /// Fault: calm, slow, lying, silent, lost or zone-lost
+    #[bpaf(long, argument("NAME"), fallback(Scenario::Calm))]
+    pub scenario: Scenario,
+    /// Ways as choice/hedge-per-mille, comma separated
+    #[bpaf(
+        long,
+        argument("LIST"),
+        fallback("random/0,least-cost/0,random/950,least-cost/950".to_owned())
+    )]
+    pub ways: String,
+}
+
+/// Runs every way in turn and prints a line for each.
+///
+/// # Errors
+/// Fails if something can't be started.
+pub async fn run(plan: &Plan) -> Result<(), String> {
+    println!("{:?} at {} queries/s, deadline {} ms", plan.scenario, plan.rate, plan.deadline_ms);
+    println!("| way | p50 ms | p99 ms | p99.9 ms | in time % | coverage % | extra load % |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for way in plan.ways.split(',') {
+        println!("{}", row(plan, way).await?);
+    }
+    Ok(())
+}
+
+async fn row(plan: &Plan, way: &str) -> Result<String, String> {
+    const PERCENT: f64 = 100.0;
+    let (choice, per_mille) = way.split_once('/').ok_or("a way is choice/hedge-per-mille")?;
+    let fleet = Fleet::start(demo::deployment(
+        plan.instances,
+        &demo::Variant {
+            choice: choice.to_owned(),
+            hedge_per_mille: per_mille.parse().map_err(|_| "hedge-per-mille is a number")?,
+            stragglers_per_mille: 5,
+            connections: 25,
+        },
+    ))
+    .await?;
+    let offered = demo::grid_load(&fleet, plan.rate, plan.seconds, plan.deadline_ms);
+    let (report, broken) = join(load::run(&offered), break_some(&fleet, plan)).await;
+    broken?;
+    let report = report?;
+    if !report.violations.is_empty() {
+        return Err(format!("promises were broken: {report}"));
+    }
+    let in_time = f64::from(u32::try_from(report.in_time).unwrap_or(u32::MAX)) * PERCENT
+        / f64::from(u32::try_from(report.offered.max(1)).unwrap_or(u32::MAX));
+    Ok(format!(
+        "| {way} | {:.1} | {:.1} | {:.1} | {in_time:.2} | {:.3} | {:.2} |",
+        report.p50_ms,
+        report.p99_ms,
+        report.p999_ms,
+        report.coverage_percent,
+        report.extra_load_percent
+    ))
+}
+
+/// Lets the fault begin when a third of the time is over.
+async fn break_some(fleet: &Fleet, plan: &Plan) -> Result<(), String> {
+    const ONE_IN: usize = 10;
+    const LOST_ONE_IN: usize = 20;
+    tokio::time::sleep(Duration::from_secs(u64::from(plan.seconds)) / 3).await;
+    let shards = &fleet.backends[demo::GRID].shards;
+    let all: Vec<&String> = shards.iter().flatten().collect();
+    let zone = all[0].split('@').next().unwrap_or_default();
+    let (faults, one_in) = match plan.scenario {
+        Scenario::Calm => return Ok(()),
+        Scenario::Slow => (Faults { slowness: 8, ..Faults::default() }, ONE_IN),
+        Scenario::Lying => {
+            (Faults { slowness: 8, said_load: Some(0), ..Faults::default() }, ONE_IN)
+        }
+        Scenario::Silent => (Faults { silences_open: true, ..Faults::default() }, ONE_IN),
+        Scenario::Lost => (Faults { is_lost: true, ..Faults::default() }, LOST_ONE_IN),
+        Scenario::ZoneLost => (Faults { is_lost: true, ..Faults::default() }, 1),
+    };
+    for entry in all.iter().step_by(one_in) {
+        if plan.scenario != Scenario::ZoneLost || entry.starts_with(&format!("{zone}@")) {
+            fleet.backend_faults(&addr_of(entry), &faults).await?;
+        }
+    }
+    Ok(())
+}
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -65,37 +65,70 @@
     ]
 }
 
-/// Starts the deployment, offers queries to grid-builder, and prints the measures.
-///
-/// # Errors
-/// Fails if something can't be started or a promise was broken.
-pub async fn run(plan: &Plan) -> Result<(), String> {
+/// Name of the service that is queried.
+pub const GRID: &str = "grid-builder";
+
+/// What differs between deployments that are compared.
+#[derive(Debug, Clone)]
+pub struct Variant {
+    /// Policy of replica choice.
+    pub choice: String,
+    /// Quantile in thousandths after which a part is hedged; 0 for never.
+    pub hedge_per_mille: u32,
+    /// Requests in a thousand that take ten times as long.
+    pub stragglers_per_mille: u64,
+    /// Connections that a replica allows.
+    pub connections: u32,
+}
+
+/// A deployment of tt-north.
+#[must_use]
+pub fn deployment(instances: usize, variant: &Variant) -> FleetPlan {
     let zones = ["pos-hall", "chag-hall", "arima-hall", "tuna-hall"];
-    let fleet = Fleet::start(FleetPlan {
-        instances: plan.instances,
+    FleetPlan {
+        instances,
         zones: zones.map(str::to_owned).to_vec(),
-        services: tt_north(plan.stragglers_per_mille, plan.connections),
+        services: tt_north(variant.stragglers_per_mille, variant.connections),
         settings: format!(
             "lame_duck_ms = 500\n[policy]\nreplica_choice = {}\nhedge_per_mille = {}",
-            plan.choice, plan.hedge_per_mille
+            variant.choice, variant.hedge_per_mille
         ),
-    })
-    .await?;
-    let usage_before: Vec<_> = fleet.instances.iter().map(|i| i.process.usage()).collect();
-    let calls_before: u64 = fleet.platform_calls().await?.values().sum();
-    let service = "grid-builder";
-    let counters = fleet.backends.get(service).map(|b| b.addrs().join(","));
-    let offered = load::Plan {
+    }
+}
+
+/// Queries to grid-builder through all instances.
+#[must_use]
+pub fn grid_load(fleet: &Fleet, rate: u32, seconds: u32, deadline_ms: u64) -> load::Plan {
+    let counters = fleet.backends.get(GRID).map(|b| b.addrs().join(","));
+    load::Plan {
         instances: fleet.urls().join(","),
-        service: service.to_owned(),
-        rate: plan.rate,
-        seconds: plan.seconds,
-        deadline_ms: plan.deadline_ms,
+        service: GRID.to_owned(),
+        rate,
+        seconds,
+        deadline_ms,
         team: "newspaper".to_owned(),
         shards: GRID_SHARDS,
         counters: counters.unwrap_or_default(),
-        json: plan.json,
+        json: false,
+    }
+}
+
+/// Starts the deployment, offers queries to grid-builder, and prints the measures.
+///
+/// # Errors
+/// Fails if something can't be started or a promise was broken.
+pub async fn run(plan: &Plan) -> Result<(), String> {
+    let variant = Variant {
+        choice: plan.choice.clone(),
+        hedge_per_mille: plan.hedge_per_mille,
+        stragglers_per_mille: plan.stragglers_per_mille,
+        connections: plan.connections,
     };
+    let fleet = Fleet::start(deployment(plan.instances, &variant)).await?;
+    let usage_before: Vec<_> = fleet.instances.iter().map(|i| i.process.usage()).collect();
+    let calls_before: u64 = fleet.platform_calls().await?.values().sum();
+    let offered = grid_load(&fleet, plan.rate, plan.seconds, plan.deadline_ms);
+    let offered = load::Plan { json: plan.json, ..offered };
     let result = load::run_and_print(&offered).await;
     let calls_after: u64 = fleet.platform_calls().await?.values().sum();
     print_cost(&fleet, &usage_before, plan);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! processes on loopback. Nothing here is part of the daemon.
 
 pub mod backends;
+pub mod compare;
 pub mod demo;
 pub mod fleet;
 pub mod load;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use eelgrasspier_standin::{backends, demo, load, platform};
+use eelgrasspier_standin::{backends, compare, demo, load, platform};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -24,6 +24,9 @@
     #[bpaf(command)]
     /// Run a whole deployment on this machine and measure it
     Demo(#[bpaf(external(demo::plan))] demo::Plan),
+    #[bpaf(command)]
+    /// Compare ways of the policy under a fault
+    Compare(#[bpaf(external(compare::plan))] compare::Plan),
 }
 
 fn main() -> ExitCode {
@@ -34,6 +37,7 @@
             Command::Backends(shape) => backends::serve(shape).await.map_err(|e| e.to_string()),
             Command::Load(plan) => load::run_and_print(&plan).await,
             Command::Demo(plan) => demo::run(&plan).await,
+            Command::Compare(plan) => compare::run(&plan).await,
         }
     });
     match result {
