Count a given-up exchange against its replica

The loser of a hedge is cancelled, so only the few answers of a slow replica that came in time were counted, and it looked fast. Change: an exchange that is given up counts as a latency of at least its age, and adds a penalty that doubles with each one in a row without an answer and halves every 250 ms, so that a lost replica is left alone within a few parts.

--- a/crates/decide/src/replica.rs
+++ b/crates/decide/src/replica.rs
@@ -6,6 +6,10 @@
 const MEAN_SHIFT: u32 = 3;
 /// Score that a failure adds; it halves with every half-life.
 const FAILURE_PENALTY_US: u64 = 200_000;
+/// Score that the first exchange given up adds; it doubles with each in a row.
+const OUTRUN_PENALTY_US: u64 = 5_000;
+/// Doublings after which it stays the same.
+const MOST_DOUBLINGS: u32 = 6;
 /// Time in which a failure's penalty halves, in milliseconds.
 const PENALTY_HALF_LIFE_MS: u64 = 250;
 
@@ -19,6 +23,8 @@
     reported_ms: u64,
     penalty_us: u64,
     penalty_ms: u64,
+    /// Exchanges in a row that were given up.
+    unanswered: u32,
 }
 
 impl Load {
@@ -27,19 +33,43 @@
         if self.mean_us == 0 {
             self.mean_us = latency_us;
         }
-        self.mean_us = self.mean_us - (self.mean_us >> MEAN_SHIFT) + (latency_us >> MEAN_SHIFT);
+        self.blend(latency_us);
+        self.unanswered = 0;
         if let Some(load) = reported {
             self.reported = load;
             self.reported_ms = now_ms;
         }
     }
 
+    /// Notes that another replica answered first, or none did before the cut-off.
+    ///
+    /// The exchange was given up, so its latency is only known to be more than
+    /// `elapsed_us`. Left out, a slow replica would look as fast as its few answers
+    /// that were in time, and would go on being chosen. Several in a row without an
+    /// answer weigh more and more, so that a lost replica is soon left alone.
+    pub fn outrun(&mut self, elapsed_us: u64, now_ms: u64) {
+        if elapsed_us > self.mean_us {
+            self.blend(elapsed_us);
+        }
+        let step = self.unanswered.min(MOST_DOUBLINGS);
+        self.unanswered = self.unanswered.saturating_add(1);
+        self.add_penalty(OUTRUN_PENALTY_US << step, now_ms);
+    }
+
     /// Notes that the replica shed, failed or fell silent.
     pub fn failed(&mut self, now_ms: u64) {
-        self.penalty_us = self.penalty_us(now_ms) + FAILURE_PENALTY_US;
+        self.add_penalty(FAILURE_PENALTY_US, now_ms);
+    }
+
+    fn add_penalty(&mut self, added_us: u64, now_ms: u64) {
+        self.penalty_us = self.penalty_us(now_ms) + added_us;
         self.penalty_ms = now_ms;
     }
 
+    fn blend(&mut self, latency_us: u64) {
+        self.mean_us = self.mean_us - (self.mean_us >> MEAN_SHIFT) + (latency_us >> MEAN_SHIFT);
+    }
+
     /// Expected cost of one more request here; the lowest wins.
     ///
     /// Own outstanding requests are exact and count in full. The reported load
--- a/crates/eelgrasspier/src/flight.rs
+++ b/crates/eelgrasspier/src/flight.rs
@@ -26,6 +26,8 @@
     id: String,
     exchanger: Rc<dyn Exchanger>,
     started: Instant,
+    /// The same in milliseconds since the process started.
+    started_ms: u64,
 }
 
 /// The end of an exchange.
@@ -41,9 +43,10 @@
         permit: Permit,
         id: String,
         exchanger: Rc<dyn Exchanger>,
+        started_ms: u64,
     ) -> Self {
         let started = Instant::now();
-        Self { open: Some(Open { exchange, permit, id, exchanger, started }) }
+        Self { open: Some(Open { exchange, permit, id, exchanger, started, started_ms }) }
     }
 }
 
@@ -66,6 +69,9 @@
     fn drop(&mut self) {
         if let Some(open) = self.open.take() {
             metrics::counter!("eelgrasspier_parts_cancelled_total").increment(1);
+            let elapsed_us = u64::try_from(open.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+            let now_ms = open.started_ms + elapsed_us / 1000;
+            open.permit.replica().load.borrow_mut().outrun(elapsed_us, now_ms);
             actix_rt::spawn(abandon(open));
         }
     }
--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -200,7 +200,13 @@
         };
         let exchanger = context.traffic.exchanger();
         let exchange = exchanger.exchange(request);
-        self.flights.push(Flight::new(exchange, permit, id, exchanger));
+        self.flights.push(Flight::new(
+            exchange,
+            permit,
+            id,
+            exchanger,
+            context.traffic.shared.now_ms(),
+        ));
         count(cause);
         true
     }
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -191,7 +191,8 @@
         };
         let exchanger = traffic.exchanger();
         let exchange = exchanger.exchange(request);
-        Flight::new(exchange, permit, self.request_id.to_string(), exchanger).await
+        let started_ms = traffic.shared.now_ms();
+        Flight::new(exchange, permit, self.request_id.to_string(), exchanger, started_ms).await
     }
 }
 
