Report a text that ends too early on its last line

Cause: arbtest found an error on line 9 of a text of 7 lines; the INI library counts past the end. Change: the line is kept within the text.

--- a/crates/decide/src/text.rs
+++ b/crates/decide/src/text.rs
@@ -237,7 +237,9 @@
         let ini = match Ini::load_from_str_noescape(text) {
             Ok(ini) => ini,
             Err(error) => {
-                self.fail(error.line + 1, Problem::Syntax(error.msg.to_string()));
+                // The library counts from 0, and past the end where something is missing.
+                let line = (error.line + 1).clamp(1, self.lines.lines.len().max(1));
+                self.fail(line, Problem::Syntax(error.msg.to_string()));
                 return services;
             }
         };
