--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -1,5 +1,6 @@
 //! One part of a query: replica, hedge, retry.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,8 @@
     pub(crate) body: Bytes,
     pub(crate) snapshot: Snapshot,
     pub(crate) cutoff: Instant,
+    /// The longest exchange that brought a part, to tell the own time from theirs.
+    pub(crate) slowest: Cell<Duration>,
 }
 
 /// One part on its way.
@@ -101,7 +104,11 @@
             let Some(landed) = landed else { return Err(Miss::NoReplica) };
             self.context.traffic.landed(&self.context.service, &landed);
             match landed.result {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    let slowest = &self.context.slowest;
+                    slowest.set(slowest.get().max(landed.took));
+                    return Ok(answer);
+                }
                 Err(failure) => self.failed(failure)?,
             }
         }
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -1,5 +1,6 @@
 //! A query: one snapshot, all wanted shards, true coverage.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -51,13 +52,19 @@
             body: self.body.clone(),
             snapshot,
             cutoff,
+            slowest: Cell::default(),
         };
+        let started = Instant::now();
         let mut gathered = gather(&context, &wanted, Reach::Everywhere).await;
         if let Some(newer) = self.second_try(&context, &gathered) {
             context.snapshot = newer;
             let wanted = self.wanted(newer)?;
             gathered = gather(&context, &wanted, Reach::Everywhere).await;
         }
+        if gathered.missed.is_empty() {
+            let added = started.elapsed().saturating_sub(context.slowest.get());
+            metrics::histogram!("eelgrasspier_added_seconds").record(added.as_secs_f64());
+        }
         entered.end(gathered.ending());
         drop(entered);
         self.check_coverage(&gathered)?;
--- a/crates/eelgrasspier/src/slices.rs
+++ b/crates/eelgrasspier/src/slices.rs
@@ -4,6 +4,7 @@
 //! holds connections to a slice of the replicas. The other parts of a query are
 //! asked of instances that hold them, in one message each.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -118,6 +119,7 @@
         body: parts.body,
         snapshot,
         cutoff: Instant::now() + Duration::from_millis(parts.time_left_ms),
+        slowest: Cell::default(),
     };
     let gathered = gather::gather(&context, &parts.shards, Reach::OwnSlice).await;
     to_wire(gathered)
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use awc::Client;
 use awc::http::StatusCode;
+use awc::{Client, ClientRequest};
 use displaydoc::Display;
 use serde::de::DeserializeOwned;
 
@@ -73,7 +73,10 @@
         about: &str,
         from_stamp: u64,
     ) -> Result<Vec<TimelineEntry>, AdminError> {
-        self.get(&format!("/admin/timeline?about={about}&from_stamp={from_stamp}")).await
+        let request = self.client.get(format!("{}/admin/timeline", self.base));
+        let query = [("about", about.to_owned()), ("from_stamp", from_stamp.to_string())];
+        let request = request.query(&query).map_err(|e| AdminError::Malformed(e.to_string()))?;
+        fetch(request).await
     }
 
     /// Submits an edit.
@@ -93,14 +96,18 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, AdminError> {
-        let sent = self.client.get(format!("{}{path}", self.base)).send().await;
-        let mut answer = sent.map_err(|e| AdminError::Unreachable(e.to_string()))?;
-        if answer.status() != StatusCode::OK {
-            return Err(AdminError::Status(answer.status().as_u16()));
-        }
-        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
-        decode(&body.map_err(|e| AdminError::Unreachable(e.to_string()))?)
+        fetch(self.client.get(format!("{}{path}", self.base))).await
+    }
+}
+
+async fn fetch<T: DeserializeOwned>(request: ClientRequest) -> Result<T, AdminError> {
+    let sent = request.send().await;
+    let mut answer = sent.map_err(|e| AdminError::Unreachable(e.to_string()))?;
+    if answer.status() != StatusCode::OK {
+        return Err(AdminError::Status(answer.status().as_u16()));
     }
+    let body = answer.body().limit(MAX_ANSWER_BYTES).await;
+    decode(&body.map_err(|e| AdminError::Unreachable(e.to_string()))?)
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, AdminError> {
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -155,6 +155,12 @@
     }
     let calls_after: u64 = fleet.platform_calls().await?.values().sum();
     print_cost(&fleet, &usage_before, plan);
+    let opened: u64 = fleet.counters(GRID).await?.iter().map(|c| c.opened).sum();
+    println!("connections opened to {GRID}, from the start: {opened}");
+    let metrics = fleet.metrics(0).await?;
+    for line in metrics.lines().filter(|l| l.starts_with("eelgrasspier_added_seconds")) {
+        println!("{line}");
+    }
     println!("platform calls while offering: {}", calls_after - calls_before);
     result
 }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -19,7 +19,7 @@
 /// Looks before a condition is given up: generous, for busy machines.
 const MOST_LOOKS: usize = 1_200;
 /// Token for edits.
-const TOKEN: &str = "standin-token";
+pub const TOKEN: &str = "standin-token";
 
 /// What a deployment is made of.
 #[derive(Debug, Clone)]
@@ -322,6 +322,15 @@
         counters_of(&addrs).await
     }
 
+    /// The metrics of one instance, as Prometheus reads them.
+    ///
+    /// # Errors
+    /// Fails if it does not answer.
+    pub async fn metrics(&self, at: usize) -> Result<String, String> {
+        let body = get_bytes(&format!("{}/metrics", self.instances[at].url())).await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// Addresses of all instances, for load.
     #[must_use]
     pub fn urls(&self) -> Vec<String> {
@@ -372,9 +381,13 @@
 }
 
 async fn get<T: DeserializeOwned>(url: &str) -> Result<T, String> {
+    serde_json::from_slice(&get_bytes(url).await?).map_err(|e| format!("{url}: {e}"))
+}
+
+async fn get_bytes(url: &str) -> Result<Vec<u8>, String> {
     const MAX_BYTES: usize = 16 << 20;
     let sent = Client::default().get(url).send().await;
     let mut answer = sent.map_err(|e| format!("{url}: {e}"))?;
-    let body = answer.body().limit(MAX_BYTES).await.map_err(|e| format!("{url}: {e}"))?;
-    serde_json::from_slice(&body).map_err(|e| format!("{url}: {e}"))
+    let body = answer.body().limit(MAX_BYTES).await;
+    body.map(|b| b.to_vec()).map_err(|e| format!("{url}: {e}"))
 }
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -97,7 +97,10 @@
 }
 
 /// Finds a program beside this one, or one folder up as for tests.
-fn find(program: &str) -> Result<PathBuf, String> {
+///
+/// # Errors
+/// Fails if it is not built.
+pub fn find(program: &str) -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let folders = own.ancestors().skip(1).take(2);
     let paths: Vec<PathBuf> = folders.map(|folder: &Path| folder.join(program)).collect();
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -74,6 +74,7 @@
     pub status: u16,
     pub body: Vec<u8>,
     pub retry_after: Option<String>,
+    pub request_id: String,
 }
 
 impl Reply {
@@ -101,9 +102,11 @@
     let mut answer = request.send_body(body).await.map_err(|e| e.to_string())?;
     let retry_after = answer.headers().get("retry-after");
     let retry_after = retry_after.and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let request_id = answer.headers().get("request-id").and_then(|v| v.to_str().ok());
+    let request_id = request_id.unwrap_or_default().to_owned();
     let status = answer.status().as_u16();
     let body = answer.body().limit(16 << 20).await.map_err(|e| e.to_string())?.to_vec();
-    Ok(Reply { status, body, retry_after })
+    Ok(Reply { status, body, retry_after, request_id })
 }
 
 /// A query to one instance.
