--- /dev/null
+++ b/crates/decide/src/membership/spread.rs
@@ -0,0 +1,131 @@
+//! How news spreads: the queue of updates, datagrams of bounded size, repair.
+
+use std::net::SocketAddr;
+
+use super::{Membership, Update};
+use crate::gossip::{Datagram, LeavingServer, Member, Purpose, Send};
+use crate::rendezvous;
+
+/// Updates on one datagram.
+const MAX_UPDATES: usize = 12;
+/// Records in one bucket, which are compared and repaired together.
+const RECORDS_PER_BUCKET: usize = 8;
+/// Time between datagrams that only bring news, while there is any; with datagrams
+/// of a kilobyte this bounds what an instance sends to about 5 KB a second.
+pub(super) const NEWS_MS: u64 = 200;
+/// Each update is sent this many times the logarithm of the member count.
+const SENDS_PER_LOG: u32 = 2;
+
+impl Membership {
+    /// Spreads that a backend server is leaving.
+    pub fn spread_leaving(&mut self, server: LeavingServer) {
+        let sends = self.sends();
+        self.enqueue(Update::Leaving(server), sends);
+    }
+
+    /// Datagrams that tell up to `most` others this instance's last state at once.
+    pub fn farewell(&mut self, most: usize, random: u64) -> Vec<Send> {
+        let mut addrs: Vec<(u64, SocketAddr)> = self
+            .others
+            .values()
+            .filter(|k| !k.is_over())
+            .map(|k| (rendezvous::weight(random, k.member.key()), k.addr))
+            .collect();
+        addrs.sort_unstable();
+        let records = |to| Send {
+            to,
+            datagram: Datagram {
+                purpose: Purpose::Records as i32,
+                members: vec![self.own.clone()],
+                ..Datagram::default()
+            },
+        };
+        addrs.into_iter().take(most).map(|(_, to)| records(to)).collect()
+    }
+
+    /// Brings what is in the queue to one other member, without waiting for a probe.
+    pub(super) fn send_news(&mut self, random: u64, sends: &mut Vec<Send>) {
+        let live = self.others.values().filter(|k| !k.is_over());
+        let chosen = live.max_by_key(|k| rendezvous::weight(random, k.member.key()));
+        if let Some(to) = chosen.map(|k| k.addr) {
+            sends.push(Send { to, datagram: self.datagram(Purpose::Records, 0) });
+        }
+    }
+
+    pub(super) fn announce_own(&mut self) {
+        let sends = self.sends();
+        self.enqueue(Update::Member(self.own.name.clone()), sends);
+    }
+
+    pub(super) fn sends(&self) -> u32 {
+        SENDS_PER_LOG * (self.others.len() as u64 + 2).ilog2().max(1)
+    }
+
+    /// Puts an update first in the queue: fresh news travels before old.
+    pub(super) fn enqueue(&mut self, update: Update, sends: u32) {
+        self.queue.retain(|(u, _)| *u != update);
+        self.queue.push_front((update, sends));
+    }
+
+    /// Sends the records of a bucket in which the two views differ.
+    pub(super) fn repair(&mut self, to: SocketAddr, probe: &Datagram) -> Vec<Send> {
+        let (bucket, buckets) = (probe.bucket, probe.buckets.max(1));
+        if probe.bucket_digest == self.bucket_digest(bucket, buckets) {
+            return Vec::new();
+        }
+        let members: Vec<Member> = self.in_bucket(bucket, buckets).cloned().collect();
+        let chunks = members.chunks(MAX_UPDATES);
+        chunks
+            .map(|chunk| Datagram {
+                purpose: Purpose::Records as i32,
+                members: chunk.to_vec(),
+                ..Datagram::default()
+            })
+            .map(|datagram| Send { to, datagram })
+            .collect()
+    }
+
+    pub(super) fn in_bucket(&self, bucket: u64, buckets: u64) -> impl Iterator<Item = &Member> {
+        let all = std::iter::once(&self.own).chain(self.others());
+        all.filter(move |m| m.key() % buckets == bucket)
+    }
+
+    pub(super) fn bucket_digest(&self, bucket: u64, buckets: u64) -> u64 {
+        let rank = |m: &Member| {
+            let (incarnation, revision, liveness) = m.rank();
+            let liveness = u64::from(liveness.unsigned_abs());
+            rendezvous::weight(m.key(), incarnation ^ (revision << 20) ^ liveness)
+        };
+        self.in_bucket(bucket, buckets).fold(0, |acc, m| acc ^ rank(m))
+    }
+
+    /// A datagram with the own record, the next updates and one bucket's digest.
+    pub(super) fn datagram(&mut self, purpose: Purpose, probe: u64) -> Datagram {
+        let mut members = vec![self.own.clone()];
+        let mut leaving = Vec::new();
+        for _ in 0..MAX_UPDATES.min(self.queue.len()) {
+            let Some((update, left)) = self.queue.pop_front() else { break };
+            match &update {
+                Update::Member(name) => {
+                    members.extend(self.others.get(name).map(|k| k.member.clone()));
+                }
+                Update::Leaving(server) => leaving.push(*server),
+            }
+            if left > 1 {
+                self.queue.push_back((update, left - 1));
+            }
+        }
+        let buckets = (self.others.len() / RECORDS_PER_BUCKET + 1) as u64;
+        self.next_bucket = (self.next_bucket + 1) % buckets;
+        Datagram {
+            purpose: purpose as i32,
+            probe,
+            members,
+            leaving,
+            bucket: self.next_bucket,
+            buckets,
+            bucket_digest: self.bucket_digest(self.next_bucket, buckets),
+            ..Datagram::default()
+        }
+    }
+}
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -136,7 +136,7 @@
             let reasons: Vec<String> =
                 gathered.missed.iter().map(|(shard, miss)| format!("{shard}: {miss}")).collect();
             let timeline = &context.traffic.shared.timeline;
-            timeline.record(event::QUERY_PARTIAL, &self.request_id, &reasons.join(", "));
+            timeline.record_some(event::QUERY_PARTIAL, &self.request_id, &reasons.join(", "));
         }
         Answer {
             request_id: self.request_id.to_string(),
--- a/crates/eelgrasspier/src/timeline.rs
+++ b/crates/eelgrasspier/src/timeline.rs
@@ -6,25 +6,30 @@
 use eelgrasspier_decide::prelude::InstanceId;
 use eelgrasspier_operator::TimelineEntry;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, epoch_ms};
 use crate::event::Event;
 
 /// Events that are kept; at about 200 bytes each they take under a megabyte.
 const KEPT: usize = 4096;
 
+/// Events of kinds that may come in floods that are kept for each second.
+const MOST_IN_FLOODS_PER_S: u32 = 10;
+
 /// Recorder of the events of one process.
 #[derive(Debug)]
 pub struct Timeline {
     id: InstanceId,
     clock: Clock,
     entries: Mutex<VecDeque<TimelineEntry>>,
+    /// The present second, and the events that came in floods in it.
+    some: Mutex<(u64, u32)>,
 }
 
 impl Timeline {
     /// An empty time line of the process `id`.
     #[must_use]
     pub fn new(id: InstanceId) -> Self {
-        Self { id, clock: Clock::default(), entries: Mutex::default() }
+        Self { id, clock: Clock::default(), entries: Mutex::default(), some: Mutex::default() }
     }
 
     /// The clock that stamps the events.
@@ -52,6 +57,25 @@
         entries.push_back(entry);
     }
 
+    /// Records an event of a kind that may come in floods, a few times a second only.
+    ///
+    /// A flood of refusals would push everything else out of the bounded memory,
+    /// just when somebody will want to read it. The metrics count them all.
+    pub fn record_some(&self, event: Event, about: &str, detail: &str) {
+        let second = epoch_ms() / 1000;
+        let count = {
+            let mut some = self.some.lock().unwrap_or_else(PoisonError::into_inner);
+            if some.0 != second {
+                *some = (second, 0);
+            }
+            some.1 += 1;
+            some.1
+        };
+        if count <= MOST_IN_FLOODS_PER_S {
+            self.record(event, about, detail);
+        }
+    }
+
     /// The events about `about` (all if empty) from `from_stamp` on.
     #[must_use]
     pub fn entries(&self, about: &str, from_stamp: u64) -> Vec<TimelineEntry> {
--- a/crates/eelgrasspier/src/web.rs
+++ b/crates/eelgrasspier/src/web.rs
@@ -6,7 +6,7 @@
 use actix_web::http::header;
 use actix_web::web::{self, Bytes, Data, Json, Path, Payload, Query as UrlQuery};
 use actix_web::{HttpRequest, HttpResponse};
-use eelgrasspier_caller::{Call, CallError, RunCall, problem_response};
+use eelgrasspier_caller::{Answer, Call, CallError, RunAnswer, RunCall, problem_response};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_operator::{SubmitAnswer, Submitted, is_same_token};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -47,29 +47,15 @@
 ) -> HttpResponse {
     let started = Instant::now();
     let request_id = fresh_id();
-    let prepared = prepare(&request, &name, payload, &traffic, |service| {
-        Call::try_from((&request, &*service.spec))
-    });
-    let result = match prepared.await {
-        Ok((service, call, body)) => {
-            let deadline = started + Duration::from_millis(call.deadline_ms);
-            let request_id = Rc::clone(&request_id);
-            Query { service, call, request_id, body, deadline }.answer(&traffic).await
-        }
-        Err(refusal) => Err(refusal),
-    };
-    let response = match &result {
+    let response = match try_query(&request, &name, payload, &traffic, &request_id).await {
         Ok(answer) => {
-            let missed = answer.missed.len() as u64;
-            metrics::counter!("eelgrasspier_shards_missed_total").increment(missed);
-            let covered = answer.covered.len() as u64;
-            metrics::counter!("eelgrasspier_shards_covered_total").increment(covered);
+            count_shards(&answer);
             answer.to_response(&request)
         }
         Err(refusal) => {
             let detail = refusal.reason.to_string();
-            traffic.shared.timeline.record(event::QUERY_REFUSED, &request_id, &detail);
-            refused(refusal, &request_id)
+            traffic.shared.timeline.record_some(event::QUERY_REFUSED, &request_id, &detail);
+            refused(&refusal, &request_id)
         }
     };
     let took_s = started.elapsed().as_secs_f64();
@@ -77,39 +63,61 @@
     finish(response, &traffic)
 }
 
+async fn try_query(
+    request: &HttpRequest,
+    name: &str,
+    payload: Payload,
+    traffic: &Rc<Traffic>,
+    request_id: &Rc<str>,
+) -> Result<Answer, Refusal> {
+    let started = Instant::now();
+    let check = |service: &ServiceState| Call::try_from((request, &*service.spec));
+    let (service, call, body) = prepare(name, payload, traffic, check).await?;
+    let deadline = started + Duration::from_millis(call.deadline_ms);
+    let request_id = Rc::clone(request_id);
+    Query { service, call, request_id, body, deadline }.answer(traffic).await
+}
+
+fn count_shards(answer: &Answer) {
+    let (covered, missed) = (answer.covered.len() as u64, answer.missed.len() as u64);
+    metrics::counter!("eelgrasspier_shards_covered_total").increment(covered);
+    metrics::counter!("eelgrasspier_shards_missed_total").increment(missed);
+}
+
 async fn run(
     request: HttpRequest,
     name: Path<String>,
     payload: Payload,
     traffic: TrafficData,
 ) -> HttpResponse {
-    let started = Instant::now();
     let request_id = fresh_id();
-    let prepared = prepare(&request, &name, payload, &traffic, |service| {
-        RunCall::check(&request, &service.spec, epoch_ms())
-    });
-    let result = match prepared.await {
-        Ok((service, call, body)) => {
-            let deadline = started + Duration::from_millis(call.call.deadline_ms);
-            let run = Run { service, call, request_id: Rc::clone(&request_id), body, deadline };
-            let traffic = Rc::clone(&traffic);
-            // A task of its own: a caller that goes away must not stop a run half way.
-            let task = actix_rt::spawn(async move { run.answer(&traffic).await });
-            let lost = |_| Err(Refusal::may_have_run(RefusalReason::AnswerLost));
-            task.await.unwrap_or_else(lost)
-        }
-        Err(refusal) => Err(refusal),
-    };
-    let response = match &result {
+    let response = match try_run(&request, &name, payload, &traffic, &request_id).await {
         Ok(answer) => answer.to_response(),
-        Err(refusal) => refused(refusal, &request_id),
+        Err(refusal) => refused(&refusal, &request_id),
     };
     finish(response, &traffic)
 }
 
+async fn try_run(
+    request: &HttpRequest,
+    name: &str,
+    payload: Payload,
+    traffic: &Rc<Traffic>,
+    request_id: &Rc<str>,
+) -> Result<RunAnswer, Refusal> {
+    let started = Instant::now();
+    let check = |service: &ServiceState| RunCall::check(request, &service.spec, epoch_ms());
+    let (service, call, body) = prepare(name, payload, traffic, check).await?;
+    let deadline = started + Duration::from_millis(call.call.deadline_ms);
+    let run = Run { service, call, request_id: Rc::clone(request_id), body, deadline };
+    let traffic = Rc::clone(traffic);
+    // A task of its own: a caller that goes away must not stop a run half way.
+    let task = actix_rt::spawn(async move { run.answer(&traffic).await });
+    task.await.unwrap_or_else(|_| Err(Refusal::may_have_run(RefusalReason::AnswerLost)))
+}
+
 /// Finds the service, checks the headers and reads the body; no server is touched.
 async fn prepare<C>(
-    request: &HttpRequest,
     name: &str,
     payload: Payload,
     traffic: &Rc<Traffic>,
@@ -127,7 +135,6 @@
         }
         Err(_) => return Err(Refusal::not_run(RefusalReason::BodyTooLarge(limit), None)),
     };
-    log::trace!("{} {}", request.method(), request.path());
     Ok((service, call, body))
 }
 
