Hold gossip to six kilobytes a second

Cause: with 400 instances started at once each sent 9,538 bytes/s, over the 8 KB/s that control may use. Ruled out: longer rounds (they slow the finding of failures for everybody). Change: what is sent is counted; news and repairs wait while it is over 6,000 bytes/s.

--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -76,6 +76,9 @@
     last_round_ms: u64,
     last_news_ms: u64,
     changes: Vec<Change>,
+    /// Bytes that news and repairs may still take; below zero they wait.
+    allowance_bytes: i64,
+    allowance_ms: u64,
     /// Moves whenever a record or the platform's list changes.
     epoch: u64,
 }
@@ -97,6 +100,8 @@
             last_round_ms: 0,
             last_news_ms: 0,
             changes: Vec::new(),
+            allowance_bytes: 0,
+            allowance_ms: 0,
             epoch: 0,
         };
         membership.announce_own();
@@ -185,12 +190,14 @@
         for &server in &datagram.leaving {
             self.changes.push(Change::ServerLeaving(server));
         }
-        match datagram.purpose() {
+        let sends = match datagram.purpose() {
             Purpose::Probe => self.answer(from, datagram),
             Purpose::Answer => self.answered(datagram),
             Purpose::ProbeFor => self.run_errand(now_ms, from, datagram),
             Purpose::Records => Vec::new(),
-        }
+        };
+        self.spend(&sends);
+        sends
     }
 
     fn learn(&mut self, member: &Member, now_ms: u64) {
--- a/crates/decide/src/membership/probe.rs
+++ b/crates/decide/src/membership/probe.rs
@@ -42,6 +42,8 @@
             self.last_news_ms = now_ms;
             self.send_news(random, &mut sends);
         }
+        self.refill(now_ms);
+        self.spend(&sends);
         sends
     }
 
--- a/crates/decide/src/membership/spread.rs
+++ b/crates/decide/src/membership/spread.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use prost::Message;
+
 use super::{Membership, Update};
 use crate::gossip::{Datagram, LeavingServer, Member, Purpose, Send};
 use crate::rendezvous;
@@ -16,7 +18,29 @@
 /// Each update is sent this many times the logarithm of the member count.
 const SENDS_PER_LOG: u32 = 2;
 
+/// Bytes a second that an instance sends on the average, at most.
+///
+/// Probes and their answers always go out; they take about 4 KB a second when all
+/// are full. News and repairs wait while more was sent than this.
+const BYTES_PER_S: u64 = 6_000;
+/// Most bytes that are saved up for a burst of news.
+const MOST_SAVED_BYTES: i64 = 12_000;
+
 impl Membership {
+    /// Saves up bytes for the time that has passed.
+    pub(super) fn refill(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.allowance_ms);
+        self.allowance_ms = now_ms;
+        let bytes = i64::try_from(passed_ms * BYTES_PER_S / 1000).unwrap_or(MOST_SAVED_BYTES);
+        self.allowance_bytes = (self.allowance_bytes + bytes).min(MOST_SAVED_BYTES);
+    }
+
+    /// Takes the bytes of what is being sent off the savings.
+    pub(super) fn spend(&mut self, sends: &[Send]) {
+        let bytes: usize = sends.iter().map(|s| s.datagram.encoded_len()).sum();
+        self.allowance_bytes -= i64::try_from(bytes).unwrap_or(0);
+    }
+
     /// Spreads that a backend server is leaving.
     pub fn spread_leaving(&mut self, server: LeavingServer) {
         let sends = self.sends();
@@ -45,6 +69,9 @@
 
     /// Brings what is in the queue to one other member, without waiting for a probe.
     pub(super) fn send_news(&mut self, random: u64, sends: &mut Vec<Send>) {
+        if self.allowance_bytes < 0 {
+            return;
+        }
         let live = self.others.values().filter(|k| !k.is_over());
         let chosen = live.max_by_key(|k| rendezvous::weight(random, k.member.key()));
         if let Some(to) = chosen.map(|k| k.addr) {
@@ -69,6 +96,9 @@
 
     /// Sends the records of a bucket in which the two views differ.
     pub(super) fn repair(&mut self, to: SocketAddr, probe: &Datagram) -> Vec<Send> {
+        if self.allowance_bytes < 0 {
+            return Vec::new();
+        }
         let (bucket, buckets) = (probe.bucket, probe.buckets.max(1));
         if probe.bucket_digest == self.bucket_digest(bucket, buckets) {
             return Vec::new();
