Let the gate grow by one for each answer in time

Cause: at 300 queries/s, three quarters of capacity, 59 of 2,400 were refused: after a cut the limit came back by a fraction of one for each answer. Change: growth by one for each answer in time.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -264,7 +264,7 @@
         (self.limit() * own / total.max(1)).max(1)
     }
 
-    /// Additive growth while answers are in time, a cut once per service time else.
+    /// Growth while answers are in time, a cut once per service time else.
     fn adapt(&mut self, ended: Ended, now_ms: u64) {
         if ended.ending == Ending::Neutral {
             return;
@@ -273,8 +273,9 @@
         if self.is_strained(ended) {
             self.shrink(now_ms);
         } else {
-            let step = (LIMIT_UNIT / self.limit()).max(1);
-            self.limit_units = (self.limit_units + step).min(self.most * LIMIT_UNIT);
+            // A whole unit for each answer in time: below capacity a few late ones must
+            // not shut callers out for long; above it the next cut comes soon enough.
+            self.limit_units = (self.limit_units + LIMIT_UNIT).min(self.most * LIMIT_UNIT);
         }
     }
 
