--- /dev/null
+++ b/crates/backend/tests/traps.rs
@@ -0,0 +1,132 @@
+//! Traps of the HTTP client, each of which would break a promise.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eelgrasspier_backend::{Exchanger, HttpExchanger, Kind, PartFailure, PartRequest};
+use eelgrasspier_decide::verdict::Verdict;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nindex-version: 1\r\ncontent-length: 2\r\n\r\nok";
+
+fn request(addr: SocketAddr, kind: Kind, time_left: Duration) -> PartRequest {
+    PartRequest {
+        addr,
+        kind,
+        service: Rc::from("search"),
+        shard: 0,
+        version: None,
+        time_left,
+        id: "id".to_owned(),
+        body: "body".into(),
+        max_bytes: 100,
+    }
+}
+
+/// Reads one request to its end, which is the four bytes of its body.
+async fn read_request(stream: &mut TcpStream) -> usize {
+    let mut read = Vec::new();
+    let mut chunk = [0; 1024];
+    while !read.ends_with(b"body") {
+        match stream.read(&mut chunk).await {
+            Ok(count) if count > 0 => read.extend_from_slice(&chunk[..count]),
+            _ => break,
+        }
+    }
+    read.len()
+}
+
+/// Symptom: a refusal says "not run" of a request that ran.
+/// Sequence: the server answers once; on the same connection it reads the next request
+/// whole and closes without an answer.
+/// Cause: the client names this a connect error, as if nothing had gone out.
+#[actix_rt::test]
+async fn a_request_that_was_read_and_not_answered_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await;
+        stream.write_all(ANSWER).await.unwrap();
+        let second = read_request(&mut stream).await;
+        drop(stream);
+        // The client must not have sent it again by itself.
+        let again = tokio::time::timeout(Duration::from_millis(300), listener.accept()).await;
+        (second, again.is_err())
+    });
+    let exchanger = HttpExchanger::new(Duration::from_secs(1));
+    let long = Duration::from_secs(5);
+    exchanger.exchange(request(addr, Kind::Query, long)).await.unwrap();
+    let failure = exchanger.exchange(request(addr, Kind::Query, long)).await.unwrap_err();
+    assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{failure:?}");
+    let (second_bytes, is_not_sent_again) = server.await.unwrap();
+    assert!(second_bytes > 0 && is_not_sent_again);
+}
+
+/// Where nobody listens, no byte can have gone out.
+#[actix_rt::test]
+async fn a_refused_connection_was_surely_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let exchanger = HttpExchanger::new(Duration::from_secs(1));
+    let kind = Kind::Run { key: "key".to_owned() };
+    let sent = exchanger.exchange(request(addr, kind, Duration::from_secs(5))).await;
+    let failure = sent.unwrap_err();
+    assert!(matches!(failure, PartFailure::NotReached(_)), "{failure:?}");
+    assert_eq!(failure.verdict(), Verdict::NotRun);
+}
+
+/// Symptom: one silent server holds up the requests to all others.
+/// Sequence: many requests wait for a server that answers nothing; one goes to another.
+/// Cause: the client's own limit of connections counts over all hosts.
+#[actix_rt::test]
+async fn a_silent_server_does_not_hold_up_another() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent_addr = silent.local_addr().unwrap();
+    let healthy = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let healthy_addr = healthy.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = healthy.accept().await.unwrap();
+        read_request(&mut stream).await;
+        stream.write_all(ANSWER).await.unwrap();
+    });
+    let exchanger = HttpExchanger::new(Duration::from_secs(1));
+    let long = Duration::from_mins(1);
+    let waiting: Vec<_> = (0..200)
+        .map(|_| actix_rt::spawn(exchanger.exchange(request(silent_addr, Kind::Query, long))))
+        .collect();
+    tokio::task::yield_now().await;
+    let answer = exchanger.exchange(request(healthy_addr, Kind::Query, long)).await;
+    assert_eq!(answer.unwrap().body, "ok");
+    assert!(waiting.iter().all(|task| !task.is_finished()));
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+/// A run never reuses a connection, which the server might be closing just then.
+#[actix_rt::test]
+async fn each_run_has_a_connection_of_its_own() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = actix_rt::spawn(async move {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_request(&mut stream).await;
+            stream.write_all(ANSWER).await.unwrap();
+            // The connection stays open on this side; the client must not use it again.
+            actix_rt::spawn(async move {
+                let mut rest = Vec::new();
+                let _closed = stream.read_to_end(&mut rest).await;
+                assert_eq!(rest, b"");
+            });
+        }
+    });
+    let exchanger = HttpExchanger::new(Duration::from_secs(1));
+    for _ in 0..2 {
+        let kind = Kind::Run { key: "key".to_owned() };
+        exchanger.exchange(request(addr, kind, Duration::from_secs(5))).await.unwrap();
+    }
+    server.await.unwrap();
+}
