Draw conclusions again after a pause and after a text was fetched

Cause: found by reading: since conclusions are drawn only when a member's record changes, an instance that gave up its shares after a pause, or whose fetch of a newer text had failed, waited for the next change, which need not come soon. Ruled out: that the pause's test shows it: it passed before too, as waking up mostly brings a suspicion of its own. Change: both ask for the next look to conclude anew. A test pauses an instance for six seconds while it stays listed and wants full answers after it.

--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -73,9 +73,15 @@
         self.record(event::PAUSED, &self.shared.settings.name, &format!("{paused:?}"));
         let own = self.membership.borrow().own().key();
         *self.agreement.borrow_mut() = Agreement::new(own);
+        self.conclude_again();
         self.publish();
     }
 
+    /// Lets the next look draw all conclusions anew, though no record has changed.
+    pub(super) fn conclude_again(&self) {
+        self.seen_epoch.set(u64::MAX);
+    }
+
     fn greet_seeds(&self) {
         const RANDOM_ONE_IN: u64 = 10;
         let mut membership = self.membership.borrow_mut();
@@ -202,7 +208,7 @@
                 let own = &self.shared.settings.name;
                 if listed.iter().any(|l| l.name == *own) {
                     self.is_listed.set(true);
-                    self.seen_epoch.set(u64::MAX);
+                    self.conclude_again();
                 }
                 self.refresh();
             }
--- a/crates/eelgrasspier/src/control/text.rs
+++ b/crates/eelgrasspier/src/control/text.rs
@@ -137,6 +137,9 @@
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS.0)).await;
             }
             control.is_fetching.set(false);
+            // Where the fetch failed or a newer text was announced meanwhile, the
+            // next look asks again; no record need change for that.
+            control.conclude_again();
         });
     }
 
--- a/crates/standin/tests/members.rs
+++ b/crates/standin/tests/members.rs
@@ -178,3 +178,29 @@
     assert_eq!(report.violations, Vec::<String>::new());
     assert_eq!(report.full, report.offered, "{report}");
 }
+
+/// Symptom: an instance that was paused answers without a single shard for ever after.
+/// Sequence: it is paused for longer than its shares stay valid, gives them up when it
+/// wakes, and meanwhile nothing else has changed among the members.
+/// Cause: shares agreed on anew only when a member's record changes. (Seen by reading;
+/// over processes the pause itself mostly changes a record.)
+#[actix_web::test]
+async fn a_paused_instance_that_stays_listed_serves_again() {
+    let fleet = common::fleet(2, 2).await;
+    fleet.instances[1].process.signal("STOP");
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    fleet.instances[1].process.signal("CONT");
+    let admin = fleet.admin(1);
+    until("it has noticed its pause", async || {
+        admin.timeline("instance-1", 0).await.unwrap().iter().any(|e| e.number == 105)
+    })
+    .await
+    .unwrap();
+    until("it answers from every shard again", async || {
+        let headers = &[("deadline-ms", "2000")];
+        let reply = common::query(&fleet, 1, common::SERVICE, headers, vec![]).await;
+        reply.status == 200 && reply.answer().missed.is_empty()
+    })
+    .await
+    .unwrap();
+}
