Refuse runs on unknown shards as a bad request; forget closed links

Cause: a run that chose a shard that is not there was refused as 'no replica', with a time to come back, though it never can run; and links to replaced instances stayed in a map. Change: 400 that names the shard, before any claim; closed links go when a new one opens.

--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -58,6 +58,7 @@
 impl Run {
     /// Runs the request at most once, or refuses it with a true verdict.
     pub(crate) async fn answer(self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
+        self.check_shard()?;
         let call = &self.call.call;
         let entered = self.service.enter(&call.team, call.weight, self.deadline, epoch_ms).await?;
         let result = self.claim_and_send(traffic).await;
@@ -69,6 +70,19 @@
         result
     }
 
+    /// A shard that the service does not have is the caller's mistake.
+    fn check_shard(&self) -> Result<(), Refusal> {
+        let count = self.service.shards.len();
+        let chosen = self.call.call.shards.as_ref().and_then(|s| s.first().copied());
+        match chosen {
+            Some(shard) if shard as usize >= count => {
+                let reason = format!("unknown shard {shard}: the service has {count}");
+                Err(Refusal::not_run(RefusalReason::BadRequest(reason), None))
+            }
+            _ => Ok(()),
+        }
+    }
+
     async fn claim_and_send(&self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
         // The connection comes first: a claim without one would only be given back.
         let permit = self.permit(traffic, None).await?;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -122,7 +122,10 @@
         };
         drop(stream.set_nodelay(true));
         let link = start(stream);
-        self.links.borrow_mut().insert(addr, Rc::clone(&link));
+        let mut links = self.links.borrow_mut();
+        // Instances are replaced all the time; their closed links must not pile up.
+        links.retain(|_, known| !known.questions.is_closed());
+        links.insert(addr, Rc::clone(&link));
         Ok(link)
     }
 }
--- a/crates/standin/tests/runs.rs
+++ b/crates/standin/tests/runs.rs
@@ -201,6 +201,21 @@
     }
 }
 
+/// A shard that is not there is refused as the caller's mistake, and claims no key.
+#[actix_web::test]
+async fn a_run_on_an_unknown_shard_is_refused() {
+    let fleet = common::fleet(1, 2).await;
+    let key = common::key();
+    let url = format!("{}/v1/services/{}/run", fleet.instances[0].url(), common::SERVICE);
+    let deadline = ("deadline-ms", "8000");
+    let headers = [deadline, ("idempotency-key", key.as_str()), ("shards", "2")];
+    let refused = common::post(&url, &headers, vec![]).await.unwrap();
+    assert_eq!(refused.status, 400, "{}", refused.text());
+    assert!(refused.problem().detail.contains("unknown shard 2"), "{}", refused.text());
+    let answer = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
 /// A server that sheds did not run the request: the refusal says so, and the same
 /// key may run later.
 #[actix_web::test]
