Show shares, connections and the control thread's time in the metrics

Change: gauges for members, holders, agreement, text version, leaving servers, connections allowed and used, processor time of the control thread; a test looks for every listed metric; the demo prints the control thread's time.

--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: membership, configuration, shares and claims.
 
 mod claims;
+mod gauges;
 mod members;
 mod peers;
 mod status;
@@ -102,6 +103,7 @@
         actix_rt::spawn(members::send_all(gossip, outgoing));
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
         actix_rt::spawn(Rc::clone(&control).tick());
+        actix_rt::spawn(Rc::clone(&control).keep_gauges());
         actix_rt::spawn(Rc::clone(&control).follow_list());
         actix_rt::spawn(Rc::clone(&control).follow_text());
         actix_rt::spawn(Rc::clone(&control).answer_asks(asks));
--- a/crates/eelgrasspier/src/replica.rs
+++ b/crates/eelgrasspier/src/replica.rs
@@ -90,6 +90,11 @@
         self.limits[lane as usize].get()
     }
 
+    /// Connections of a lane that are in use.
+    pub(crate) fn used(&self, lane: Lane) -> u32 {
+        self.used[lane as usize].get()
+    }
+
     /// Sets the connections of a lane; returns whether there are fewer than before.
     pub(crate) fn set_limit(&self, lane: Lane, limit: u32) -> bool {
         self.limits[lane as usize].replace(limit) > limit
@@ -108,7 +113,7 @@
 
     /// Whether a connection of the lane is free.
     pub(crate) fn is_free(&self, lane: Lane) -> bool {
-        self.used[lane as usize].get() < self.limit(lane)
+        self.used(lane) < self.limit(lane)
     }
 
     /// Takes in an answer's report.
--- a/crates/eelgrasspier/src/service.rs
+++ b/crates/eelgrasspier/src/service.rs
@@ -62,6 +62,18 @@
         self.gate.borrow_mut().set_most(most.unwrap_or(1));
     }
 
+    /// Shows the connections that are allowed and those in use.
+    pub(crate) fn set_gauges(&self) {
+        let replicas = || self.shards.iter().flatten();
+        let lanes = [Lane::Query, Lane::Run];
+        let allowed: u32 = replicas().map(|r| lanes.map(|l| r.limit(l)).iter().sum::<u32>()).sum();
+        let used: u32 = replicas().map(|r| lanes.map(|l| r.used(l)).iter().sum::<u32>()).sum();
+        let service = self.spec.name.clone();
+        metrics::gauge!("eelgrasspier_connections_allowed", "service" => service.clone())
+            .set(f64::from(allowed));
+        metrics::gauge!("eelgrasspier_connections_used", "service" => service).set(f64::from(used));
+    }
+
     /// What the open replicas hold; computed anew when `epoch` has moved.
     pub(crate) fn catalogue(&self, epoch: u64, leaving: &Leaving) -> Rc<Catalogue> {
         if self.catalogue_epoch.replace(epoch) != epoch {
--- a/crates/eelgrasspier/src/traffic.rs
+++ b/crates/eelgrasspier/src/traffic.rs
@@ -300,6 +300,7 @@
             }
             for service in self.services.borrow().values() {
                 service.expire(now_ms);
+                service.set_gauges();
             }
             self.note_warm();
             actix_rt::time::sleep(UPKEEP).await;
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -158,7 +158,9 @@
     let opened: u64 = fleet.counters(GRID).await?.iter().map(|c| c.opened).sum();
     println!("connections opened to {GRID}, from the start: {opened}");
     let metrics = fleet.metrics(0).await?;
-    for line in metrics.lines().filter(|l| l.starts_with("eelgrasspier_added_seconds")) {
+    let shown = ["eelgrasspier_added_seconds", "eelgrasspier_control_cpu_seconds"];
+    let is_shown = |line: &&str| shown.iter().any(|name| line.starts_with(name));
+    for line in metrics.lines().filter(is_shown) {
         println!("{line}");
     }
     println!("platform calls while offering: {}", calls_after - calls_before);
--- a/crates/standin/tests/whole_path.rs
+++ b/crates/standin/tests/whole_path.rs
@@ -18,6 +18,33 @@
     assert!(report.full > 0, "{report}");
 }
 
+/// Every metric that docs/METRICS.md lists for a calm instance is there.
+#[actix_web::test]
+async fn the_metrics_are_as_listed() {
+    let fleet = common::fleet(1, 2).await;
+    let headers = &[("deadline-ms", "2000")];
+    common::query(&fleet, 0, common::SERVICE, headers, vec![]).await.answer();
+    let listed = [
+        "eelgrasspier_query_seconds",
+        "eelgrasspier_added_seconds",
+        "eelgrasspier_shards_covered_total",
+        "eelgrasspier_parts_total{cause=\"first\"}",
+        "eelgrasspier_platform_calls_total{kind=\"instances\"}",
+        "eelgrasspier_connections_allowed{service=\"search\"}",
+        "eelgrasspier_connections_used{service=\"search\"}",
+        "eelgrasspier_members 1",
+        "eelgrasspier_share_agreed 1",
+        "eelgrasspier_text_version 1",
+        "eelgrasspier_control_cpu_seconds",
+    ];
+    eelgrasspier_standin::fleet::until("every metric is shown", async || {
+        let text = fleet.metrics(0).await.unwrap();
+        listed.iter().all(|name| text.contains(name))
+    })
+    .await
+    .unwrap();
+}
+
 /// Bad input gets a clear refusal that names what is wrong, and no backend server
 /// sees any of it.
 #[actix_web::test]
