--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -14,6 +14,7 @@
 use crate::gather::{Gathered, Reach, gather};
 use crate::part::PartContext;
 use crate::service::ServiceState;
+use crate::slices;
 use crate::traffic::Traffic;
 
 /// Least time that is kept for merging and for the way back to the caller.
@@ -43,7 +44,7 @@
         let margin = LEAST_RETURN_MARGIN.max(budget / RETURN_MARGIN_ONE_IN);
         let cutoff = self.deadline.checked_sub(margin).unwrap_or(self.deadline);
         let entered = self.service.enter(&call.team, call.weight, cutoff, epoch_ms).await?;
-        let snapshot = self.snapshot(traffic)?;
+        let snapshot = self.snapshot(traffic, cutoff).await?;
         let wanted = self.wanted(snapshot)?;
         let mut context = PartContext {
             traffic: Rc::clone(traffic),
@@ -72,13 +73,16 @@
         Ok(self.compose(&context, gathered))
     }
 
-    fn snapshot(&self, traffic: &Traffic) -> Result<Snapshot, Refusal> {
+    async fn snapshot(&self, traffic: &Traffic, cutoff: Instant) -> Result<Snapshot, Refusal> {
         let refuse = |reason| Refusal::not_run(reason, Some(NO_SNAPSHOT_RETRY_MS));
         if let Some(version) = self.call.version {
             let at = traffic.snapshot_at(&self.service, version);
             return at.ok_or_else(|| refuse(RefusalReason::SnapshotGone(version)));
         }
-        let chosen = traffic.choose_snapshot(&self.service);
+        let chosen = match traffic.choose_snapshot(&self.service) {
+            None => slices::ask_snapshot(traffic, &self.service, cutoff).await,
+            chosen => chosen,
+        };
         let snapshot = chosen.ok_or_else(|| refuse(RefusalReason::NoSnapshot))?;
         let shared = &traffic.shared;
         if shared.note_snapshot(&self.service.name, snapshot.version) {
--- a/crates/eelgrasspier/src/slices.rs
+++ b/crates/eelgrasspier/src/slices.rs
@@ -12,11 +12,13 @@
 
 use eelgrasspier_decide::prelude::ShardId;
 use eelgrasspier_decide::rendezvous;
+use eelgrasspier_decide::snapshot::Snapshot;
 use eelgrasspier_peer::wire::{Body, Missed, Part, Parts, PartsDone};
 use tokio::sync::mpsc;
 
 use crate::gather::{self, Gathered, Outcomes, Reach};
 use crate::part::{Miss, PartContext};
+use crate::service::ServiceState;
 use crate::shared::PartsAsk;
 use crate::traffic::Traffic;
 
@@ -45,9 +47,18 @@
 ///
 /// Replicas in `tried` do not count.
 pub(crate) fn holder(context: &PartContext, shard: ShardId, tried: &[u64]) -> Option<SocketAddr> {
-    let view = context.traffic.view.borrow();
+    holder_of(&context.traffic, &context.service, shard, tried)
+}
+
+fn holder_of(
+    traffic: &Traffic,
+    service: &ServiceState,
+    shard: ShardId,
+    tried: &[u64],
+) -> Option<SocketAddr> {
+    let view = traffic.view.borrow();
     let members = view.bounds.last()?;
-    let spec = &context.service.spec;
+    let spec = &service.spec;
     let limit = spec.connections - spec.run_connections;
     let replicas = spec.shards.get(shard as usize)?;
     let holds = |key: u64| {
@@ -117,7 +128,40 @@
     }
 }
 
+/// Asks another instance which snapshot it would choose.
+///
+/// An instance whose slice holds no replica of a service hears of no version itself,
+/// and would refuse every query for want of a snapshot.
+pub(crate) async fn ask_snapshot(
+    traffic: &Traffic,
+    service: &ServiceState,
+    until: Instant,
+) -> Option<Snapshot> {
+    // Any holder will do, but it must be one: others hear of no version either.
+    let mut shards = (0..service.spec.shards.len()).filter_map(|s| ShardId::try_from(s).ok());
+    let peer = shards.find_map(|shard| holder_of(traffic, service, shard, &[]))?;
+    let question = Parts { service: service.name.to_string(), ..Parts::default() };
+    let left = until.saturating_duration_since(Instant::now());
+    let answer = traffic.links.ask(peer, Body::Parts(question), left).await;
+    let Ok(Body::PartsDone(PartsDone { version, shard_count, .. })) = answer else { return None };
+    let reachable = shard_count;
+    (shard_count > 0).then_some(Snapshot { version, shard_count, reachable })
+}
+
+/// The snapshot that this instance would choose, for one that hears of none.
+fn own_choice(traffic: &Rc<Traffic>, service: &str) -> PartsDone {
+    let chosen = traffic.service(service).and_then(|s| traffic.choose_snapshot(&s));
+    chosen.map_or_else(PartsDone::default, |s| PartsDone {
+        version: s.version,
+        shard_count: s.shard_count,
+        ..PartsDone::default()
+    })
+}
+
 async fn gather_for_peer(traffic: &Rc<Traffic>, parts: Parts) -> PartsDone {
+    if parts.version == 0 {
+        return own_choice(traffic, &parts.service);
+    }
     let service = traffic.service(&parts.service);
     let snapshot = service.as_ref().and_then(|s| traffic.snapshot_at(s, parts.version));
     let (Some(service), Some(snapshot)) = (service, snapshot) else {
@@ -139,7 +183,7 @@
 
 fn none(shards: &[ShardId], miss: &Miss) -> PartsDone {
     let missed = shards.iter().map(|&shard| Missed { shard, reason: miss.to_string() });
-    PartsDone { parts: Vec::new(), missed: missed.collect() }
+    PartsDone { missed: missed.collect(), ..PartsDone::default() }
 }
 
 fn to_wire(gathered: Gathered) -> PartsDone {
@@ -148,5 +192,6 @@
     PartsDone {
         parts: gathered.parts.into_iter().map(part).collect(),
         missed: gathered.missed.into_iter().map(missed).collect(),
+        ..PartsDone::default()
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -135,7 +135,8 @@
     /// Id of the caller's request.
     #[prost(string, tag = "2")]
     pub request_id: String,
-    /// The index version that every part must be made from.
+    /// The index version that every part must be made from; 0 only asks which one
+    /// the receiver would choose.
     #[prost(uint64, tag = "3")]
     pub version: u64,
     /// Shards wanted.
@@ -161,6 +162,12 @@
     /// The missed shards, with reasons.
     #[prost(message, repeated, tag = "2")]
     pub missed: Vec<Missed>,
+    /// For a question with version 0: the version that the receiver would choose.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Number of shards in that version.
+    #[prost(uint32, tag = "4")]
+    pub shard_count: u32,
 }
 
 /// One part.
--- a/crates/standin/tests/slices.rs
+++ b/crates/standin/tests/slices.rs
@@ -24,3 +24,22 @@
     // The test's own question is one more.
     assert!(peak <= 3 + 1, "{peak} connections at one replica");
 }
+
+/// Symptom: one instance of several refuses every query for want of a snapshot.
+/// Sequence: one replica that allows one connection, three instances: two of them have
+/// nothing of the service in their slice.
+/// Cause: versions are learnt from replicas' own answers, and those two get none.
+#[actix_web::test]
+async fn an_instance_with_an_empty_slice_asks_another_for_the_snapshot() {
+    let mut plan = common::plan(3, 1);
+    plan.services[0].shape.connections = 1;
+    plan.services[0].shape.replicas = 1;
+    plan.services[0].text = String::new();
+    let fleet = Fleet::start(plan).await.unwrap();
+    for at in 0..3 {
+        let headers = &[("deadline-ms", "2000")];
+        let reply = common::query(&fleet, at, common::SERVICE, headers, vec![]).await;
+        let answer = reply.answer();
+        assert_eq!((answer.index_version, answer.covered), (1, vec![0]));
+    }
+}
