Rename the package of the store's client

Cause: the folder platform/ will hold the adapter to the users' platform, and one word must not name two things. Change: crates/platform becomes crates/store, its package eelgrasspier-store; metric names stay, so that dashboards go on. Ruled out: a re-export under the old name, which nobody outside this workspace uses.

--- a/crates/eelgrasspier/src/control/claims.rs
+++ b/crates/eelgrasspier/src/control/claims.rs
@@ -7,7 +7,7 @@
 use eelgrasspier_decide::membership::State;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_peer::wire::{Body, Claim, ClaimOutcome, Claimed};
-use eelgrasspier_platform::ClaimError;
+use eelgrasspier_store::ClaimError;
 
 use super::Control;
 
@@ -42,7 +42,7 @@
         let others: Vec<_> = membership.alive().filter(|m| m.state() == State::Ready).collect();
         let mut keys: Vec<u64> = others.iter().map(|m| m.key()).collect();
         keys.push(membership.own().key());
-        let bucket = eelgrasspier_platform::bucket_of(key) as u64;
+        let bucket = eelgrasspier_store::bucket_of(key) as u64;
         let owner = rendezvous::owner(rendezvous::hash(OWNERS) ^ bucket, &keys)?;
         others.get(owner)?.peer_addr.parse().ok()
     }
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -18,7 +18,7 @@
 use eelgrasspier_decide::prelude::Services;
 use eelgrasspier_decide::share::Agreement;
 use eelgrasspier_peer::Links;
-use eelgrasspier_platform::{Claims, HttpStore, ObjectStore};
+use eelgrasspier_store::{Claims, HttpStore, ObjectStore};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot};
 
--- a/crates/eelgrasspier/src/control/text.rs
+++ b/crates/eelgrasspier/src/control/text.rs
@@ -10,8 +10,8 @@
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_operator::{ShownText, SubmitAnswer, Submitted};
 use eelgrasspier_peer::wire::Body;
-use eelgrasspier_platform::stored::{StoredEdit, StoredText, TEXT_OBJECT};
-use eelgrasspier_platform::{Backoff, Object, UpdateError};
+use eelgrasspier_store::stored::{StoredEdit, StoredText, TEXT_OBJECT};
+use eelgrasspier_store::{Backoff, Object, UpdateError};
 use prost::Message;
 
 use super::Control;
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -9,7 +9,7 @@
 use eelgrasspier_decide::claim::{Attempt, Nonce, Outcome};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId, Verdict};
 use eelgrasspier_decide::replica::{self, Candidate};
-use eelgrasspier_platform::ClaimError;
+use eelgrasspier_store::ClaimError;
 
 use crate::clock::epoch_ms;
 use crate::event;
--- a/crates/eelgrasspier/src/shared.rs
+++ b/crates/eelgrasspier/src/shared.rs
@@ -10,7 +10,7 @@
 use eelgrasspier_decide::leaving::Server;
 use eelgrasspier_operator::{InstanceStatus, ShownText, SubmitAnswer, Submitted, TimelineEntry};
 use eelgrasspier_peer::wire::{Parts, PartsDone};
-use eelgrasspier_platform::ClaimError;
+use eelgrasspier_store::ClaimError;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::settings::Settings;
