--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -23,6 +23,10 @@
     Status(u16),
     /// the answer is longer than {0} bytes
     TooLarge(usize),
+    /// another backend server has the address now
+    Misdirected,
+    /// the answer can't be used: {0}
+    Unusable(String),
 }
 
 impl PartFailure {
@@ -30,10 +34,14 @@
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::NotReached(_) | Self::Shed(_) | Self::WrongVersion(_) => Verdict::NotRun,
-            Self::Lost(_) | Self::TimedOut | Self::Status(_) | Self::TooLarge(_) => {
-                Verdict::MayHaveRun
+            Self::NotReached(_) | Self::Shed(_) | Self::WrongVersion(_) | Self::Misdirected => {
+                Verdict::NotRun
             }
+            Self::Lost(_)
+            | Self::TimedOut
+            | Self::Status(_)
+            | Self::TooLarge(_)
+            | Self::Unusable(_) => Verdict::MayHaveRun,
         }
     }
 
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -9,10 +9,12 @@
 
 mod exchange;
 mod failure;
+mod lanes;
 mod report;
 
 pub use exchange::{Exchanger, HttpExchanger, Kind, PartAnswer, PartFuture, PartRequest};
 pub use failure::PartFailure;
+pub use lanes::{Lanes, Send, WireAnswer};
 pub use report::Report;
 
 /// Headers of the servers' protocol.
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -8,7 +8,9 @@
 mod answer;
 mod problem;
 mod request;
+mod serve;
 
 pub use answer::{Answer, Missed, Part, RunAnswer};
 pub use problem::{Problem, problem_response};
 pub use request::{Call, CallError, RunCall, headers};
+pub use serve::{Answering, Handler, StopPhase, serve};
--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -57,6 +57,7 @@
         R::BadRequest(_) => (StatusCode::BAD_REQUEST, "bad-request"),
         R::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
         R::UnknownService(_) => (StatusCode::NOT_FOUND, "unknown-service"),
+        R::UnknownRoute(_) => (StatusCode::NOT_FOUND, "unknown-route"),
         R::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
         R::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, "overloaded"),
         R::TeamShare(_) => (StatusCode::TOO_MANY_REQUESTS, "team-share"),
--- /dev/null
+++ b/crates/decide/src/allowance.rs
@@ -0,0 +1,80 @@
+//! How many requests may be sent to a second replica, for each service.
+//!
+//! All instances together may add `ratio` x the requests for a service, and a fixed
+//! slack, in every span of the window. The ratio is split by itself, since each
+//! instance counts its own requests; the slack is split by the number of instances.
+
+use std::collections::VecDeque;
+
+/// Spans into which the window is cut; a span is counted whole while any of it counts.
+const SPANS_PER_WINDOW: u64 = 20;
+/// Part of the slack that is used, in thousandths.
+///
+/// An instance that restarts has forgotten what it spent, and one that joins makes the
+/// others' parts too large for a moment: half is left for them.
+const SLACK_USED_MILLI: u64 = 500;
+/// Part of the ratio that is used, in thousandths; arrivals and requests are counted at
+/// different moments by those who check.
+const RATIO_USED_MILLI: u64 = 850;
+const MILLI: u64 = 1000;
+
+/// What all instances together may add.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RepeatLimits {
+    /// Second sends for each request, in thousandths.
+    pub ratio_milli: u64,
+    /// Second sends on top of that in each window, over all instances.
+    pub slack: u64,
+    /// Length of the window in milliseconds.
+    pub window_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+/// Account of one service at one instance.
+#[derive(Debug, Clone, Default)]
+pub struct Allowance {
+    spans: VecDeque<Span>,
+}
+
+impl Allowance {
+    /// Notes a request whose first send goes to the service.
+    pub fn note_request(&mut self, limits: &RepeatLimits, now_ms: u64) {
+        self.span(limits, now_ms).requests += 1;
+    }
+
+    /// Takes one second send; returns whether there was one.
+    ///
+    /// `instances` is the number of instances that share the slack.
+    pub fn take(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> bool {
+        self.span(limits, now_ms);
+        // The oldest span may have left the window for requests, but not for repeats.
+        let requests: u64 = self.spans.iter().skip(1).map(|s| s.requests).sum();
+        let repeats: u64 = self.spans.iter().map(|s| s.repeats).sum();
+        let by_ratio = requests * limits.ratio_milli * RATIO_USED_MILLI / MILLI;
+        let by_slack = limits.slack * SLACK_USED_MILLI / instances.max(1);
+        if (repeats + 1) * MILLI > by_ratio + by_slack {
+            return false;
+        }
+        self.span(limits, now_ms).repeats += 1;
+        true
+    }
+
+    fn span(&mut self, limits: &RepeatLimits, now_ms: u64) -> &mut Span {
+        let length_ms = (limits.window_ms / SPANS_PER_WINDOW).max(1);
+        let number = now_ms / length_ms;
+        while self.spans.front().is_some_and(|s| s.number + SPANS_PER_WINDOW < number) {
+            self.spans.pop_front();
+        }
+        if self.spans.back().is_none_or(|s| s.number != number) {
+            self.spans.push_back(Span { number, requests: 0, repeats: 0 });
+        }
+        let last = self.spans.len() - 1;
+        &mut self.spans[last]
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,18 +5,25 @@
 //! model-checked, tested in virtual time and reused unchanged by the daemon.
 
 pub mod admission;
+pub mod allowance;
 pub mod budget;
 pub mod claim;
 pub mod config;
+pub mod directory;
 pub mod gossip;
 pub mod hedge;
 pub mod leaving;
 pub mod membership;
+pub mod merge;
+pub mod mirror;
+pub mod patience;
 pub mod prelude;
 pub mod problem;
 pub mod rendezvous;
 pub mod replica;
+pub mod route;
 pub mod share;
 pub mod snapshot;
+pub mod standing;
 pub mod text;
 pub mod verdict;
--- /dev/null
+++ b/crates/decide/src/standing.rs
@@ -0,0 +1,124 @@
+//! What one traffic thread has learnt of a replica from its own requests.
+
+/// Weight of a new latency in the running mean, as a divisor.
+const BLEND: f64 = 6.0;
+/// Penalty of a failure in multiples of the usual latency; it doubles with each in a row.
+const FAILURE_COST: f64 = 4.0;
+/// Doublings after which the penalty stays the same.
+const MOST_DOUBLINGS: u32 = 5;
+/// Time in which a penalty halves, in milliseconds.
+///
+/// A replica that is down costs one hedge for each try: with this half-life a lost one is
+/// tried about once in two seconds, and one that is back is found within them.
+const PENALTY_HALF_LIFE_MS: f64 = 400.0;
+/// Multiples of the usual latency after which a request without answer says "paused".
+const OVERDUE_RATIO: f64 = 2.5;
+/// Cost of an overdue request in multiples of the usual latency.
+const OVERDUE_COST: f64 = 6.0;
+/// Age in milliseconds at which a reported load counts for nothing any more.
+const REPORT_LIFE_MS: f64 = 250.0;
+/// Highest ratio that is remembered; beyond it a slow replica would be shunned for long.
+const MOST_RATIO: f64 = 40.0;
+
+/// Conduct of one replica.
+#[derive(Debug, Clone)]
+pub struct Standing {
+    /// Latency relative to the usual one of the same requests.
+    ratio: f64,
+    /// When each own request in progress was sent, with its usual latency.
+    in_progress: Vec<(u64, f64)>,
+    reported: u32,
+    reported_ms: u64,
+    failures_in_a_row: u32,
+    penalty: f64,
+    penalty_ms: u64,
+}
+
+impl Default for Standing {
+    fn default() -> Self {
+        Self {
+            ratio: 1.0,
+            in_progress: Vec::new(),
+            reported: 0,
+            reported_ms: 0,
+            failures_in_a_row: 0,
+            penalty: 0.0,
+            penalty_ms: 0,
+        }
+    }
+}
+
+impl Standing {
+    /// Notes that a request was sent whose usual latency is `usual_ms`.
+    pub fn sent(&mut self, now_ms: u64, usual_ms: f64) {
+        self.in_progress.push((now_ms, usual_ms));
+    }
+
+    /// Notes that the request sent at `sent_ms` has ended, however it did.
+    pub fn ended(&mut self, sent_ms: u64) {
+        if let Some(i) = self.in_progress.iter().position(|(sent, _)| *sent == sent_ms) {
+            self.in_progress.swap_remove(i);
+        }
+    }
+
+    /// Notes an answer that took `took_ms`, where `usual_ms` is usual.
+    pub fn answered(&mut self, took_ms: f64, usual_ms: f64) {
+        let ratio = (took_ms / usual_ms.max(0.1)).min(MOST_RATIO);
+        self.ratio += (ratio - self.ratio) / BLEND;
+        self.failures_in_a_row = 0;
+    }
+
+    /// Notes the requests that the replica says it runs or holds.
+    pub fn reported(&mut self, load: u32, now_ms: u64) {
+        self.reported = load;
+        self.reported_ms = now_ms;
+    }
+
+    /// Notes a failure, a refusal or a silence.
+    pub fn failed(&mut self, now_ms: u64) {
+        let step = self.failures_in_a_row.min(MOST_DOUBLINGS);
+        self.failures_in_a_row += 1;
+        self.penalty = self.penalty(now_ms) + FAILURE_COST * f64::from(1_u32 << step);
+        self.penalty_ms = now_ms;
+    }
+
+    /// Failures since the last answer.
+    #[must_use]
+    pub fn failures_in_a_row(&self) -> u32 {
+        self.failures_in_a_row
+    }
+
+    /// Own requests in progress.
+    #[must_use]
+    pub fn outstanding(&self) -> usize {
+        self.in_progress.len()
+    }
+
+    /// Whether a request has been without an answer for much longer than usual.
+    #[must_use]
+    pub fn is_overdue(&self, now_ms: u64) -> bool {
+        self.in_progress
+            .iter()
+            .any(|(sent, usual)| elapsed_ms(*sent, now_ms) > usual * OVERDUE_RATIO + 2.0)
+    }
+
+    /// Expected latency of one more request, in multiples of the usual one.
+    #[must_use]
+    pub fn cost(&self, slots: u32, now_ms: u64) -> f64 {
+        let slots = f64::from(slots.max(1));
+        let own = f64::from(u32::try_from(self.in_progress.len()).unwrap_or(u32::MAX));
+        let fresh = (1.0 - elapsed_ms(self.reported_ms, now_ms) / REPORT_LIFE_MS).max(0.0);
+        let others = (f64::from(self.reported) - own).max(0.0) * fresh;
+        let queue = (own + others) / slots;
+        let overdue = if self.is_overdue(now_ms) { OVERDUE_COST } else { 0.0 };
+        self.ratio * (1.0 + queue) + overdue + self.penalty(now_ms)
+    }
+
+    fn penalty(&self, now_ms: u64) -> f64 {
+        self.penalty * 0.5_f64.powf(elapsed_ms(self.penalty_ms, now_ms) / PENALTY_HALF_LIFE_MS)
+    }
+}
+
+fn elapsed_ms(since_ms: u64, now_ms: u64) -> f64 {
+    f64::from(u32::try_from(now_ms.saturating_sub(since_ms)).unwrap_or(u32::MAX))
+}
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -18,6 +18,8 @@
     BadRequest(String),
     /// the body is longer than {0} bytes
     BodyTooLarge(usize),
+    /// no route leads to {0}
+    UnknownRoute(String),
     /// unknown service {0}
     UnknownService(String),
     /// no configuration is in force yet
--- /dev/null
+++ b/crates/router/src/daemon.rs
@@ -0,0 +1,229 @@
+//! Starts the router's threads, serves until a stop, and stops gracefully.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use bytes::Bytes;
+use displaydoc::Display;
+use eelgrasspier_caller::{Answering, Handler, StopPhase, serve};
+use eelgrasspier_decide::allowance::RepeatLimits;
+use eelgrasspier_decide::route::CallerLimits;
+use eelgrasspier_store::{Collections, Decode};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::backend::Backend;
+use crate::control::Control;
+use crate::router::Router;
+use crate::view::Shared;
+
+/// Time after the start of a stop for which idle connections stay open.
+///
+/// The balancer asks once a second and takes an instance out after two misses; a request
+/// of a caller that has not noticed yet is still served in this time.
+const LEAVING: Duration = Duration::from_millis(3200);
+/// Kept of the grace period for ending before the kill.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time between two rounds of upkeep of the metrics.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
+/// One instance's own settings.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Name of the instance.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub front_addr: SocketAddr,
+    /// Where the balancer asks whether callers can be sent here.
+    pub ready_addr: SocketAddr,
+    /// Where other instances connect.
+    pub peer_addr: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_addr: Option<SocketAddr>,
+    /// What all instances together may send twice.
+    pub repeat_limits: RepeatLimits,
+    /// Time from the signal to stop to the kill.
+    pub grace: Duration,
+}
+
+/// What speaks to callers, backend servers and the store.
+pub struct Adapters {
+    /// Makes the store's client, on the control thread.
+    pub store: Box<dyn FnOnce() -> Rc<dyn Collections> + Send>,
+    /// Reads the contents of the store's objects.
+    pub decode: Arc<dyn Decode>,
+    /// Sends requests to replicas.
+    pub backend: Rc<dyn Backend>,
+    /// Reads callers' requests and writes their answers.
+    pub front: fn(Rc<Router>) -> Rc<dyn Handler>,
+    /// Called when a signal says that the settings have changed.
+    pub reload: fn(),
+}
+
+impl std::fmt::Debug for Adapters {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Adapters").finish_non_exhaustive()
+    }
+}
+
+/// The router could not start.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum RunError {
+    /// address {0} can't be bound: {1}
+    Bind(SocketAddr, #[source] io::Error),
+    /// metrics can't be set up: {0}
+    Metrics(String),
+    /// signals can't be received: {0}
+    Signals(#[source] io::Error),
+}
+
+/// Serves callers until a signal to stop.
+///
+/// # Errors
+/// Fails if an address can't be bound.
+pub fn run(setup: &Setup, adapters: Adapters) -> Result<(), RunError> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| RunError::Metrics(e.to_string()))?;
+    actix_rt::System::new().block_on(serve_all(setup, adapters, metrics))
+}
+
+async fn serve_all(
+    setup: &Setup,
+    adapters: Adapters,
+    metrics: PrometheusHandle,
+) -> Result<(), RunError> {
+    let front = bind(setup.front_addr).await?;
+    let ready = bind(setup.ready_addr).await?;
+    let Adapters { store, decode, backend, front: make_front, reload } = adapters;
+    let shared = Arc::new(Shared::new());
+    log::info!(
+        "event=started instance={} zone={} front={}",
+        setup.name,
+        setup.zone,
+        setup.front_addr
+    );
+
+    let arbiter = actix_rt::Arbiter::new();
+    let control_shared = Arc::clone(&shared);
+    arbiter.spawn(async move {
+        Control::start(control_shared, store(), decode);
+    });
+    let router =
+        Router::new(Arc::clone(&shared), backend, setup.zone.as_str().into(), setup.repeat_limits);
+    actix_rt::spawn(Rc::clone(&router).follow_views());
+
+    let (phase, phases) = watch::channel(StopPhase::Serving);
+    // Readiness and metrics are served to the very end.
+    let (_open, always) = watch::channel(StopPhase::Serving);
+    let readiness = Rc::new(Readiness { shared: Arc::clone(&shared), phase: phases.clone() });
+    actix_rt::spawn(serve(ready, readiness, always.clone()));
+    if let Some(addr) = setup.metrics_addr {
+        match bind(addr).await {
+            Ok(listener) => {
+                let page = Rc::new(MetricsPage(metrics.clone()));
+                actix_rt::spawn(serve(listener, page, always));
+            }
+            // Callers are worth more than figures.
+            Err(error) => log::error!("event=metrics_not_served cause=\"{error}\""),
+        }
+    }
+    actix_rt::spawn(keep_metrics(metrics));
+    actix_rt::spawn(reload_on_signal(reload)?);
+    let stop = wait_for_stop()?;
+    let grace = setup.grace.saturating_sub(GRACE_MARGIN);
+    let serving = actix_rt::spawn(serve(front, make_front(router), phases));
+    stop.await;
+    log::info!("event=stopping grace_ms={}", grace.as_millis());
+    let began = tokio::time::Instant::now();
+    phase.send_replace(StopPhase::Leaving);
+    tokio::time::sleep(LEAVING.min(grace / 2)).await;
+    phase.send_replace(StopPhase::Closing);
+    let ended = tokio::time::timeout_at(began + grace, serving).await;
+    log::info!("event=stopped cut_short={}", ended.is_err());
+    log::logger().flush();
+    arbiter.stop();
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(addr).await.map_err(|e| RunError::Bind(addr, e))
+}
+
+fn wait_for_stop() -> Result<impl Future<Output = ()>, RunError> {
+    let mut term = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    })
+}
+
+fn reload_on_signal(reload: fn()) -> Result<impl Future<Output = ()>, RunError> {
+    let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    Ok(async move {
+        while hup.recv().await.is_some() {
+            log::info!("event=reload cause=signal");
+            reload();
+        }
+    })
+}
+
+async fn keep_metrics(handle: PrometheusHandle) {
+    loop {
+        handle.run_upkeep();
+        tokio::time::sleep(METRICS_UPKEEP).await;
+    }
+}
+
+/// Tells the balancer whether callers can be sent here.
+struct Readiness {
+    shared: Arc<Shared>,
+    phase: watch::Receiver<StopPhase>,
+}
+
+impl Handler for Readiness {
+    fn answer(&self, _request: Request<Incoming>) -> Answering {
+        let is_serving = *self.phase.borrow() == StopPhase::Serving;
+        let is_ready = is_serving && self.shared.view.load().is_ready();
+        let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        page(status, Bytes::new())
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+}
+
+/// The metrics as text.
+struct MetricsPage(PrometheusHandle);
+
+impl Handler for MetricsPage {
+    fn answer(&self, _request: Request<Incoming>) -> Answering {
+        page(StatusCode::OK, self.0.render().into())
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+}
+
+fn page(status: StatusCode, body: Bytes) -> Answering {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let answering: Pin<Box<dyn Future<Output = _>>> = Box::pin(std::future::ready(response));
+    answering
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,20 @@
+//! Serves callers' requests by the routes of the operators' configuration.
+//!
+//! One control thread follows the store and the other instances and publishes immutable
+//! views; the traffic thread routes by the latest one. A request goes to one replica or
+//! to one of each shard; both are the same gathering, with one shard or many.
+
+mod backend;
+mod control;
+mod daemon;
+mod gather;
+mod model;
+mod output;
+mod router;
+mod view;
+
+pub use backend::{Attempt, Backend, BackendFuture, Reply};
+pub use daemon::{Adapters, RunError, Setup, run};
+pub use model::{Merged, Outcome, Request};
+pub use output::log_to_stdout;
+pub use router::Router;
--- /dev/null
+++ b/crates/router/src/model.rs
@@ -0,0 +1,62 @@
+//! A caller's request and its outcome, in no particular protocol's terms.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use eelgrasspier_decide::prelude::Refusal;
+use http::header::HeaderValue;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method};
+
+use crate::backend::Reply;
+
+/// One attempt of a caller.
+#[derive(Debug)]
+pub struct Request {
+    /// The caller's id of this attempt.
+    pub id: HeaderValue,
+    /// Method.
+    pub method: Method,
+    /// Host that the caller named.
+    pub host: String,
+    /// Path and query, as sent.
+    pub path: PathAndQuery,
+    /// Headers to be forwarded.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// Time that the caller waits, in milliseconds; `None` if it does not say.
+    pub deadline_ms: Option<u64>,
+}
+
+impl Request {
+    /// The id as text, for logs.
+    #[must_use]
+    pub fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+}
+
+/// An answer that was merged from the parts of several shards.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Merged {
+    /// The greatest records, greatest first.
+    pub body: Bytes,
+    /// Signature of each part that is in.
+    pub signatures: Vec<Bytes>,
+    /// Shards that are left out.
+    pub missing: usize,
+}
+
+/// What a request came to.
+#[derive(Debug)]
+pub enum Outcome {
+    /// A replica's own answer, success or failure.
+    Relayed(Reply),
+    /// An answer from several shards.
+    Merged(Merged),
+    /// No answer; the verdict says whether it may have run.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/router/src/output.rs
@@ -0,0 +1,56 @@
+//! Log lines on standard output that never hold up the process.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+
+/// Lines that may wait to be written; at about 150 bytes each they take under 400 KB.
+const MOST_WAITING: usize = 2048;
+
+/// Hands lines to a thread that writes them; drops and counts them where it lags.
+///
+/// Whoever reads standard output may stop reading. A write would then block the thread
+/// that serves callers, which one would notice by all requests timing out at once.
+struct Lines {
+    waiting: SyncSender<Vec<u8>>,
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        match self.waiting.try_send(line.to_vec()) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                metrics::counter!("eelgrasspier_log_lines_dropped_total").increment(1);
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging to standard output, one structured line for each event.
+pub fn log_to_stdout() {
+    let (waiting, lines) = sync_channel::<Vec<u8>>(MOST_WAITING);
+    let writing = move || {
+        let mut out = io::stdout().lock();
+        for line in lines {
+            if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+                // Nobody reads; the counter of dropped lines shows it.
+                return;
+            }
+        }
+    };
+    let started = std::thread::Builder::new().name("log".to_owned()).spawn(writing);
+    let env = env_logger::Env::default().default_filter_or("info");
+    let mut builder = env_logger::Builder::from_env(env);
+    if started.is_ok() {
+        builder.target(env_logger::Target::Pipe(Box::new(Lines { waiting })));
+    }
+    builder.format(|to, record| {
+        let level = record.level().as_str();
+        writeln!(to, "t={} level={level} {}", to.timestamp_millis(), record.args())
+    });
+    builder.init();
+}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,332 @@
+//! The traffic thread's state: standings, budgets, latencies; and the way of a request.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_backend::PartFailure;
+use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::hedge::Quantile;
+use eelgrasspier_decide::merge::Greatest;
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
+use eelgrasspier_decide::route::{Dealer, Route, Target};
+use eelgrasspier_decide::standing::Standing;
+
+use crate::backend::{Attempt, Backend, Reply};
+use crate::gather::{Gather, Gathered};
+use crate::model::{Merged, Outcome, Request};
+use crate::view::{Shared, View};
+
+/// When to come back to an instance that knows no configuration yet: it learns one
+/// within a second of the store's return.
+const NOT_READY_RETRY_MS: u64 = 500;
+/// When to come back where no replica is known: the list is a second old at the most.
+const NO_REPLICA_RETRY_MS: u64 = 300;
+/// Latency that is taken for usual until enough answers were measured, in milliseconds.
+const FIRST_USUAL_MS: f64 = 10.0;
+/// Answers within this quantile are no reason for a second send.
+const HEDGE_PER_MILLE: u32 = 900;
+/// The usual latency is the median.
+const MEDIAN_PER_MILLE: u32 = 500;
+/// Least time before a second send, in milliseconds: less is within the network's noise.
+const LEAST_HEDGE_MS: u64 = 4;
+/// Share of the target latency after which a second send goes out at the latest.
+const HEDGE_TARGET_DIVISOR: u64 = 3;
+/// Connections to a replica that each instance may open whatever the others do.
+const LEAST_CONNECTIONS: u32 = 1;
+/// What crossing zones costs, in multiples of the usual latency.
+///
+/// Bytes between zones are priced far above the few milliseconds that a nearer replica
+/// saves, so a far one is chosen where the near one would be late.
+const FAR_COST: f64 = 1.5;
+
+/// The traffic thread's state.
+pub struct Router {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) backend: Rc<dyn Backend>,
+    pub(crate) zone: Arc<str>,
+    limits: RepeatLimits,
+    standings: RefCell<HashMap<Arc<str>, Rc<RefCell<Standing>>>>,
+    allowances: RefCell<HashMap<Arc<str>, Allowance>>,
+    routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
+}
+
+/// What is learnt of one route's requests.
+#[derive(Debug, Default)]
+pub(crate) struct RouteState {
+    latency: RefCell<Quantile>,
+    dealer: RefCell<Dealer>,
+    /// Longest deadline that a caller named: that of its first attempt.
+    full_deadline_ms: Cell<u64>,
+}
+
+impl RouteState {
+    /// The usual latency of one exchange, in milliseconds.
+    pub(crate) fn usual_ms(&self) -> f64 {
+        let median_us = self.latency.borrow().value_us(MEDIAN_PER_MILLE);
+        median_us.map_or(FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
+    }
+
+    /// Time after which a second send may go out, in milliseconds.
+    pub(crate) fn hedge_after_ms(&self, target_ms: u64) -> u64 {
+        let latest_ms = (target_ms / HEDGE_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
+        let quantile_us = self.latency.borrow().value_us(HEDGE_PER_MILLE);
+        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
+    }
+
+    /// Time that the caller has spent on earlier attempts, in milliseconds.
+    ///
+    /// Callers lower the deadline with each attempt, so the longest one seen tells.
+    fn spent_ms(&self, deadline_ms: u64) -> u64 {
+        self.full_deadline_ms.set(self.full_deadline_ms.get().max(deadline_ms));
+        self.full_deadline_ms.get() - deadline_ms
+    }
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Router").field("zone", &self.zone).finish_non_exhaustive()
+    }
+}
+
+impl Router {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        backend: Rc<dyn Backend>,
+        zone: Arc<str>,
+        limits: RepeatLimits,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            shared,
+            backend,
+            zone,
+            limits,
+            standings: RefCell::default(),
+            allowances: RefCell::default(),
+            routes: RefCell::default(),
+        })
+    }
+
+    /// Bounds on callers, as of the configuration in force.
+    #[must_use]
+    pub fn caller_limits(&self) -> eelgrasspier_decide::route::CallerLimits {
+        let view = self.shared.view.load();
+        view.configuration.as_ref().map(|c| c.limits).unwrap_or_default()
+    }
+
+    /// Serves one request; dropped, whatever is on its way is cancelled.
+    pub async fn serve(self: &Rc<Self>, request: Request) -> Outcome {
+        let view = self.shared.view.load_full();
+        let version = view.configuration.as_ref().map_or(0, |c| c.version);
+        let request = Rc::new(request);
+        let (route, outcome) = match self.find(&view, &request) {
+            Ok(route) => {
+                let outcome = self.serve_on(&view, &route, &request).await;
+                (Arc::clone(&route.name), outcome)
+            }
+            Err(refusal) => ("-".into(), Outcome::Refused(refusal)),
+        };
+        note_outcome(&request, &route, version, &outcome);
+        outcome
+    }
+
+    fn find(&self, view: &View, request: &Request) -> Result<Arc<Route>, Refusal> {
+        if !view.is_ready() {
+            return Err(Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY_MS)));
+        }
+        let found = view.table.find(&request.host, request.path.path());
+        let path = || format!("{}{}", request.host, request.path.path());
+        found.cloned().ok_or_else(|| Refusal::not_run(RefusalReason::UnknownRoute(path()), None))
+    }
+
+    async fn serve_on(
+        self: &Rc<Self>,
+        view: &Arc<View>,
+        route: &Arc<Route>,
+        request: &Rc<Request>,
+    ) -> Outcome {
+        let state = self.route_state(&route.name);
+        let services = match &route.target {
+            Target::Service(service) => vec![Arc::clone(service)],
+            Target::Split(split) => state.dealer.borrow_mut().next(split).into_iter().collect(),
+            Target::Shards(shards) => shards.to_vec(),
+        };
+        let deadline_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
+        let spent_ms = state.spent_ms(deadline_ms);
+        let limit_ms = deadline_ms.min(route.timeout_ms);
+        let total = services.len();
+        let gather = Gather::new(self, view, route, state, request, services);
+        let gathered = gather.run(spent_ms, limit_ms).await;
+        match &route.target {
+            Target::Shards(_) => merge(route, total, gathered),
+            Target::Service(_) | Target::Split(_) => relay(gathered),
+        }
+    }
+
+    fn route_state(&self, name: &Arc<str>) -> Rc<RouteState> {
+        Rc::clone(self.routes.borrow_mut().entry(Arc::clone(name)).or_default())
+    }
+
+    pub(crate) fn standing(&self, id: &Arc<str>) -> Rc<RefCell<Standing>> {
+        Rc::clone(self.standings.borrow_mut().entry(Arc::clone(id)).or_default())
+    }
+
+    /// Notes a request whose first send goes to `service`.
+    pub(crate) fn note_request(&self, service: &Arc<str>) {
+        let now_ms = self.shared.now_ms();
+        let mut allowances = self.allowances.borrow_mut();
+        allowances.entry(Arc::clone(service)).or_default().note_request(&self.limits, now_ms);
+    }
+
+    /// Takes one second send to `service` from the budget, if there is one.
+    pub(crate) fn take_repeat(&self, service: &Arc<str>, instances: u64) -> bool {
+        let now_ms = self.shared.now_ms();
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(Arc::clone(service)).or_default();
+        allowance.take(&self.limits, instances, now_ms)
+    }
+
+    /// Expected latency of one more request, in multiples of the usual one.
+    pub(crate) fn cost(&self, replica: &ReplicaEntry) -> f64 {
+        let now_ms = self.shared.now_ms();
+        let cost = self.standing(&replica.id).borrow().cost(replica.slots, now_ms);
+        cost + if replica.zone == self.zone { 0.0 } else { FAR_COST }
+    }
+
+    /// Connections that this instance may open to one replica of `service`.
+    pub(crate) fn most_connections(&self, view: &View, service: &str) -> u32 {
+        let limits = view.configuration.as_ref().and_then(|c| c.services.get(service));
+        let all = limits.map_or(LEAST_CONNECTIONS, |l| l.max_connections);
+        let instances = u32::try_from(view.instances.max(1)).unwrap_or(u32::MAX);
+        (all / instances).max(LEAST_CONNECTIONS)
+    }
+
+    /// Sends one attempt and learns from how it ends.
+    pub(crate) async fn send(
+        self: Rc<Self>,
+        attempt: Attempt,
+        state: Rc<RouteState>,
+    ) -> Result<Reply, PartFailure> {
+        let replica = Arc::clone(&attempt.replica);
+        let standing = self.standing(&replica.id);
+        let usual_ms = state.usual_ms();
+        let started = Instant::now();
+        let in_progress = InProgress::start(&standing, self.shared.now_ms(), usual_ms);
+        let result = self.backend.send(attempt).await;
+        drop(in_progress);
+        let took = started.elapsed();
+        let now_ms = self.shared.now_ms();
+        let mut standing = standing.borrow_mut();
+        match &result {
+            Ok(reply) => {
+                standing.reported(reply.load.unwrap_or(0), now_ms);
+                if reply.status.is_server_error() {
+                    standing.failed(now_ms);
+                } else {
+                    standing.answered(took.as_secs_f64() * 1000.0, usual_ms);
+                    let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+                    state.latency.borrow_mut().record(took_us);
+                }
+            }
+            Err(PartFailure::Shed(report)) => {
+                standing.reported(report.load.unwrap_or(replica.slots), now_ms);
+                standing.failed(now_ms);
+            }
+            Err(_) => standing.failed(now_ms),
+        }
+        result
+    }
+
+    /// Follows the views: forgets replicas that are gone, connects to new ones.
+    pub(crate) async fn follow_views(self: Rc<Self>) {
+        let mut known: HashSet<Arc<str>> = HashSet::new();
+        loop {
+            let view = self.shared.view.load_full();
+            let entries = || view.replicas.values().flatten();
+            let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
+            self.backend.retain(&ids);
+            self.standings.borrow_mut().retain(|id, _| ids.contains(id));
+            if view.configuration.is_some() {
+                for entry in entries().filter(|e| !known.contains(&e.id)) {
+                    self.warm(&view, entry);
+                }
+                known = ids;
+            }
+            self.shared.has_changed.notified().await;
+        }
+    }
+
+    fn warm(&self, view: &View, entry: &Arc<ReplicaEntry>) {
+        let most = self.most_connections(view, &entry.service);
+        let warming = self.backend.warm(Arc::clone(entry), most);
+        let id = Arc::clone(&entry.id);
+        actix_rt::spawn(async move {
+            if let Err(error) = warming.await {
+                log::info!("event=not_warmed replica={id} cause={error:?}");
+            }
+        });
+    }
+}
+
+/// A request in progress at a replica, until dropped.
+struct InProgress {
+    standing: Rc<RefCell<Standing>>,
+    sent_ms: u64,
+}
+
+impl InProgress {
+    fn start(standing: &Rc<RefCell<Standing>>, now_ms: u64, usual_ms: f64) -> Self {
+        standing.borrow_mut().sent(now_ms, usual_ms);
+        Self { standing: Rc::clone(standing), sent_ms: now_ms }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.standing.borrow_mut().ended(self.sent_ms);
+    }
+}
+
+fn relay(gathered: Gathered) -> Outcome {
+    let refusal = gathered.refusal(NO_REPLICA_RETRY_MS);
+    let reply = gathered.replies.into_iter().next().map(|(_, reply)| reply);
+    reply.or(gathered.failure).map_or(Outcome::Refused(refusal), Outcome::Relayed)
+}
+
+fn merge(route: &Route, total: usize, gathered: Gathered) -> Outcome {
+    if gathered.replies.len() < route.least_shards(total) {
+        return Outcome::Refused(gathered.refusal(NO_REPLICA_RETRY_MS));
+    }
+    let mut greatest = Greatest::new(route.top_k);
+    let mut signatures = Vec::with_capacity(gathered.replies.len());
+    for (_, reply) in gathered.replies {
+        greatest.add(&reply.body);
+        signatures.extend(reply.signature);
+    }
+    let missing = total - signatures.len();
+    Outcome::Merged(Merged { body: greatest.into_bytes().into(), signatures, missing })
+}
+
+fn note_outcome(request: &Request, route: &str, version: u64, outcome: &Outcome) {
+    let took = request.arrived.elapsed();
+    let (name, detail) = match outcome {
+        Outcome::Relayed(reply) => ("relayed", format!("status={}", reply.status.as_u16())),
+        Outcome::Merged(merged) => {
+            ("merged", format!("parts={} missing={}", merged.signatures.len(), merged.missing))
+        }
+        Outcome::Refused(refusal) => {
+            let wait = refusal.retry_after_ms.unwrap_or(0);
+            let Refusal { verdict, reason, .. } = refusal;
+            ("refused", format!("verdict={verdict} reason=\"{reason}\" retry_after_ms={wait}"))
+        }
+    };
+    metrics::counter!("eelgrasspier_requests_total", "outcome" => name).increment(1);
+    metrics::histogram!("eelgrasspier_request_seconds", "outcome" => name)
+        .record(took.as_secs_f64());
+    let id = request.id_text();
+    let took_ms = took.as_millis();
+    log::info!("event={name} id={id} route={route} version={version} {detail} took_ms={took_ms}");
+}
--- /dev/null
+++ b/crates/store/src/collections.rs
@@ -0,0 +1,88 @@
+//! The store's collections of objects, as the router's control thread sees them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::mirror::Changes;
+use eelgrasspier_decide::route::Configuration;
+
+use crate::StoreFuture;
+
+/// One kind of objects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Entries of replicas.
+    Replicas,
+    /// The operators' configuration.
+    Configuration,
+    /// Instances of the system, written by themselves.
+    Instances,
+}
+
+/// A call of the store brought nothing.
+#[derive(Debug, Display, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum CollectionError {
+    /// the store no longer has the changes that were asked for
+    HistoryGone,
+    /// the store does not answer: {0}
+    Unavailable(String),
+    /// the store's answer makes no sense: {0}
+    Malformed(String),
+}
+
+/// An instance as it announces itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where it takes connections of other instances.
+    pub peer_addr: std::net::SocketAddr,
+}
+
+/// The store's collections.
+pub trait Collections {
+    /// All objects of a kind.
+    fn list(&self, kind: Kind) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+
+    /// Changes above `since`, as soon as there is one or `wait` is over.
+    fn watch(
+        &self,
+        kind: Kind,
+        since: u64,
+        wait: Duration,
+    ) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+
+    /// Writes this instance's own entry.
+    fn announce<'a>(
+        &'a self,
+        announcement: &'a Announcement,
+    ) -> StoreFuture<'a, Result<(), CollectionError>>;
+
+    /// Removes the entry of an instance that is gone for good.
+    fn withdraw<'a>(&'a self, name: &'a str) -> StoreFuture<'a, Result<(), CollectionError>>;
+}
+
+/// Reads the contents of the store's objects.
+pub trait Decode: std::fmt::Debug + Send + Sync {
+    /// A replica's entry.
+    ///
+    /// # Errors
+    /// Fails with a text that names the field.
+    fn replica(&self, name: &str, content: &Bytes) -> Result<ReplicaEntry, String>;
+
+    /// The operators' configuration.
+    ///
+    /// # Errors
+    /// Fails with a text that names the field.
+    fn configuration(&self, content: &Bytes) -> Result<Configuration, String>;
+
+    /// An instance's own entry.
+    ///
+    /// # Errors
+    /// Fails with a text that names the field.
+    fn instance(&self, name: &str, content: &Bytes) -> Result<Announcement, String>;
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod backoff;
 mod claims;
+mod collections;
 mod http;
 mod store;
 pub mod stored;
 
 pub use backoff::Backoff;
 pub use claims::{ClaimError, Claims, bucket_of};
+pub use collections::{Announcement, CollectionError, Collections, Decode, Kind};
 pub use http::HttpStore;
 pub use store::{ListedInstance, Object, ObjectStore, ReadError, StoreFuture, UpdateError};
