Count sends on their way towards a route's attempts

Ruled out: the repeat budget, whose windows all held. Change: a shard's sends count from the moment they go out, less those that surely did not run. Tests: seven of the gathering over scripted replicas in virtual time; the first failed before this change.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eelgrasspier_decide::directory::{Directory, EntryChange, ReplicaEntry};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::route::{Configuration, RouteTable};
 use eelgrasspier_store::{Backoff, CollectionError, Collections, Decode, Kind};
+use tokio::time::Instant;
 
 use crate::view::{Shared, View};
 
--- a/crates/router/src/gather.rs
+++ b/crates/router/src/gather.rs
@@ -29,8 +29,8 @@
     service: Arc<str>,
     /// Replicas that it was sent to.
     tried: Vec<Arc<str>>,
-    /// Replicas that may have run it.
-    may_have_run: Vec<Arc<str>>,
+    /// Sends that surely did not run.
+    not_run: usize,
     in_flight: usize,
     hedge_at_ms: Option<u64>,
     state: ShardState,
@@ -126,7 +126,7 @@
         let shard = |service| Shard {
             service,
             tried: Vec::new(),
-            may_have_run: Vec::new(),
+            not_run: 0,
             in_flight: 0,
             hedge_at_ms: None,
             state: ShardState::Open,
@@ -221,7 +221,8 @@
     /// The best replica for one more send of a shard.
     fn pick(&self, shard: &Shard) -> Option<Arc<ReplicaEntry>> {
         let all = self.view.replicas.get(&shard.service)?;
-        let is_full = shard.may_have_run.len() >= self.route.attempts.max(1);
+        // A send that is on its way may run too: a second one beside it counts.
+        let is_full = shard.tried.len() - shard.not_run >= self.route.attempts.max(1);
         let is_open = |r: &&Arc<ReplicaEntry>| !is_full && !shard.tried.contains(&r.id);
         let cost = |r: &&Arc<ReplicaEntry>| self.router.cost(r);
         all.iter().filter(is_open).min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
@@ -298,7 +299,6 @@
             Ok(reply) => {
                 self.note_failure(&landed.replica, index, reply.status.as_str());
                 self.gathered.may_have_run = true;
-                self.shards[index].may_have_run.push(landed.replica);
                 let is_final = reply.status.is_client_error() || !self.route.is_idempotent;
                 self.gathered.failure = Some(reply);
                 if is_final {
@@ -312,7 +312,8 @@
                 let may_have_run = failure.verdict() == Verdict::MayHaveRun;
                 if may_have_run {
                     self.gathered.may_have_run = true;
-                    self.shards[index].may_have_run.push(landed.replica);
+                } else {
+                    self.shards[index].not_run += 1;
                 }
                 let is_arrival = !matches!(failure, PartFailure::NotReached(_));
                 if may_have_run && !self.route.is_idempotent {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,3 +18,4 @@
 pub use model::{Merged, Outcome, Request};
 pub use output::log_to_stdout;
 pub use router::Router;
+pub use view::{Peer, Shared, View};
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -1,12 +1,11 @@
 //! A caller's request and its outcome, in no particular protocol's terms.
 
-use std::time::Instant;
-
 use bytes::Bytes;
 use eelgrasspier_decide::prelude::Refusal;
 use http::header::HeaderValue;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
+use tokio::time::Instant;
 
 use crate::backend::Reply;
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
@@ -14,6 +14,7 @@
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::route::{Dealer, Route, Target};
 use eelgrasspier_decide::standing::Standing;
+use tokio::time::Instant;
 
 use crate::backend::{Attempt, Backend, Reply};
 use crate::gather::{Gather, Gathered};
@@ -93,7 +94,9 @@
 }
 
 impl Router {
-    pub(crate) fn new(
+    /// The state of a traffic thread in the availability zone `zone`.
+    #[must_use]
+    pub fn new(
         shared: Arc<Shared>,
         backend: Rc<dyn Backend>,
         zone: Arc<str>,
--- /dev/null
+++ b/crates/router/tests/common/mod.rs
@@ -0,0 +1,234 @@
+//! A router over scripted replicas, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrasspier_backend::{PartFailure, Report};
+use eelgrasspier_decide::allowance::RepeatLimits;
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
+use eelgrasspier_router::{Attempt, Backend, BackendFuture, Outcome, Reply, Request, Router};
+use eelgrasspier_router::{Shared, View};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use tokio::time::Instant;
+
+/// What a replica does with the requests that reach it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conduct {
+    /// It answers after this many milliseconds.
+    Answers(u64),
+    /// It answers with a failure of its own after this many milliseconds.
+    Fails(u64),
+    /// It says at once that it did not run the request.
+    Sheds,
+    /// It runs the request, and the answer is lost after this many milliseconds.
+    Loses(u64),
+    /// It never answers.
+    Silent,
+}
+
+/// One send that reached a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    pub replica: String,
+    pub id: String,
+    pub at_ms: u64,
+    pub time_left: Duration,
+}
+
+/// Scripted replicas.
+#[derive(Default)]
+pub struct Script {
+    pub conduct: RefCell<HashMap<String, Conduct>>,
+    pub arrivals: RefCell<Vec<Arrival>>,
+    pub cancelled: Rc<RefCell<u32>>,
+    started: RefCell<Option<Instant>>,
+}
+
+impl Script {
+    pub fn set(&self, replica: &str, conduct: Conduct) {
+        self.conduct.borrow_mut().insert(replica.to_owned(), conduct);
+    }
+
+    pub fn arrivals_at(&self, replica: &str) -> usize {
+        self.arrivals.borrow().iter().filter(|a| a.replica == replica).count()
+    }
+}
+
+/// Counts an exchange that is dropped before its end.
+struct Cancelled(Rc<RefCell<u32>>, bool);
+
+impl Cancelled {
+    fn finish(&mut self) {
+        self.1 = true;
+    }
+}
+
+impl Drop for Cancelled {
+    fn drop(&mut self) {
+        if !self.1 {
+            *self.0.borrow_mut() += 1;
+        }
+    }
+}
+
+pub struct Scripted(pub Rc<Script>);
+
+impl Backend for Scripted {
+    fn send(&self, attempt: Attempt) -> BackendFuture<Reply> {
+        let script = &self.0;
+        let started = *script.started.borrow_mut().get_or_insert_with(Instant::now);
+        let replica = attempt.replica.id.to_string();
+        let conduct = script.conduct.borrow().get(&replica).copied();
+        script.arrivals.borrow_mut().push(Arrival {
+            replica: replica.clone(),
+            id: attempt.request.id_text().to_owned(),
+            at_ms: u64::try_from(started.elapsed().as_millis()).unwrap(),
+            time_left: attempt.time_left,
+        });
+        let mut guard = Cancelled(Rc::clone(&script.cancelled), false);
+        Box::pin(async move {
+            let result = act(conduct.unwrap_or(Conduct::Answers(5)), &replica, &attempt).await;
+            guard.finish();
+            result
+        })
+    }
+
+    fn warm(&self, _: Arc<ReplicaEntry>, _: u32) -> BackendFuture<()> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
+    fn retain(&self, _: &HashSet<Arc<str>>) {}
+}
+
+async fn act(conduct: Conduct, replica: &str, attempt: &Attempt) -> Result<Reply, PartFailure> {
+    let pause = |ms| tokio::time::sleep(Duration::from_millis(ms));
+    match conduct {
+        Conduct::Answers(ms) => pause(ms).await,
+        Conduct::Fails(ms) => {
+            pause(ms).await;
+            return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, replica));
+        }
+        Conduct::Sheds => return Err(PartFailure::Shed(Box::new(Report::default()))),
+        Conduct::Loses(ms) => {
+            pause(ms).await;
+            return Err(PartFailure::Lost("reset".to_owned()));
+        }
+        Conduct::Silent => {
+            tokio::time::sleep(attempt.time_left).await;
+            return Err(PartFailure::TimedOut);
+        }
+    }
+    Ok(reply(StatusCode::OK, replica))
+}
+
+fn reply(status: StatusCode, replica: &str) -> Reply {
+    Reply {
+        status,
+        headers: HeaderMap::new(),
+        body: Bytes::copy_from_slice(&[7; 16]),
+        signature: Some(replica.to_owned().into()),
+        load: None,
+    }
+}
+
+/// A deployment of `shards` shards with two replicas each, `s0/a` and `s0/b` and so on.
+pub struct World {
+    pub script: Rc<Script>,
+    pub shared: Arc<Shared>,
+    pub router: Rc<Router>,
+}
+
+pub fn route(shards: usize) -> Route {
+    let names: Vec<Arc<str>> = (0..shards).map(|i| format!("s{i}").into()).collect();
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        path_prefix: "/q/".into(),
+        target: Target::Shards(names.into()),
+        is_idempotent: true,
+        attempts: 2,
+        timeout_ms: 400,
+        target_latency_ms: 80,
+        rank: 0,
+        top_k: 5,
+        least_share: 0.75,
+    }
+}
+
+pub const LIMITS: RepeatLimits = RepeatLimits { ratio_milli: 200, slack: 54, window_ms: 10_000 };
+
+impl World {
+    pub fn new(route: Route, services: usize) -> Self {
+        let script = Rc::new(Script::default());
+        let shared = Arc::new(Shared::new());
+        let backend = Rc::new(Scripted(Rc::clone(&script)));
+        let router = Router::new(Arc::clone(&shared), backend, "z1".into(), LIMITS);
+        shared.publish(view(route, services));
+        Self { script, shared, router }
+    }
+
+    pub async fn serve(&self, id: &str, deadline_ms: u64) -> Outcome {
+        self.router.serve(request(id, deadline_ms)).await
+    }
+}
+
+pub fn request(id: &str, deadline_ms: u64) -> Request {
+    Request {
+        id: HeaderValue::from_str(id).unwrap(),
+        method: Method::GET,
+        host: "h".to_owned(),
+        path: "/q/x".parse().unwrap(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        arrived: Instant::now(),
+        deadline_ms: Some(deadline_ms),
+    }
+}
+
+pub fn view(route: Route, services: usize) -> View {
+    let mut configuration = Configuration { version: 1, ..Configuration::default() };
+    configuration.routes.push(Arc::new(route));
+    let mut replicas: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> = HashMap::new();
+    for i in 0..services {
+        let service: Arc<str> = format!("s{i}").into();
+        let limits = ServiceLimits { max_connections: 25, health_path: "/healthz".to_owned() };
+        configuration.services.insert(Arc::clone(&service), limits);
+        let entries = [("a", "z1"), ("b", "z2")].map(|(name, zone)| {
+            Arc::new(ReplicaEntry {
+                id: format!("{service}/{name}").into(),
+                service: Arc::clone(&service),
+                addr: ([127, 0, 0, 1], 1).into(),
+                zone: zone.into(),
+                slots: 2,
+                is_draining: false,
+                cold_left_ms: 0,
+            })
+        });
+        replicas.insert(service, entries.to_vec());
+    }
+    View {
+        table: Arc::new(RouteTable::from(&configuration)),
+        configuration: Some(Arc::new(configuration)),
+        replicas: Arc::new(replicas),
+        has_replicas: true,
+        instances: 1,
+        ..View::default()
+    }
+}
+
+/// Runs a test in virtual time on one thread.
+pub fn in_virtual_time(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- /dev/null
+++ b/crates/router/tests/sends.rs
@@ -0,0 +1,121 @@
+//! How often, and to whom, a request is sent.
+
+mod common;
+
+use common::{Conduct, World, in_virtual_time, route};
+use eelgrasspier_decide::prelude::Verdict;
+use eelgrasspier_decide::route::Target;
+use eelgrasspier_router::Outcome;
+
+/// Symptom: requests of a route that allows one replica ran on two.
+/// Sequence: the first replica was slow; a hedge went to the second before the first had
+/// answered or failed; both ran.
+/// Cause: only ended sends counted towards the attempts, not those on their way.
+#[test]
+fn a_route_with_one_attempt_is_never_hedged() {
+    in_virtual_time(async {
+        let mut one = route(3);
+        one.attempts = 1;
+        let world = World::new(one, 3);
+        world.script.set("s1/a", Conduct::Silent);
+        // Two of three shards are less than the least share.
+        assert!(matches!(world.serve("r1", 400).await, Outcome::Refused(_)));
+        assert_eq!(world.script.arrivals_at("s1/a"), 1);
+        assert_eq!(world.script.arrivals_at("s1/b"), 0);
+    });
+}
+
+#[test]
+fn a_slow_shard_is_hedged_within_the_target() {
+    in_virtual_time(async {
+        let world = World::new(route(4), 4);
+        world.script.set("s2/a", Conduct::Silent);
+        let started = tokio::time::Instant::now();
+        let Outcome::Merged(merged) = world.serve("r1", 400).await else { panic!("refused") };
+        assert_eq!((merged.signatures.len(), merged.missing), (4, 0));
+        assert!(started.elapsed().as_millis() < 80, "took {:?}", started.elapsed());
+        assert_eq!(world.script.arrivals_at("s2/b"), 1);
+    });
+}
+
+/// Symptom: a request that must not run twice ran on two replicas.
+/// Sequence: the first replica ran it and the answer was lost; it was sent again.
+/// Cause it guards against: taking a lost answer for one that did not run.
+#[test]
+fn a_lost_answer_is_never_made_good_by_a_second_run() {
+    in_virtual_time(async {
+        let mut single = route(1);
+        single.target = Target::Service("s0".into());
+        single.is_idempotent = false;
+        let world = World::new(single, 1);
+        world.script.set("s0/a", Conduct::Loses(20));
+        let Outcome::Refused(refusal) = world.serve("r1", 400).await else { panic!("served") };
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+        assert_eq!(world.script.arrivals.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_shed_request_that_must_not_run_twice_moves_to_another_replica() {
+    in_virtual_time(async {
+        let mut single = route(1);
+        single.target = Target::Service("s0".into());
+        single.is_idempotent = false;
+        let world = World::new(single, 1);
+        world.script.set("s0/a", Conduct::Sheds);
+        let Outcome::Relayed(reply) = world.serve("r1", 400).await else { panic!("refused") };
+        assert!(reply.status.is_success());
+        world.script.set("s0/b", Conduct::Sheds);
+        let Outcome::Refused(refusal) = world.serve("r2", 400).await else { panic!("served") };
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        assert!(refusal.retry_after_ms.is_some());
+    });
+}
+
+/// Symptom: a refusal said "not run" while the request was being run.
+/// Sequence: the only replica did not answer until the caller's time was over.
+/// Cause it guards against: counting only ended sends when the verdict is drawn.
+#[test]
+fn a_send_without_an_answer_may_have_run() {
+    in_virtual_time(async {
+        let mut single = route(1);
+        single.target = Target::Service("s0".into());
+        single.is_idempotent = false;
+        let world = World::new(single, 1);
+        world.script.set("s0/a", Conduct::Silent);
+        let started = tokio::time::Instant::now();
+        let Outcome::Refused(refusal) = world.serve("r1", 300).await else { panic!("served") };
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+        assert!(started.elapsed().as_millis() <= 300);
+    });
+}
+
+/// Symptom: replicas went on working for callers that had gone.
+/// Sequence: the caller closed its connection, which drops its request's future.
+/// Cause it guards against: sends that are tasks of their own outlive that future.
+#[test]
+fn a_caller_that_goes_away_cancels_what_is_on_its_way() {
+    in_virtual_time(async {
+        let world = World::new(route(2), 2);
+        world.script.set("s0/a", Conduct::Silent);
+        world.script.set("s1/a", Conduct::Silent);
+        let short = std::time::Duration::from_millis(5);
+        assert!(tokio::time::timeout(short, world.serve("r1", 400)).await.is_err());
+        tokio::task::yield_now().await;
+        assert_eq!(*world.script.cancelled.borrow(), 2);
+    });
+}
+
+/// Symptom: each hedge cost a new connection.
+/// Sequence: the hedge answered first; the first send was cancelled, closing its connection.
+/// Cause it guards against: cancelling what a replica is about to answer.
+#[test]
+fn an_outrun_send_is_let_go_not_cancelled() {
+    in_virtual_time(async {
+        let world = World::new(route(1), 1);
+        world.script.set("s0/a", Conduct::Answers(60));
+        assert!(matches!(world.serve("r1", 400).await, Outcome::Merged(_)));
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        assert_eq!(*world.script.cancelled.borrow(), 0);
+    });
+}
