--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -63,6 +63,15 @@
     /// Digest of the member list that bounds its share.
     #[prost(fixed64, tag = "10")]
     pub share_digest: u64,
+    /// Number of the last change to the list of replicas that it has taken in.
+    #[prost(uint64, tag = "11")]
+    pub replicas_revision: u64,
+    /// Number of the last change to the configuration that it has taken in.
+    #[prost(uint64, tag = "12")]
+    pub configuration_revision: u64,
+    /// Whether the store answers it.
+    #[prost(bool, tag = "13")]
+    pub is_store_reached: bool,
 }
 
 impl Member {
--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -235,7 +235,16 @@
     }
 
     /// A rumour about this instance; a suspicion is refuted by a higher revision.
+    ///
+    /// A record of a higher incarnation is this instance's predecessor, whose clock was
+    /// ahead: without overtaking it the others would take every own record for stale, and
+    /// this instance would stay dead to them though it answers.
     fn hear_of_self(&mut self, member: &Member) {
+        if member.incarnation > self.own.incarnation {
+            self.own.incarnation = member.incarnation + 1;
+            self.announce_own();
+            return;
+        }
         let is_current = member.incarnation == self.own.incarnation;
         let is_doubted = member.liveness() != Liveness::Alive;
         if is_current && member.revision >= self.own.revision && is_doubted {
--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -69,7 +69,7 @@
     deleted: BTreeMap<String, u64>,
     /// Change from which on deletions are known.
     horizon: u64,
-    /// Number of the last change that had an effect.
+    /// Change up to which the copy is complete.
     changed: u64,
     /// Whether a whole list was ever taken in.
     is_filled: bool,
@@ -82,7 +82,7 @@
         self.is_filled
     }
 
-    /// Number of the last change that had an effect here.
+    /// Change up to which the copy is complete.
     #[must_use]
     pub fn changed(&self) -> u64 {
         self.changed
@@ -100,9 +100,9 @@
         if changes.is_whole {
             self.delete_missing(changes, &mut effects);
         }
-        if !effects.is_empty() {
-            self.changed = self.changed.max(changes.as_of);
-        }
+        // Also without an effect: otherwise an instance would go on asking for changes that
+        // it has already.
+        self.changed = self.changed.max(changes.as_of);
         effects
     }
 
@@ -153,7 +153,6 @@
         if !self.is_filled {
             self.is_filled = true;
             self.horizon = changes.as_of;
-            self.changed = self.changed.max(changes.as_of);
         }
     }
 
--- /dev/null
+++ b/crates/decide/src/relays.rs
@@ -0,0 +1,49 @@
+//! Which shards are asked for by way of an instance in their replicas' zone.
+//!
+//! Parts that cross zones one by one cost a kilobyte and more each; the instance beside
+//! the replicas merges them to the greatest records and sends those once. So the shards
+//! without a replica in the own zone are grouped under as few other zones as possible.
+
+use std::collections::BTreeMap;
+
+/// Fewer shards than this are asked directly: the merged answer of one shard is about as
+/// long as its part, and the detour costs time.
+const LEAST_GROUP: usize = 2;
+
+/// Shards to be asked for in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Group<'a> {
+    /// The zone.
+    pub zone: &'a str,
+    /// Positions of the shards.
+    pub shards: Vec<usize>,
+}
+
+/// Groups shards by zone; `zones` lists for each shard the zones that could serve it.
+///
+/// Shards in no group are asked directly. `turn` rotates which of several equally good
+/// zones is taken.
+#[must_use]
+pub fn group<'a>(mut zones: BTreeMap<usize, Vec<&'a str>>, turn: u64) -> Vec<Group<'a>> {
+    let mut groups = Vec::new();
+    loop {
+        let mut by_zone: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (&shard, places) in &zones {
+            for &zone in places {
+                by_zone.entry(zone).or_default().push(shard);
+            }
+        }
+        let most = by_zone.values().map(Vec::len).max().unwrap_or(0);
+        if most < LEAST_GROUP {
+            return groups;
+        }
+        let best: Vec<(&str, Vec<usize>)> =
+            by_zone.into_iter().filter(|(_, shards)| shards.len() == most).collect();
+        let index = usize::try_from(turn % best.len() as u64).unwrap_or(0);
+        let (zone, shards) = best[index].clone();
+        for shard in &shards {
+            zones.remove(shard);
+        }
+        groups.push(Group { zone, shards });
+    }
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -16,7 +16,7 @@
     #[prost(uint64, tag = "2")]
     pub stamp: u64,
     /// What is asked or answered.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: Option<Body>,
 }
 
@@ -59,6 +59,109 @@
     /// Tells that the answer to the question with this number is not wanted.
     #[prost(uint64, tag = "14")]
     Cancel(u64),
+    /// Asks for changes of the store's objects that the sender has not seen.
+    #[prost(message, tag = "15")]
+    ChangesAbove(ChangesAbove),
+    /// Answers [`Body::ChangesAbove`].
+    #[prost(message, tag = "16")]
+    Changes(eelgrasspier_decide::mirror::Changes),
+    /// Asks for the merged parts of several shards.
+    #[prost(message, tag = "17")]
+    Gather(Gather),
+    /// Answers [`Body::Gather`].
+    #[prost(message, tag = "18")]
+    Gathered(Gathered),
+}
+
+/// Which changes are asked for.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ChangesAbove {
+    /// Whether the replicas are meant, and not the configuration.
+    #[prost(bool, tag = "1")]
+    pub is_replicas: bool,
+    /// Last change that the sender has taken in.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
+/// One header of a caller's request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Header {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: bytes::Bytes,
+}
+
+/// A caller's request, to be sent to some of its shards.
+#[derive(Clone, PartialEq, Message)]
+pub struct Gather {
+    /// The caller's id of its attempt.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request_id: bytes::Bytes,
+    /// Method.
+    #[prost(string, tag = "2")]
+    pub method: String,
+    /// Host that the caller named.
+    #[prost(string, tag = "3")]
+    pub host: String,
+    /// Path and query.
+    #[prost(string, tag = "4")]
+    pub path: String,
+    /// Headers to be forwarded.
+    #[prost(message, repeated, tag = "5")]
+    pub headers: Vec<Header>,
+    /// The caller's body.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body: bytes::Bytes,
+    /// Name of the route, under which latencies are learnt.
+    #[prost(string, tag = "7")]
+    pub route: String,
+    /// The shards, each a service.
+    #[prost(string, repeated, tag = "8")]
+    pub services: Vec<String>,
+    /// Replicas that each shard's request may be sent to.
+    #[prost(uint32, tag = "9")]
+    pub attempts: u32,
+    /// Records that the merged answer needs.
+    #[prost(uint32, tag = "10")]
+    pub top_k: u32,
+    /// Time in milliseconds within which replicas must have answered.
+    #[prost(uint64, tag = "11")]
+    pub time_left_ms: u64,
+    /// Time in milliseconds after which what is there is wanted.
+    #[prost(uint64, tag = "12")]
+    pub answer_within_ms: u64,
+    /// The route's target latency in milliseconds.
+    #[prost(uint64, tag = "13")]
+    pub target_latency_ms: u64,
+}
+
+/// One part that is in a merged answer.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Signed {
+    /// Position of its shard in the question.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// Its replica's signature.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub signature: bytes::Bytes,
+}
+
+/// The merged parts of several shards.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Gathered {
+    /// The greatest records of the parts, greatest first.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub records: bytes::Bytes,
+    /// The parts that are in.
+    #[prost(message, repeated, tag = "2")]
+    pub parts: Vec<Signed>,
+    /// Whether a replica may have run any of the others.
+    #[prost(bool, tag = "3")]
+    pub may_have_run: bool,
 }
 
 /// Nothing.
--- /dev/null
+++ b/crates/router/src/control/follow.rs
@@ -0,0 +1,163 @@
+//! Following the store: lists, watches, outages.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eelgrasspier_decide::membership::Listed;
+use eelgrasspier_store::{Announcement, Backoff, CollectionError, Kind};
+
+use super::Control;
+
+/// Time for which a watch waits at the store.
+///
+/// A connection that has gone silent is noticed when this is over: it must leave time to
+/// read anew before the instance counts as undisturbed again, 4 s after the cut.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Pause between two watches: changes that come close together cost one call, and a
+/// tenth of a second is nothing against the seconds in which they must be in force.
+const BATCH: Duration = Duration::from_millis(100);
+/// Time between the reads of an instance that hears of changes from others; each may be
+/// answered from a stale copy and only repairs what gossip lost.
+const POLL: Duration = Duration::from_secs(5);
+/// First and longest pause after a call that failed, in milliseconds.
+const LEAST_PAUSE_MS: u64 = 60;
+const MOST_PAUSE_MS: u64 = 600;
+/// Time without an answer after which the store counts as lost, in milliseconds.
+///
+/// Replicas renew their entries about every second and drop out after three misses, so a
+/// shorter silence can't have made entries lapse.
+const OUTAGE_MS: u64 = 1000;
+/// Time between two reads of the list of instances; gossip carries what changes.
+const INSTANCES_EVERY: Duration = Duration::from_secs(20);
+
+impl Control {
+    /// Lists a kind, then watches it, or hears of it from those who do.
+    pub(super) async fn follow(self: Rc<Self>, kind: Kind) {
+        let mut pauses = Backoff::new(LEAST_PAUSE_MS, MOST_PAUSE_MS);
+        let mut since = None;
+        loop {
+            let called = Instant::now();
+            let result = match since {
+                None => self.store.list(kind, false).await,
+                Some(revision) if self.is_watcher() => {
+                    self.store.watch(kind, revision, WATCH_WAIT).await
+                }
+                Some(_) => {
+                    if !self.wait_for_poll().await {
+                        continue;
+                    }
+                    self.store.list(kind, true).await
+                }
+            };
+            match result {
+                Ok(changes) => {
+                    pauses.reset();
+                    self.store_answered();
+                    // A stale answer must not set the watch back.
+                    since = Some(changes.as_of.max(since.unwrap_or(0)));
+                    self.take(kind, &changes, "store");
+                    tokio::time::sleep(BATCH).await;
+                }
+                Err(error) => {
+                    log::info!(
+                        "event=store_call_failed kind={kind:?} since={since:?} after_ms={} cause=\"{error}\"",
+                        called.elapsed().as_millis()
+                    );
+                    if error == CollectionError::HistoryGone {
+                        self.store_answered();
+                        since = None;
+                    } else {
+                        self.store_failed(&error);
+                        tokio::time::sleep(pauses.next_pause()).await;
+                        self.wait_for_store(kind).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for the next poll; returns whether it is due, and not a change of duties.
+    async fn wait_for_poll(&self) -> bool {
+        // Spread, so that the polls of a fleet don't meet.
+        let wait = POLL.mul_f64(rand::random_range(0.8..1.2));
+        let duties = self.duties.notified();
+        tokio::time::timeout(wait, duties).await.is_err()
+    }
+
+    /// During an outage the calls for one kind find out when it is over.
+    async fn wait_for_store(&self, kind: Kind) {
+        let has_list = self.configuration.borrow().is_some();
+        if kind == Kind::Configuration || !has_list {
+            return;
+        }
+        while !self.is_store_up.get() {
+            let duties = self.duties.notified();
+            let longest = Duration::from_millis(MOST_PAUSE_MS);
+            // Waking without news is as good: the loop looks again.
+            let _ = tokio::time::timeout(longest, duties).await;
+        }
+    }
+
+    fn store_answered(&self) {
+        let now_ms = self.shared.now_ms();
+        let silent_ms = now_ms.saturating_sub(self.heard_ms.replace(now_ms));
+        if !self.is_store_up.replace(true) {
+            log::info!("event=store_regained silent_ms={silent_ms}");
+            if silent_ms >= OUTAGE_MS {
+                self.directory.borrow_mut().store_is_back(now_ms);
+            }
+            self.membership.borrow_mut().update_own(|m| m.is_store_reached = true);
+            self.spread_at_once();
+            self.duties.notify_waiters();
+        }
+    }
+
+    fn store_failed(&self, error: &CollectionError) {
+        if self.is_store_up.replace(false) {
+            log::warn!("event=store_lost cause=\"{error}\"");
+            self.membership.borrow_mut().update_own(|m| m.is_store_reached = false);
+            self.spread_at_once();
+            self.duties.notify_waiters();
+        }
+    }
+
+    /// Writes the own entry, then reads from time to time who else there is.
+    pub(super) async fn follow_instances(self: Rc<Self>) {
+        let mut pauses = Backoff::new(LEAST_PAUSE_MS, MOST_PAUSE_MS);
+        let own = Announcement {
+            name: self.identity.name.clone(),
+            zone: self.identity.zone.clone(),
+            peer_addr: self.identity.peer_addr,
+        };
+        while let Err(error) = self.store.announce(&own).await {
+            log::info!("event=not_announced cause=\"{error}\"");
+            tokio::time::sleep(pauses.next_pause()).await;
+        }
+        let mut may_be_stale = false;
+        loop {
+            match self.store.list(Kind::Instances, may_be_stale).await {
+                Ok(changes) => {
+                    pauses.reset();
+                    let listed = changes.objects.iter().filter_map(|o| {
+                        let read = self.decode.instance(&o.name, &o.content);
+                        read.inspect_err(|e| log::warn!("event=instance_unreadable cause=\"{e}\""))
+                            .ok()
+                    });
+                    let listed: Vec<Listed> = listed.map(to_listed).collect();
+                    self.membership.borrow_mut().set_listed(&listed);
+                    may_be_stale = true;
+                    tokio::time::sleep(INSTANCES_EVERY).await;
+                }
+                Err(error) => {
+                    log::info!("event=instances_not_listed cause=\"{error}\"");
+                    tokio::time::sleep(pauses.next_pause()).await;
+                }
+            }
+        }
+    }
+}
+
+fn to_listed(announcement: Announcement) -> Listed {
+    let Announcement { name, zone, peer_addr } = announcement;
+    Listed { name, zone, peer_addr }
+}
--- /dev/null
+++ b/crates/router/src/control/members.rs
@@ -0,0 +1,205 @@
+//! Gossip with the other instances, and what is fetched from them.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eelgrasspier_decide::membership::{Change, Datagram, Liveness, Member, Send, State};
+use eelgrasspier_decide::mirror::Mirror;
+use eelgrasspier_decide::watchers::{self, Candidate};
+use eelgrasspier_peer::Gossip;
+use eelgrasspier_peer::wire::{Body, ChangesAbove};
+use eelgrasspier_store::Kind;
+use futures_util::{Stream, StreamExt};
+use tokio::sync::mpsc;
+
+use super::Control;
+use crate::view::Peer;
+
+/// Instances that are told of news at once; gossip tells the rest.
+const TOLD_AT_ONCE: usize = 16;
+/// Time in which another instance must hand over changes.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Greets seeds at one tick in this many while nobody else is known.
+const GREET_ONE_IN: u64 = 5;
+
+pub(super) async fn send_all(mut gossip: Gossip, mut outgoing: mpsc::UnboundedReceiver<Send>) {
+    while let Some(Send { to, datagram }) = outgoing.recv().await {
+        gossip.send(to, datagram).await;
+    }
+}
+
+pub(super) async fn receive_all(
+    control: Rc<Control>,
+    mut received: Pin<Box<dyn Stream<Item = (Datagram, SocketAddr)>>>,
+) {
+    while let Some((datagram, from)) = received.next().await {
+        let now_ms = control.shared.now_ms();
+        let sends = control.membership.borrow_mut().receive(now_ms, from, &datagram);
+        control.send(sends);
+        control.refresh();
+    }
+}
+
+impl Control {
+    pub(super) fn tick_members(self: &Rc<Self>) {
+        let now_ms = self.shared.now_ms();
+        let sends = self.membership.borrow_mut().tick(now_ms, rand::random());
+        self.send(sends);
+        self.greet_seeds();
+        self.refresh();
+    }
+
+    fn greet_seeds(&self) {
+        let mut membership = self.membership.borrow_mut();
+        let is_alone = membership.alive_count() == 1;
+        if !is_alone || !rand::random::<u64>().is_multiple_of(GREET_ONE_IN) {
+            return;
+        }
+        let own = self.identity.peer_addr;
+        let seeds = self.identity.seeds.iter().filter(|addr| **addr != own);
+        let sends: Vec<Send> = seeds.map(|&addr| membership.greet(addr)).collect();
+        drop(membership);
+        self.send(sends);
+    }
+
+    fn send(&self, sends: Vec<Send>) {
+        for send in sends {
+            // The sender's task lives as long as this thread.
+            let _gone = self.outbox.send(send).is_err();
+        }
+    }
+
+    /// Draws the conclusions from what has changed among the members.
+    fn refresh(self: &Rc<Self>) {
+        let changes = self.membership.borrow_mut().take_changes();
+        let has_changes = !changes.is_empty();
+        for change in changes {
+            note(&change);
+        }
+        if has_changes {
+            self.publish();
+            self.duties.notify_waiters();
+        }
+        self.judge_store();
+        self.fetch_newer(Kind::Configuration);
+        self.fetch_newer(Kind::Replicas);
+    }
+
+    /// Learns of an outage that only others have noticed.
+    ///
+    /// Instances that don't watch hear that entries are gone from those who do; without
+    /// this they would drop entries that lapsed because the store was away.
+    fn judge_store(&self) {
+        let is_turned_away = |m: &Member| !m.is_store_reached;
+        let is_any = self.membership.borrow().alive().any(is_turned_away);
+        if self.is_any_turned_away.replace(is_any) && !is_any {
+            self.directory.borrow_mut().store_is_back(self.shared.now_ms());
+            self.duties.notify_waiters();
+        }
+    }
+
+    /// Fetches changes from an instance that has seen more.
+    fn fetch_newer(self: &Rc<Self>, kind: Kind) {
+        let known = self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
+        if self.fetching.borrow().contains(&kind) {
+            return;
+        }
+        let ahead = self.membership.borrow().alive().find_map(|m| {
+            let addr: SocketAddr = m.peer_addr.parse().ok()?;
+            (revision_of(m, kind) > known).then(|| (m.name.clone(), addr))
+        });
+        let Some((name, addr)) = ahead else { return };
+        self.fetching.borrow_mut().push(kind);
+        let control = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let is_replicas = kind == Kind::Replicas;
+            let question = Body::ChangesAbove(ChangesAbove { is_replicas, revision: known });
+            match control.links.ask(addr, question, FETCH_TIMEOUT).await {
+                Ok(Body::Changes(changes)) => control.take(kind, &changes, &name),
+                Ok(other) => log::warn!("event=fetch_refused from={name} answer={other:?}"),
+                Err(error) => log::info!("event=fetch_failed from={name} cause=\"{error}\""),
+            }
+            control.fetching.borrow_mut().retain(|k| *k != kind);
+        });
+    }
+
+    /// Tells the others what this instance has taken in.
+    pub(super) fn announce_changes(&self) {
+        let revision = |kind| self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
+        let (replicas, configuration) = (revision(Kind::Replicas), revision(Kind::Configuration));
+        self.membership.borrow_mut().update_own(|m| {
+            m.replicas_revision = replicas;
+            m.configuration_revision = configuration;
+        });
+        if self.is_watcher() {
+            self.spread_at_once();
+        }
+    }
+
+    /// Sends the own record to some others without waiting for a round of gossip.
+    pub(super) fn spread_at_once(&self) {
+        let sends = self.membership.borrow_mut().farewell(TOLD_AT_ONCE, rand::random());
+        self.send(sends);
+    }
+
+    pub(super) fn is_watcher(&self) -> bool {
+        let membership = self.membership.borrow();
+        let candidate =
+            |m: &Member| Candidate { key: m.key(), is_store_reached: m.is_store_reached };
+        let others: Vec<Candidate> =
+            membership.alive().filter(|m| m.state() != State::Left).map(candidate).collect();
+        watchers::is_watcher(candidate(membership.own()), &others)
+    }
+
+    /// Instances that share connections and repeats, this one included.
+    pub(super) fn instances(&self) -> u64 {
+        u64::try_from(self.membership.borrow().alive_count()).unwrap_or(1)
+    }
+
+    /// The other instances that serve.
+    pub(super) fn peers(&self) -> Vec<Peer> {
+        let membership = self.membership.borrow();
+        let is_serving = |m: &&Member| m.state() == State::Ready && m.liveness() == Liveness::Alive;
+        let peer = |m: &Member| {
+            let addr = m.peer_addr.parse().ok()?;
+            Some(Peer { name: m.name.as_str().into(), addr, zone: m.zone.as_str().into() })
+        };
+        membership.alive().filter(is_serving).filter_map(peer).collect()
+    }
+
+    pub(super) fn set_ready(&self, is_ready: bool) {
+        let mut membership = self.membership.borrow_mut();
+        if is_ready && membership.own().state() == State::Starting {
+            membership.update_own(|m| m.state = State::Ready as i32);
+            log::info!("event=ready");
+        }
+    }
+
+    /// Tells the others that this instance takes nothing new.
+    pub(super) fn leave(&self) {
+        self.membership.borrow_mut().update_own(|m| m.state = State::Leaving as i32);
+        self.spread_at_once();
+    }
+}
+
+fn revision_of(member: &Member, kind: Kind) -> u64 {
+    match kind {
+        Kind::Replicas => member.replicas_revision,
+        Kind::Configuration => member.configuration_revision,
+        Kind::Instances => 0,
+    }
+}
+
+fn note(change: &Change) {
+    match change {
+        Change::State(name) => log::info!("event=instance_state instance={name}"),
+        Change::Joined(name) => log::info!("event=instance_joined instance={name}"),
+        Change::Suspected(name) => log::info!("event=instance_suspected instance={name}"),
+        Change::Died(name) => log::info!("event=instance_dead instance={name}"),
+        Change::Left(name) => log::info!("event=instance_left instance={name}"),
+        Change::Refuted => log::info!("event=suspicion_refuted"),
+        Change::ServerLeaving(server) => log::debug!("event=server_leaving server={server:?}"),
+    }
+}
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control/mod.rs
@@ -1,40 +1,55 @@
-//! The control thread: follows the store and publishes views.
+//! The control thread: follows the store and the other instances, publishes views.
+
+mod follow;
+mod members;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasspier_decide::directory::{Directory, EntryChange, ReplicaEntry};
+use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::route::{Configuration, RouteTable};
-use eelgrasspier_store::{Backoff, CollectionError, Collections, Decode, Kind};
-use tokio::time::Instant;
+use eelgrasspier_peer::Links;
+use eelgrasspier_store::{Collections, Decode, Kind};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::view::{Shared, View};
 
-/// Time for which a watch waits at the store.
-///
-/// A connection that has gone silent is noticed when this is over: it must leave time to
-/// read anew within the three seconds in which a configuration has to be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
-/// First and longest pause after a call that failed, in milliseconds.
-const LEAST_PAUSE_MS: u64 = 50;
-const MOST_PAUSE_MS: u64 = 400;
-/// Time without an answer after which the store counts as lost, in milliseconds.
-///
-/// Replicas renew their entries about every second and drop out after three misses, so a
-/// shorter silence can't have made entries lapse.
-const OUTAGE_MS: u64 = 1000;
 /// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
+
+/// What other threads ask of the control thread.
+#[derive(Debug)]
+pub(crate) enum Ask {
+    /// Another instance wants changes of a kind above a revision.
+    Changes { kind: Kind, revision: u64, done: oneshot::Sender<Changes> },
+    /// A planned stop begins.
+    Stop,
+}
+
+/// This instance as others see it.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) name: String,
+    pub(crate) zone: String,
+    pub(crate) peer_addr: SocketAddr,
+    pub(crate) seeds: Vec<SocketAddr>,
+}
 
 /// The state of the control thread.
 pub(crate) struct Control {
     shared: Arc<Shared>,
+    identity: Identity,
     store: Rc<dyn Collections>,
     decode: Arc<dyn Decode>,
+    links: Links,
+    membership: RefCell<Membership>,
+    outbox: mpsc::UnboundedSender<Send>,
     mirrors: RefCell<HashMap<Kind, Mirror>>,
     directory: RefCell<Directory>,
     configuration: RefCell<Option<Arc<Configuration>>>,
@@ -42,80 +57,79 @@
     /// When the store last answered, in milliseconds.
     heard_ms: Cell<u64>,
     is_store_up: Cell<bool>,
+    /// Whether some instance said that the store does not answer it.
+    is_any_turned_away: Cell<bool>,
+    /// Kinds of which changes are being fetched from another instance.
+    fetching: RefCell<Vec<Kind>>,
+    /// Wakes those whose duties may have changed.
+    duties: Notify,
 }
 
 impl Control {
     /// Starts all of control on the thread that calls it.
-    pub(crate) fn start(
+    ///
+    /// # Errors
+    /// Fails if the gossip socket can't be bound.
+    pub(crate) async fn start(
         shared: Arc<Shared>,
+        identity: Identity,
         store: Rc<dyn Collections>,
         decode: Arc<dyn Decode>,
-    ) -> Rc<Self> {
+        asks: mpsc::UnboundedReceiver<Ask>,
+    ) -> std::io::Result<()> {
+        let (gossip, received) = eelgrasspier_peer::Gossip::bind(identity.peer_addr).await?;
+        let (outbox, outgoing) = mpsc::unbounded_channel();
         let control = Rc::new(Self {
+            membership: RefCell::new(Membership::new(own_member(&identity))),
+            // Nobody orders these frames, so they carry no clock stamp.
+            links: Links::new(Rc::new(|| 0)),
             shared,
+            identity,
             store,
             decode,
+            outbox,
             mirrors: RefCell::default(),
             directory: RefCell::default(),
             configuration: RefCell::default(),
             table: RefCell::default(),
             heard_ms: Cell::new(0),
             is_store_up: Cell::new(true),
+            is_any_turned_away: Cell::new(false),
+            fetching: RefCell::default(),
+            duties: Notify::new(),
         });
+        actix_rt::spawn(members::send_all(gossip, outgoing));
+        actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Configuration));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
+        actix_rt::spawn(Rc::clone(&control).follow_instances());
         actix_rt::spawn(Rc::clone(&control).tick());
-        control
+        actix_rt::spawn(control.answer_asks(asks));
+        Ok(())
     }
 
-    /// Lists a kind, then watches it; starts over whenever the history is gone.
-    async fn follow(self: Rc<Self>, kind: Kind) {
-        let mut pauses = Backoff::new(LEAST_PAUSE_MS, MOST_PAUSE_MS);
-        let mut since = None;
-        loop {
-            let called = Instant::now();
-            let result = match since {
-                None => self.store.list(kind).await,
-                Some(revision) => self.store.watch(kind, revision, WATCH_WAIT).await,
-            };
-            match result {
-                Ok(changes) => {
-                    pauses.reset();
-                    self.store_answered();
-                    since = Some(changes.as_of);
-                    self.take(kind, &changes, "store");
-                }
-                Err(error) => {
-                    log::info!(
-                        "event=store_call_failed kind={kind:?} since={since:?} after_ms={} cause=\"{error}\"",
-                        called.elapsed().as_millis()
-                    );
-                    if matches!(error, CollectionError::HistoryGone) {
-                        self.store_answered();
-                        since = None;
-                    } else {
-                        self.store_failed(&error);
-                        tokio::time::sleep(pauses.next_pause()).await;
-                    }
+    async fn answer_asks(self: Rc<Self>, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        while let Some(ask) = asks.recv().await {
+            match ask {
+                Ask::Changes { kind, revision, done } => {
+                    let mirrors = self.mirrors.borrow();
+                    let changes = mirrors.get(&kind).map(|m| m.since(revision));
+                    // The asker's connection may have gone meanwhile.
+                    let _gone = done.send(changes.unwrap_or_default()).is_err();
                 }
+                Ask::Stop => self.leave(),
             }
         }
     }
 
-    fn store_answered(&self) {
-        let now_ms = self.shared.now_ms();
-        let silent_ms = now_ms.saturating_sub(self.heard_ms.replace(now_ms));
-        if !self.is_store_up.replace(true) {
-            log::info!("event=store_regained silent_ms={silent_ms}");
-            if silent_ms >= OUTAGE_MS {
-                self.directory.borrow_mut().store_is_back(now_ms);
+    async fn tick(self: Rc<Self>) {
+        loop {
+            if self.directory.borrow_mut().expire(self.shared.now_ms()) {
+                log::info!("event=lapsed_entries_dropped");
+                self.publish();
             }
-        }
-    }
-
-    fn store_failed(&self, error: &CollectionError) {
-        if self.is_store_up.replace(false) {
-            log::warn!("event=store_lost cause=\"{error}\"");
+            self.tick_members();
+            tokio::time::sleep(TICK).await;
         }
     }
 
@@ -137,6 +151,7 @@
         }
         if has_changed {
             self.publish();
+            self.announce_changes();
         }
     }
 
@@ -151,7 +166,6 @@
             },
             Effect::Gone(name) => EntryChange::Gone(name.as_str().into()),
         };
-        let now_ms = self.shared.now_ms();
         let text = match &change {
             EntryChange::Set(e) => format!(
                 "replica={} service={} addr={} zone={} draining={} cold_left_ms={}",
@@ -159,6 +173,7 @@
             ),
             EntryChange::Gone(id) => format!("replica={id} gone=true"),
         };
+        let now_ms = self.shared.now_ms();
         let has_changed = self.directory.borrow_mut().apply(change, now_ms);
         log::info!(
             "event=replica_entry {text} as_of={as_of} source={source} applied={has_changed}"
@@ -178,8 +193,8 @@
                 return false;
             }
         };
-        let (version, known) =
-            (configuration.version, self.configuration.borrow().as_ref().map(|c| c.version));
+        let version = configuration.version;
+        let known = self.configuration.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known >= version) {
             log::warn!("event=configuration_stale version={version} in_force={known:?}");
             return false;
@@ -193,16 +208,6 @@
         true
     }
 
-    async fn tick(self: Rc<Self>) {
-        loop {
-            if self.directory.borrow_mut().expire(self.shared.now_ms()) {
-                log::info!("event=lapsed_entries_dropped");
-                self.publish();
-            }
-            tokio::time::sleep(TICK).await;
-        }
-    }
-
     fn publish(&self) {
         let mut replicas: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> = HashMap::new();
         for entry in self.directory.borrow().entries().filter(|e| !e.is_draining) {
@@ -210,13 +215,31 @@
         }
         let has_replicas =
             self.mirrors.borrow().get(&Kind::Replicas).is_some_and(Mirror::is_filled);
-        self.shared.publish(View {
+        let view = View {
             configuration: self.configuration.borrow().clone(),
             table: Arc::clone(&self.table.borrow()),
             replicas: Arc::new(replicas),
             has_replicas,
-            instances: 8,
-            peers: Arc::default(),
-        });
+            instances: self.instances(),
+            peers: Arc::new(self.peers()),
+        };
+        self.set_ready(view.is_ready());
+        self.shared.publish(view);
+    }
+}
+
+fn own_member(identity: &Identity) -> Member {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    // Only an order of starts; a predecessor with a higher one is overtaken when heard of.
+    let incarnation = since_epoch.map_or(1, |d| u64::try_from(d.as_millis()).unwrap_or(1));
+    Member {
+        name: identity.name.clone(),
+        incarnation,
+        revision: 1,
+        state: State::Starting as i32,
+        zone: identity.zone.clone(),
+        peer_addr: identity.peer_addr.to_string(),
+        is_store_reached: true,
+        ..Member::default()
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -19,10 +19,11 @@
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::backend::Backend;
-use crate::control::Control;
+use crate::control::{Ask, Control, Identity};
+use crate::peers::Peers;
 use crate::router::Router;
 use crate::view::Shared;
 
@@ -49,6 +50,8 @@
     pub ready_addr: SocketAddr,
     /// Where other instances connect.
     pub peer_addr: SocketAddr,
+    /// Where some of the other instances are, or were.
+    pub seeds: Vec<SocketAddr>,
     /// Where metrics are served.
     pub metrics_addr: Option<SocketAddr>,
     /// What all instances together may send twice.
@@ -115,14 +118,31 @@
         setup.front_addr
     );
 
+    let peer = bind(setup.peer_addr).await?;
+    let (control, asks) = mpsc::unbounded_channel();
     let arbiter = actix_rt::Arbiter::new();
     let control_shared = Arc::clone(&shared);
-    arbiter.spawn(async move {
-        Control::start(control_shared, store(), decode);
+    let identity = Identity {
+        name: setup.name.clone(),
+        zone: setup.zone.clone(),
+        peer_addr: setup.peer_addr,
+        seeds: setup.seeds.clone(),
+    };
+    let (started, has_started) = oneshot::channel();
+    arbiter.spawn_fn(move || {
+        actix_rt::spawn(async move {
+            let result = Control::start(control_shared, identity, store(), decode, asks).await;
+            // The other side waits for exactly this.
+            let _gone = started.send(result).is_err();
+        });
     });
+    let started = has_started.await.unwrap_or_else(|_| Err(io::Error::other("control ended")));
+    started.map_err(|e| RunError::Bind(setup.peer_addr, e))?;
     let router =
         Router::new(Arc::clone(&shared), backend, setup.zone.as_str().into(), setup.repeat_limits);
     actix_rt::spawn(Rc::clone(&router).follow_views());
+    let peers = Rc::new(Peers { router: Rc::clone(&router), control: control.clone() });
+    actix_rt::spawn(eelgrasspier_peer::serve(peer, peers));
 
     let (phase, phases) = watch::channel(StopPhase::Serving);
     // Readiness and metrics are served to the very end.
@@ -148,6 +168,8 @@
     log::info!("event=stopping grace_ms={}", grace.as_millis());
     let began = tokio::time::Instant::now();
     phase.send_replace(StopPhase::Leaving);
+    // A control thread that has ended has nobody left to tell.
+    let _gone = control.send(Ask::Stop).is_err();
     tokio::time::sleep(LEAVING.min(grace / 2)).await;
     phase.send_replace(StopPhase::Closing);
     let ended = tokio::time::timeout_at(began + grace, serving).await;
--- /dev/null
+++ b/crates/router/src/gather/mod.rs
@@ -0,0 +1,355 @@
+//! Gathers the answers of the shards of one request: first sends, second sends, the end.
+
+mod relay;
+mod shard;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use eelgrasspier_backend::PartFailure;
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::patience::{Gathering, Next};
+use eelgrasspier_decide::prelude::Verdict;
+use eelgrasspier_decide::route::Route;
+use tokio::sync::mpsc;
+
+use crate::backend::{Attempt, Reply};
+use crate::model::Request;
+use crate::router::{RouteState, Router};
+use crate::view::View;
+use relay::RelayEnd;
+use shard::{Shard, ShardState};
+
+pub(crate) use shard::{Gathered, MergedParts};
+
+/// Sends beyond the route's attempts that surely did not run, for each shard.
+const MOST_UNRUN_SENDS: usize = 2;
+
+/// When a gathering ends, in milliseconds since the start of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Times {
+    /// When an answer must be on its way to be in time.
+    pub(crate) target_at_ms: u64,
+    /// When the caller's time is over.
+    pub(crate) limit_at_ms: u64,
+}
+
+/// For whom shards are gathered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum For {
+    /// For a caller: other instances may be asked.
+    Caller,
+    /// For another instance, which takes any number of shards.
+    Peer,
+}
+
+/// The end of one send, or of one question to another instance.
+enum Landed {
+    Send { shard: usize, replica: Arc<str>, result: Result<Reply, PartFailure> },
+    Relay(RelayEnd),
+}
+
+/// Sends in progress; dropped, they are cancelled, unless they were let go.
+#[derive(Default)]
+struct Flights(Vec<JoinHandle<()>>);
+
+impl Flights {
+    /// Lets the sends end by themselves.
+    ///
+    /// A replica that was outrun answers a little later: its connection is kept and its
+    /// latency learnt. To cut it would cost a new connection, which holds a slot.
+    fn let_go(&mut self) {
+        self.0.clear();
+    }
+}
+
+impl Drop for Flights {
+    fn drop(&mut self) {
+        for flight in &self.0 {
+            flight.abort();
+        }
+    }
+}
+
+/// One gathering.
+pub(crate) struct Gather<'a> {
+    router: &'a Rc<Router>,
+    view: &'a Arc<View>,
+    route: &'a Arc<Route>,
+    route_state: Rc<RouteState>,
+    request: &'a Rc<Request>,
+    shards: Vec<Shard>,
+    least: usize,
+    times: Times,
+    flights: Flights,
+    landed: mpsc::UnboundedReceiver<Landed>,
+    land: mpsc::UnboundedSender<Landed>,
+    gathered: Gathered,
+}
+
+impl<'a> Gather<'a> {
+    pub(crate) fn new(
+        router: &'a Rc<Router>,
+        view: &'a Arc<View>,
+        route: &'a Arc<Route>,
+        route_state: Rc<RouteState>,
+        request: &'a Rc<Request>,
+        services: Vec<Arc<str>>,
+        times: Times,
+    ) -> Self {
+        let (land, landed) = mpsc::unbounded_channel();
+        Self {
+            router,
+            view,
+            route,
+            route_state,
+            request,
+            least: route.least_shards(services.len()),
+            shards: services.into_iter().map(Shard::new).collect(),
+            times,
+            flights: Flights::default(),
+            landed,
+            land,
+            gathered: Gathered::default(),
+        }
+    }
+
+    /// Gathers until there is enough, or enough is out of reach.
+    pub(crate) async fn run(mut self, whom: For) -> Gathered {
+        match whom {
+            For::Caller if !self.is_within_reach() => return self.gathered,
+            For::Caller => self.ask_all(),
+            For::Peer => {
+                self.least = 0;
+                (0..self.shards.len()).for_each(|shard| self.send_first(shard));
+            }
+        }
+        loop {
+            let now_ms = self.router.shared.now_ms();
+            let wait_until_ms = match self.progress().next(now_ms) {
+                Next::Answer => break,
+                Next::GiveUp => {
+                    self.gathered.is_timed_out = now_ms >= self.times.limit_at_ms;
+                    break;
+                }
+                Next::WaitUntil(at_ms) => at_ms,
+            };
+            self.hedge_due(now_ms);
+            self.take_next(now_ms, wait_until_ms).await;
+        }
+        // What is still on its way may run; to say that it did not would be a lie.
+        self.gathered.may_have_run |= self.shards.iter().any(|s| s.in_flight > 0);
+        self.flights.let_go();
+        self.gathered.drop_doubles();
+        self.gathered
+    }
+
+    /// Waits for an end, the next hedge or `until_ms`, whichever comes first.
+    async fn take_next(&mut self, now_ms: u64, until_ms: u64) {
+        let next_hedge_ms = self.shards.iter().filter_map(|s| s.hedge_at_ms).min();
+        let wake_ms = next_hedge_ms.map_or(until_ms, |at| at.min(until_ms));
+        let pause = Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1));
+        if let Ok(Some(landed)) = tokio::time::timeout(pause, self.landed.recv()).await {
+            self.take(landed);
+            while let Ok(landed) = self.landed.try_recv() {
+                self.take(landed);
+            }
+        }
+    }
+
+    /// Whether enough shards have a replica at all; if not, waiting helps nobody.
+    fn is_within_reach(&self) -> bool {
+        let has_replica = |s: &&Shard| !self.replicas(&s.service).is_empty();
+        self.shards.iter().filter(has_replica).count() >= self.least
+    }
+
+    fn replicas(&self, service: &str) -> &'a [Arc<ReplicaEntry>] {
+        self.view.replicas.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    fn progress(&self) -> Gathering {
+        let count = |state| self.shards.iter().filter(|s| s.state == state).count();
+        Gathering {
+            total: self.shards.len(),
+            least: self.least,
+            covered: count(ShardState::Covered),
+            failed: count(ShardState::Failed),
+            target_at_ms: self.times.target_at_ms,
+            limit_at_ms: self.times.limit_at_ms,
+        }
+    }
+
+    /// The best replica for one more send of a shard.
+    fn pick(&self, shard: &Shard) -> Option<&'a Arc<ReplicaEntry>> {
+        let all = self.replicas(&shard.service);
+        let attempts = self.route.attempts.max(1);
+        // With no more replicas than attempts it does not matter who sends to which.
+        let has_enough = shard.lent > 0 && all.len() <= attempts;
+        if shard.used_attempts() >= attempts && !has_enough {
+            return None;
+        }
+        let cost = |r: &&Arc<ReplicaEntry>| self.router.cost(r);
+        let open = all.iter().filter(|r| !shard.tried.contains(&r.id));
+        open.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    fn send_first(&mut self, index: usize) {
+        self.router.note_request(&self.shards[index].service);
+        self.send(index);
+    }
+
+    /// Sends a shard's request to the best replica left; returns whether there was one.
+    fn send(&mut self, index: usize) -> bool {
+        let Some(replica) = self.pick(&self.shards[index]).cloned() else {
+            self.settle(index);
+            return false;
+        };
+        let now_ms = self.router.shared.now_ms();
+        let hedge_ms = self.route_state.hedge_after_ms(self.route.target_latency_ms);
+        let shard = &mut self.shards[index];
+        let can_hedge = self.route.is_idempotent && shard.tried.is_empty() && shard.lent == 0;
+        shard.tried.push(Arc::clone(&replica.id));
+        shard.in_flight += 1;
+        shard.hedge_at_ms = can_hedge.then_some(now_ms + hedge_ms);
+        let left_ms = self.times.limit_at_ms.saturating_sub(now_ms);
+        let attempt = Attempt {
+            most_connections: self.router.most_connections(self.view, &replica),
+            replica: Arc::clone(&replica),
+            request: Rc::clone(self.request),
+            time_left: Duration::from_millis(left_ms),
+            is_idempotent: self.route.is_idempotent,
+        };
+        let land = self.land.clone();
+        let sending = Rc::clone(self.router).send(attempt, Rc::clone(&self.route_state));
+        self.flights.0.push(actix_rt::spawn(async move {
+            let result = sending.await;
+            let replica = Arc::clone(&replica.id);
+            // Nobody listens once the answer has gone out.
+            let _is_late = land.send(Landed::Send { shard: index, replica, result }).is_err();
+        }));
+        true
+    }
+
+    fn hedge_due(&mut self, now_ms: u64) {
+        for index in 0..self.shards.len() {
+            let shard = &mut self.shards[index];
+            if shard.hedge_at_ms.is_none_or(|at| at > now_ms) {
+                continue;
+            }
+            shard.hedge_at_ms = None;
+            if shard.state == ShardState::Open {
+                self.send_again(index, "hedge");
+            }
+        }
+    }
+
+    /// Sends a shard's request once more, if the budget allows it.
+    fn send_again(&mut self, index: usize, cause: &'static str) -> bool {
+        let shard = &self.shards[index];
+        if self.pick(shard).is_none() {
+            return false;
+        }
+        let is_paid = self.router.take_repeat(&shard.service, self.view.instances);
+        let paid = if is_paid { "yes" } else { "no" };
+        metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
+            .increment(1);
+        is_paid && self.send(index)
+    }
+
+    fn take(&mut self, landed: Landed) {
+        match landed {
+            Landed::Send { shard, replica, result } => {
+                self.shards[shard].in_flight -= 1;
+                match result {
+                    Ok(reply) if reply.status.is_success() => self.cover(shard, reply),
+                    Ok(reply) => self.take_failure(shard, &replica, reply),
+                    Err(failure) => self.take_loss(shard, &replica, &failure),
+                }
+            }
+            Landed::Relay(end) => self.take_relay(end),
+        }
+    }
+
+    fn cover(&mut self, index: usize, reply: Reply) {
+        self.gathered.may_have_run = true;
+        let shard = &mut self.shards[index];
+        if shard.state != ShardState::Covered {
+            shard.state = ShardState::Covered;
+            self.gathered.replies.push((index, reply));
+        }
+    }
+
+    /// A replica's own failure: it ran the request.
+    fn take_failure(&mut self, index: usize, replica: &str, reply: Reply) {
+        self.note_failure(replica, index, reply.status.as_str());
+        self.gathered.may_have_run = true;
+        let is_final = reply.status.is_client_error() || !self.route.is_idempotent;
+        self.gathered.failure = Some(reply);
+        if is_final {
+            self.fail(index);
+        } else {
+            self.recover(index, true);
+        }
+    }
+
+    /// No usable answer came.
+    fn take_loss(&mut self, index: usize, replica: &str, failure: &PartFailure) {
+        self.note_failure(replica, index, &failure.to_string());
+        let may_have_run = failure.verdict() == Verdict::MayHaveRun;
+        self.gathered.may_have_run |= may_have_run;
+        if !may_have_run {
+            self.shards[index].not_run += 1;
+        }
+        let is_arrival = !matches!(failure, PartFailure::NotReached(_));
+        if may_have_run && !self.route.is_idempotent {
+            self.fail(index);
+        } else {
+            self.recover(index, is_arrival);
+        }
+    }
+
+    fn fail(&mut self, index: usize) {
+        let shard = &mut self.shards[index];
+        if shard.state == ShardState::Open {
+            shard.state = ShardState::Failed;
+        }
+    }
+
+    /// Sends once more after a failed send; `is_arrival` if that one counts as sent.
+    fn recover(&mut self, index: usize, is_arrival: bool) {
+        let shard = &self.shards[index];
+        let is_over = self.router.shared.now_ms() >= self.times.limit_at_ms;
+        if shard.state != ShardState::Open || is_over {
+            return;
+        }
+        let most = self.route.attempts.max(1) + MOST_UNRUN_SENDS;
+        let has_sent = if shard.tried.len() >= most {
+            false
+        } else if is_arrival {
+            self.send_again(index, "retry")
+        } else {
+            self.send(index)
+        };
+        if !has_sent {
+            self.settle(index);
+        }
+    }
+
+    /// A shard with nothing on its way has failed.
+    fn settle(&mut self, index: usize) {
+        if self.shards[index].in_flight == 0 {
+            self.fail(index);
+        }
+    }
+
+    fn note_failure(&self, replica: &str, shard: usize, cause: &str) {
+        let id = self.request.id_text();
+        let service = &self.shards[shard].service;
+        metrics::counter!("eelgrasspier_failed_sends_total").increment(1);
+        log::info!(
+            "event=send_failed id={id} service={service} replica={replica} cause=\"{cause}\""
+        );
+    }
+}
--- /dev/null
+++ b/crates/router/src/gather/relay.rs
@@ -0,0 +1,197 @@
+//! Asking another instance, beside the replicas, for the merged parts of several shards.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasspier_decide::relays::{self, Group};
+use eelgrasspier_peer::PeerError;
+use eelgrasspier_peer::wire::{self, Body};
+
+use super::{Gather, Landed, MergedParts, ShardState};
+use crate::view::Peer;
+
+/// Kept of the target time for the other instance's answer to come back.
+const RETURN_MS: u64 = 3;
+/// Time that an answer needs at least for the detour to be worth it.
+const LEAST_ANSWER_MS: u64 = 8;
+
+/// The end of a question to another instance.
+pub(super) struct RelayEnd {
+    peer: Arc<str>,
+    shards: Vec<usize>,
+    result: Result<wire::Gathered, PeerError>,
+}
+
+impl Gather<'_> {
+    /// Sends all shards: some directly, some by way of other instances.
+    pub(super) fn ask_all(&mut self) {
+        let groups = self.groups();
+        let mut is_asked = vec![false; self.shards.len()];
+        for (peer, shards) in groups {
+            for &shard in &shards {
+                is_asked[shard] = true;
+            }
+            self.ask(&peer, shards);
+        }
+        for index in (0..self.shards.len()).filter(|&i| !is_asked[i]) {
+            self.send_first(index);
+        }
+    }
+
+    /// Shards that are best asked for elsewhere, with the instance to ask.
+    fn groups(&self) -> Vec<(Peer, Vec<usize>)> {
+        if self.shards.len() == 1 || self.view.peers.is_empty() {
+            return Vec::new();
+        }
+        let peers = self.router.sound_peers(self.view);
+        let mut places = BTreeMap::new();
+        for (index, shard) in self.shards.iter().enumerate() {
+            let zones = self.relay_zones(&shard.service, &peers);
+            if !zones.is_empty() {
+                places.insert(index, zones);
+            }
+        }
+        let turn = rand::random();
+        let to_peer = |group: Group<'_>| {
+            let peer = self.router.best_peer(&peers, group.zone, turn)?;
+            Some((peer.clone(), group.shards))
+        };
+        relays::group(places, turn).into_iter().filter_map(to_peer).collect()
+    }
+
+    /// Zones in which an instance could ask a replica of `service`; none if the own zone
+    /// has one, or if the best replica is so much better that it is asked directly.
+    fn relay_zones<'p>(&self, service: &str, peers: &[&'p Peer]) -> Vec<&'p str> {
+        let replicas = self.replicas(service);
+        if replicas.iter().any(|r| r.zone == self.router.zone) {
+            return Vec::new();
+        }
+        let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
+        let mut zones: Vec<&str> =
+            peers.iter().filter(|p| has_replica(&p.zone)).map(|p| &*p.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    fn ask(&mut self, peer: &Peer, shards: Vec<usize>) {
+        let now_ms = self.router.shared.now_ms();
+        let attempts = self.lent_attempts(&shards);
+        let hedge_ms = self.route_state.relay_hedge_after_ms(self.route.target_latency_ms);
+        for &index in &shards {
+            let shard = &mut self.shards[index];
+            shard.in_flight += 1;
+            shard.lent = attempts;
+            shard.hedge_at_ms = Some(now_ms + hedge_ms);
+        }
+        let question = self.question(&shards, attempts, now_ms);
+        let time_left = Duration::from_millis(self.times.limit_at_ms.saturating_sub(now_ms));
+        let asking = Rc::clone(self.router).ask_peer(
+            peer.clone(),
+            question,
+            time_left,
+            Rc::clone(&self.route_state),
+        );
+        let land = self.land.clone();
+        let peer = Arc::clone(&peer.name);
+        self.flights.0.push(actix_rt::spawn(async move {
+            let end = RelayEnd { peer, shards, result: asking.await };
+            // Nobody listens once the answer has gone out.
+            let _is_late = land.send(Landed::Relay(end)).is_err();
+        }));
+    }
+
+    /// Replicas of each shard that the other instance may use: all attempts, where this
+    /// instance could not choose another replica anyway, else all but one.
+    fn lent_attempts(&self, shards: &[usize]) -> usize {
+        let attempts = self.route.attempts.max(1);
+        let is_few = |&i: &usize| self.replicas(&self.shards[i].service).len() <= attempts;
+        if shards.iter().all(is_few) { attempts } else { (attempts - 1).max(1) }
+    }
+
+    fn question(&self, shards: &[usize], attempts: usize, now_ms: u64) -> Body {
+        let request = self.request;
+        let until_target_ms = self.times.target_at_ms.saturating_sub(now_ms);
+        let time_left_ms = self.times.limit_at_ms.saturating_sub(now_ms);
+        // Once the target is out of reach, whatever comes before the limit will do.
+        let answer_within_ms = if until_target_ms >= LEAST_ANSWER_MS + RETURN_MS {
+            until_target_ms - RETURN_MS
+        } else {
+            time_left_ms.saturating_sub(RETURN_MS)
+        };
+        let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec().into(),
+        };
+        let service = |&i: &usize| self.shards[i].service.to_string();
+        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        Body::Gather(wire::Gather {
+            request_id: request.id.as_bytes().to_vec().into(),
+            method: request.method.as_str().to_owned(),
+            host: request.host.clone(),
+            path: request.path.as_str().to_owned(),
+            headers: request.headers.iter().map(header).collect(),
+            body: request.body.clone(),
+            route: self.route.name.to_string(),
+            services: shards.iter().map(service).collect(),
+            attempts: number(attempts),
+            top_k: number(self.route.top_k),
+            time_left_ms,
+            answer_within_ms,
+            target_latency_ms: self.route.target_latency_ms,
+        })
+    }
+
+    pub(super) fn take_relay(&mut self, end: RelayEnd) {
+        let RelayEnd { peer, shards, result } = end;
+        for &index in &shards {
+            self.shards[index].in_flight -= 1;
+        }
+        match result {
+            Ok(answer) => self.take_merged(&shards, answer),
+            Err(error) => {
+                let id = self.request.id_text();
+                log::info!("event=relay_failed id={id} peer={peer} cause=\"{error}\"");
+                let was_sent = !matches!(error, PeerError::NotReached(_));
+                self.gathered.may_have_run |= was_sent;
+                for index in shards {
+                    self.recover_relayed(index, was_sent);
+                }
+            }
+        }
+    }
+
+    fn take_merged(&mut self, shards: &[usize], answer: wire::Gathered) {
+        let wire::Gathered { records, parts, may_have_run } = answer;
+        self.gathered.may_have_run |= may_have_run || !parts.is_empty();
+        let position = |part: wire::Signed| {
+            let shard = shards.get(usize::try_from(part.shard).ok()?)?;
+            Some((*shard, part.signature))
+        };
+        let parts: Vec<_> = parts.into_iter().filter_map(position).collect();
+        for &(index, _) in &parts {
+            self.shards[index].state = ShardState::Covered;
+        }
+        self.gathered.merged.push(MergedParts { records, parts });
+        for &index in shards {
+            self.recover_relayed(index, true);
+        }
+    }
+
+    /// Asks a replica directly for a shard that the other instance did not bring.
+    fn recover_relayed(&mut self, index: usize, was_sent: bool) {
+        let shard = &mut self.shards[index];
+        shard.hedge_at_ms = None;
+        if shard.state != ShardState::Open {
+            return;
+        }
+        if was_sent {
+            self.recover(index, true);
+        } else {
+            shard.lent = 0;
+            self.send_first(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/gather/shard.rs
@@ -0,0 +1,99 @@
+//! One shard of a request, and what was gathered.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason, Verdict};
+
+use crate::backend::Reply;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ShardState {
+    Open,
+    Covered,
+    Failed,
+}
+
+/// One shard of a request.
+#[derive(Debug)]
+pub(super) struct Shard {
+    pub(super) service: Arc<str>,
+    /// Replicas that it was sent to from here.
+    pub(super) tried: Vec<Arc<str>>,
+    /// Sends that surely did not run.
+    pub(super) not_run: usize,
+    /// Replicas that another instance may have sent it to.
+    pub(super) lent: usize,
+    /// Sends and questions to other instances without an end.
+    pub(super) in_flight: usize,
+    pub(super) hedge_at_ms: Option<u64>,
+    pub(super) state: ShardState,
+}
+
+impl Shard {
+    pub(super) fn new(service: Arc<str>) -> Self {
+        Self {
+            service,
+            tried: Vec::new(),
+            not_run: 0,
+            lent: 0,
+            in_flight: 0,
+            hedge_at_ms: None,
+            state: ShardState::Open,
+        }
+    }
+
+    /// Replicas that run it, or may come to.
+    ///
+    /// A send that is on its way may run too: a second one beside it counts.
+    pub(super) fn used_attempts(&self) -> usize {
+        self.tried.len() - self.not_run + self.lent
+    }
+}
+
+/// Parts that another instance has merged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct MergedParts {
+    /// The greatest records of the parts.
+    pub(crate) records: Bytes,
+    /// Shard and signature of each part.
+    pub(crate) parts: Vec<(usize, Bytes)>,
+}
+
+/// What was gathered.
+#[derive(Debug, Default)]
+pub(crate) struct Gathered {
+    /// Successes by shard.
+    pub(crate) replies: Vec<(usize, Reply)>,
+    /// Parts that other instances have merged; each shard is in one of them at the most.
+    pub(crate) merged: Vec<MergedParts>,
+    /// The last failure that a replica itself gave.
+    pub(crate) failure: Option<Reply>,
+    /// Whether a replica may have run any of it.
+    pub(crate) may_have_run: bool,
+    /// Whether the time was over.
+    pub(crate) is_timed_out: bool,
+}
+
+impl Gathered {
+    /// The refusal where this does not make a success.
+    pub(crate) fn refusal(&self, retry_after_ms: u64) -> Refusal {
+        let reason = match (self.is_timed_out, self.may_have_run) {
+            (true, _) => RefusalReason::TooLate,
+            (false, true) => RefusalReason::AnswerLost,
+            (false, false) => RefusalReason::NoReplica,
+        };
+        let verdict = if self.may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
+        Refusal { verdict, reason, retry_after_ms: Some(retry_after_ms) }
+    }
+
+    /// Drops own parts of shards that are in a merged answer too.
+    ///
+    /// A merged answer can't be taken apart again, and a shard must not count twice.
+    pub(super) fn drop_doubles(&mut self) {
+        let merged = &self.merged;
+        self.replies.retain(|(shard, _)| {
+            !merged.iter().flat_map(|m| &m.parts).any(|(covered, _)| covered == shard)
+        });
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,8 @@
 mod gather;
 mod model;
 mod output;
+mod peers;
+mod relay;
 mod router;
 mod view;
 
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,152 @@
+//! Both sides of a question between instances: asking, and gathering for the asker.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasspier_decide::merge::Greatest;
+use eelgrasspier_decide::route::{Route, Target};
+use eelgrasspier_peer::PeerError;
+use eelgrasspier_peer::wire::{self, Body};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use tokio::time::Instant;
+
+use crate::gather::{For, Gather, Gathered, Times};
+use crate::model::Request;
+use crate::router::{InProgress, PEER_SLOTS, RouteState, Router, UNSOUND_PEER_COST, peer_key};
+use crate::view::{Peer, View};
+
+impl Router {
+    /// Instances that answered lately, or were not asked for a while.
+    pub(crate) fn sound_peers<'v>(&self, view: &'v View) -> Vec<&'v Peer> {
+        let now_ms = self.shared.now_ms();
+        let is_sound = |p: &&Peer| {
+            let standing = self.standing(&peer_key(&p.name));
+            standing.borrow().cost(PEER_SLOTS, now_ms) < UNSOUND_PEER_COST
+        };
+        view.peers.iter().filter(is_sound).collect()
+    }
+
+    /// The instance of a zone that is expected to answer first; `turn` breaks ties.
+    pub(crate) fn best_peer<'v>(
+        &self,
+        peers: &[&'v Peer],
+        zone: &str,
+        turn: u64,
+    ) -> Option<&'v Peer> {
+        let now_ms = self.shared.now_ms();
+        let cost = |p: &Peer| self.standing(&peer_key(&p.name)).borrow().cost(PEER_SLOTS, now_ms);
+        let mut near: Vec<&Peer> = peers.iter().filter(|p| &*p.zone == zone).copied().collect();
+        if near.is_empty() {
+            return None;
+        }
+        let start = usize::try_from(turn % near.len() as u64).unwrap_or(0);
+        near.rotate_left(start);
+        near.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    /// Asks another instance and learns from how it ends.
+    pub(crate) async fn ask_peer(
+        self: Rc<Self>,
+        peer: Peer,
+        question: Body,
+        time_left: Duration,
+        state: Rc<RouteState>,
+    ) -> Result<wire::Gathered, PeerError> {
+        let standing = self.standing(&peer_key(&peer.name));
+        let usual_ms = state.usual_relay_ms();
+        let started = Instant::now();
+        let in_progress = InProgress::start(&standing, self.shared.now_ms(), usual_ms);
+        let result = self.links.ask(peer.addr, question, time_left).await;
+        drop(in_progress);
+        let took = started.elapsed();
+        metrics::histogram!("eelgrasspier_relay_seconds").record(took.as_secs_f64());
+        match result {
+            Ok(Body::Gathered(answer)) => {
+                standing.borrow_mut().answered(took.as_secs_f64() * 1000.0, usual_ms);
+                state.note_relay(took);
+                Ok(answer)
+            }
+            Ok(other) => {
+                standing.borrow_mut().failed(self.shared.now_ms());
+                log::warn!("event=relay_refused peer={} answer={other:?}", peer.name);
+                Err(PeerError::NotReached("the instance refused".to_owned()))
+            }
+            Err(error) => {
+                standing.borrow_mut().failed(self.shared.now_ms());
+                Err(error)
+            }
+        }
+    }
+
+    /// Gathers shards for another instance and merges them.
+    pub(crate) async fn gather_for_peer(self: &Rc<Self>, question: wire::Gather) -> wire::Gathered {
+        let now_ms = self.shared.now_ms();
+        let times = Times {
+            target_at_ms: now_ms + question.answer_within_ms,
+            limit_at_ms: now_ms + question.time_left_ms,
+        };
+        let services: Vec<Arc<str>> = question.services.iter().map(|s| s.as_str().into()).collect();
+        let route = Arc::new(to_route(&question, &services));
+        let top_k = route.top_k;
+        let Some(request) = to_request(question) else {
+            log::warn!("event=relay_unreadable");
+            return wire::Gathered::default();
+        };
+        let view = self.shared.view.load_full();
+        let state = self.route_state(&route.name);
+        let request = Rc::new(request);
+        let gather = Gather::new(self, &view, &route, state, &request, services, times);
+        let gathered = gather.run(For::Peer).await;
+        metrics::counter!("eelgrasspier_relayed_total").increment(1);
+        to_wire(gathered, top_k)
+    }
+}
+
+fn to_route(question: &wire::Gather, services: &[Arc<str>]) -> Route {
+    let whole = |n: u32| usize::try_from(n).unwrap_or(usize::MAX);
+    Route {
+        name: question.route.as_str().into(),
+        host: question.host.clone(),
+        path_prefix: String::new(),
+        target: Target::Shards(services.into()),
+        is_idempotent: true,
+        attempts: whole(question.attempts),
+        timeout_ms: question.time_left_ms,
+        target_latency_ms: question.target_latency_ms,
+        rank: 0,
+        top_k: whole(question.top_k),
+        least_share: 0.0,
+    }
+}
+
+/// The caller's request; `None` if it could never have come from a caller.
+fn to_request(question: wire::Gather) -> Option<Request> {
+    let mut headers = HeaderMap::new();
+    for wire::Header { name, value } in question.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_maybe_shared(value).ok()?);
+    }
+    Some(Request {
+        id: HeaderValue::from_maybe_shared(question.request_id).ok()?,
+        method: Method::from_bytes(question.method.as_bytes()).ok()?,
+        host: question.host,
+        path: question.path.parse().ok()?,
+        headers,
+        body: question.body,
+        arrived: Instant::now(),
+        deadline_ms: Some(question.time_left_ms),
+    })
+}
+
+fn to_wire(gathered: Gathered, top_k: usize) -> wire::Gathered {
+    let mut greatest = Greatest::new(top_k);
+    let mut parts = Vec::with_capacity(gathered.replies.len());
+    for (shard, reply) in gathered.replies {
+        let Some(signature) = reply.signature else { continue };
+        greatest.add(&reply.body);
+        parts.push(wire::Signed { shard: u32::try_from(shard).unwrap_or(u32::MAX), signature });
+    }
+    let records = greatest.into_bytes().into();
+    wire::Gathered { records, parts, may_have_run: gathered.may_have_run }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -14,10 +14,11 @@
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::route::{Dealer, Route, Target};
 use eelgrasspier_decide::standing::Standing;
+use eelgrasspier_peer::Links;
 use tokio::time::Instant;
 
 use crate::backend::{Attempt, Backend, Reply};
-use crate::gather::{Gather, Gathered};
+use crate::gather::{For, Gather, Gathered, Times};
 use crate::model::{Merged, Outcome, Request};
 use crate::view::{Shared, View};
 
@@ -36,8 +37,26 @@
 const LEAST_HEDGE_MS: u64 = 4;
 /// Share of the target latency after which a second send goes out at the latest.
 const HEDGE_TARGET_DIVISOR: u64 = 3;
+/// Quantile of merged answers after which their shards are asked directly as well.
+const RELAY_HEDGE_PER_MILLE: u32 = 970;
+/// Share of the target latency after which that happens at the latest.
+const RELAY_TARGET_DIVISOR: u64 = 2;
 /// Connections to a replica that each instance may open whatever the others do.
-const LEAST_CONNECTIONS: u32 = 1;
+const LEAST_CONNECTIONS: u32 = 2;
+/// Part of a replica's connections for the instances of its own zone, in hundredths; they
+/// send it most of its requests, the others hedges only.
+const NEAR_PERCENT: u32 = 60;
+/// Part for all other instances, in hundredths; the rest is room for instances that start
+/// while connections of others that have just died still count.
+const FAR_PERCENT: u32 = 30;
+/// Kept of the target latency for the way to and from the caller and for merging.
+const TARGET_MARGIN_MS: u64 = 6;
+/// Kept of the caller's deadline for the same.
+const DEADLINE_MARGIN_MS: u64 = 10;
+/// Cost, in multiples of the usual latency, from which another instance is not asked.
+pub(crate) const UNSOUND_PEER_COST: f64 = 4.0;
+/// Questions that another instance answers side by side without delay.
+pub(crate) const PEER_SLOTS: u32 = 8;
 /// What crossing zones costs, in multiples of the usual latency.
 ///
 /// Bytes between zones are priced far above the few milliseconds that a nearer replica
@@ -49,6 +68,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) backend: Rc<dyn Backend>,
     pub(crate) zone: Arc<str>,
+    pub(crate) links: Links,
     limits: RepeatLimits,
     standings: RefCell<HashMap<Arc<str>, Rc<RefCell<Standing>>>>,
     allowances: RefCell<HashMap<Arc<str>, Allowance>>,
@@ -59,6 +79,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RouteState {
     latency: RefCell<Quantile>,
+    relay_latency: RefCell<Quantile>,
     dealer: RefCell<Dealer>,
     /// Longest deadline that a caller named: that of its first attempt.
     full_deadline_ms: Cell<u64>,
@@ -78,6 +99,25 @@
         quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
     }
 
+    /// Time after which shards asked for elsewhere are asked directly, in milliseconds.
+    pub(crate) fn relay_hedge_after_ms(&self, target_ms: u64) -> u64 {
+        let latest_ms = (target_ms / RELAY_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
+        let quantile_us = self.relay_latency.borrow().value_us(RELAY_HEDGE_PER_MILLE);
+        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
+    }
+
+    /// The usual latency of another instance's answer, in milliseconds.
+    pub(crate) fn usual_relay_ms(&self) -> f64 {
+        let median_us = self.relay_latency.borrow().value_us(MEDIAN_PER_MILLE);
+        median_us
+            .map_or(2.0 * FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
+    }
+
+    pub(crate) fn note_relay(&self, took: Duration) {
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.relay_latency.borrow_mut().record(took_us);
+    }
+
     /// Time that the caller has spent on earlier attempts, in milliseconds.
     ///
     /// Callers lower the deadline with each attempt, so the longest one seen tells.
@@ -106,6 +146,8 @@
             shared,
             backend,
             zone,
+            // Nobody orders these frames, so they carry no clock stamp.
+            links: Links::new(Rc::new(|| 0)),
             limits,
             standings: RefCell::default(),
             allowances: RefCell::default(),
@@ -157,19 +199,37 @@
             Target::Split(split) => state.dealer.borrow_mut().next(split).into_iter().collect(),
             Target::Shards(shards) => shards.to_vec(),
         };
-        let deadline_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
-        let spent_ms = state.spent_ms(deadline_ms);
-        let limit_ms = deadline_ms.min(route.timeout_ms);
         let total = services.len();
-        let gather = Gather::new(self, view, route, state, request, services);
-        let gathered = gather.run(spent_ms, limit_ms).await;
+        let times = self.times(route, &state, request);
+        let gather = Gather::new(self, view, route, state, request, services, times);
+        let gathered = gather.run(For::Caller).await;
         match &route.target {
             Target::Shards(_) => merge(route, total, gathered),
-            Target::Service(_) | Target::Split(_) => relay(gathered),
+            Target::Service(_) | Target::Split(_) => hand_on(gathered),
+        }
+    }
+
+    fn times(&self, route: &Route, state: &RouteState, request: &Request) -> Times {
+        let ago_ms = u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(0);
+        let arrived_ms = self.shared.now_ms().saturating_sub(ago_ms);
+        let deadline_ms = request.deadline_ms.unwrap_or(route.timeout_ms);
+        let spent_ms = state.spent_ms(deadline_ms);
+        let limit_ms = deadline_ms.min(route.timeout_ms);
+        let margin_ms = DEADLINE_MARGIN_MS.min(limit_ms / 4);
+        let target_ms = match &route.target {
+            // One answer is all or nothing, so that there is nothing to stop short of.
+            Target::Service(_) | Target::Split(_) => limit_ms,
+            Target::Shards(_) => {
+                route.target_latency_ms.saturating_sub(TARGET_MARGIN_MS + spent_ms)
+            }
+        };
+        Times {
+            target_at_ms: arrived_ms + target_ms,
+            limit_at_ms: arrived_ms + limit_ms - margin_ms,
         }
     }
 
-    fn route_state(&self, name: &Arc<str>) -> Rc<RouteState> {
+    pub(crate) fn route_state(&self, name: &Arc<str>) -> Rc<RouteState> {
         Rc::clone(self.routes.borrow_mut().entry(Arc::clone(name)).or_default())
     }
 
@@ -199,12 +259,19 @@
         cost + if replica.zone == self.zone { 0.0 } else { FAR_COST }
     }
 
-    /// Connections that this instance may open to one replica of `service`.
-    pub(crate) fn most_connections(&self, view: &View, service: &str) -> u32 {
-        let limits = view.configuration.as_ref().and_then(|c| c.services.get(service));
+    /// Connections that this instance may open to a replica.
+    pub(crate) fn most_connections(&self, view: &View, replica: &ReplicaEntry) -> u32 {
+        let limits = view.configuration.as_ref().and_then(|c| c.services.get(&replica.service));
         let all = limits.map_or(LEAST_CONNECTIONS, |l| l.max_connections);
-        let instances = u32::try_from(view.instances.max(1)).unwrap_or(u32::MAX);
-        (all / instances).max(LEAST_CONNECTIONS)
+        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let near_peers = view.peers.iter().filter(|p| p.zone == replica.zone).count();
+        let is_near = self.zone == replica.zone;
+        let (percent, instances) = if is_near {
+            (NEAR_PERCENT, number(near_peers) + 1)
+        } else {
+            (FAR_PERCENT, number(view.peers.len() - near_peers) + 1)
+        };
+        (all * percent / 100 / instances.max(1)).max(LEAST_CONNECTIONS)
     }
 
     /// Sends one attempt and learns from how it ends.
@@ -251,9 +318,12 @@
             let entries = || view.replicas.values().flatten();
             let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
             self.backend.retain(&ids);
-            self.standings.borrow_mut().retain(|id, _| ids.contains(id));
+            let is_peer = |id: &Arc<str>| view.peers.iter().any(|p| peer_key(&p.name) == *id);
+            self.standings.borrow_mut().retain(|id, _| ids.contains(id) || is_peer(id));
             if view.configuration.is_some() {
-                for entry in entries().filter(|e| !known.contains(&e.id)) {
+                // Far replicas are asked by way of others, but for a hedge now and then.
+                let is_new = |e: &&Arc<ReplicaEntry>| !known.contains(&e.id) && e.zone == self.zone;
+                for entry in entries().filter(is_new) {
                     self.warm(&view, entry);
                 }
                 known = ids;
@@ -263,7 +333,7 @@
     }
 
     fn warm(&self, view: &View, entry: &Arc<ReplicaEntry>) {
-        let most = self.most_connections(view, &entry.service);
+        let most = self.most_connections(view, entry);
         let warming = self.backend.warm(Arc::clone(entry), most);
         let id = Arc::clone(&entry.id);
         actix_rt::spawn(async move {
@@ -274,14 +344,19 @@
     }
 }
 
+/// Key of another instance among the standings.
+pub(crate) fn peer_key(name: &str) -> Arc<str> {
+    format!("instance {name}").into()
+}
+
 /// A request in progress at a replica, until dropped.
-struct InProgress {
+pub(crate) struct InProgress {
     standing: Rc<RefCell<Standing>>,
     sent_ms: u64,
 }
 
 impl InProgress {
-    fn start(standing: &Rc<RefCell<Standing>>, now_ms: u64, usual_ms: f64) -> Self {
+    pub(crate) fn start(standing: &Rc<RefCell<Standing>>, now_ms: u64, usual_ms: f64) -> Self {
         standing.borrow_mut().sent(now_ms, usual_ms);
         Self { standing: Rc::clone(standing), sent_ms: now_ms }
     }
@@ -293,18 +368,23 @@
     }
 }
 
-fn relay(gathered: Gathered) -> Outcome {
+fn hand_on(gathered: Gathered) -> Outcome {
     let refusal = gathered.refusal(NO_REPLICA_RETRY_MS);
     let reply = gathered.replies.into_iter().next().map(|(_, reply)| reply);
     reply.or(gathered.failure).map_or(Outcome::Refused(refusal), Outcome::Relayed)
 }
 
 fn merge(route: &Route, total: usize, gathered: Gathered) -> Outcome {
-    if gathered.replies.len() < route.least_shards(total) {
+    let merged_parts: usize = gathered.merged.iter().map(|m| m.parts.len()).sum();
+    if gathered.replies.len() + merged_parts < route.least_shards(total) {
         return Outcome::Refused(gathered.refusal(NO_REPLICA_RETRY_MS));
     }
     let mut greatest = Greatest::new(route.top_k);
-    let mut signatures = Vec::with_capacity(gathered.replies.len());
+    let mut signatures = Vec::with_capacity(total);
+    for merged in gathered.merged {
+        greatest.add(&merged.records);
+        signatures.extend(merged.parts.into_iter().map(|(_, signature)| signature));
+    }
     for (_, reply) in gathered.replies {
         greatest.add(&reply.body);
         signatures.extend(reply.signature);
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -46,7 +46,13 @@
 /// The store's collections.
 pub trait Collections {
     /// All objects of a kind.
-    fn list(&self, kind: Kind) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+    ///
+    /// With `may_be_stale` they may be some seconds old, which costs the store less.
+    fn list(
+        &self,
+        kind: Kind,
+        may_be_stale: bool,
+    ) -> StoreFuture<'_, Result<Changes, CollectionError>>;
 
     /// Changes above `since`, as soon as there is one or `wait` is over.
     fn watch(
