Let few instances of a large zone gather; ask a late one whether it lives

Asking instances then sent late relays' shards again, three times the budget, though only one shard was late. Ruled out: processor time (0.009 cores at the most). Change: four instances of a large zone, or a fifth of it, chosen by weighted rendezvous, hold the connections and gather for the rest; asker and relay draw the same replicas from the request's id, so the relay may hedge; a late relay is asked whether it lives (one small frame) and only a silent one's shards are sent again; the slack for repeats goes to those who gather. One watcher of the store a zone.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -72,6 +72,9 @@
     /// Whether the store answers it.
     #[prost(bool, tag = "13")]
     pub is_store_reached: bool,
+    /// Its processor time, in thousandths of a core.
+    #[prost(uint32, tag = "14")]
+    pub capacity_milli: u32,
 }
 
 impl Member {
--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::rendezvous;
+
 /// Fewer shards than this are asked directly: the merged answer of one shard is about as
 /// long as its part, and the detour costs time.
 const LEAST_GROUP: usize = 2;
@@ -19,6 +21,32 @@
     pub shards: Vec<usize>,
 }
 
+/// Replicas that a shard's request may be sent to when it is asked for in `zone`, best
+/// first: positions in `replicas`.
+///
+/// The asking instance and the one in `zone` both send second tries, and neither knows
+/// whom the other has chosen. With more replicas than attempts the two together could
+/// reach too many; so both draw the same ones from the request's id.
+#[must_use]
+pub fn allowed(replicas: &[Place<'_>], zone: &str, attempts: usize, request: u64) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..replicas.len()).collect();
+    order.sort_by_key(|&i| {
+        let Place { id, zone: place } = replicas[i];
+        (place != zone, rendezvous::weight(request, rendezvous::hash(id)))
+    });
+    order.truncate(attempts.max(1));
+    order
+}
+
+/// A replica and its zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Its zone.
+    pub zone: &'a str,
+}
+
 /// Groups shards by zone; `zones` lists for each shard the zones that could serve it.
 ///
 /// Shards in no group are asked directly. `turn` rotates which of several equally good
--- a/crates/decide/src/watchers.rs
+++ b/crates/decide/src/watchers.rs
@@ -2,13 +2,17 @@
 //!
 //! Each call of the store is paid for and its rates grow more slowly than the fleet. A
 //! few watchers, the same at every instance by rendezvous over the members, carry news
-//! to all others by gossip. An instance that the store turns away drops out of the
-//! choice as soon as its record says so, and the next one steps in.
+//! to all others by gossip: one in each zone, so that changes cross zones but once, and
+//! one more of all. An instance that the store turns away drops out of the choice as soon
+//! as its record says so, and the next one steps in.
 
 use crate::rendezvous;
 
-/// Instances that watch: one may just have died, and one be cut off unnoticed.
-const WATCHERS: usize = 3;
+/// Watchers in each zone. One may just have died or be cut off unnoticed; then the zone
+/// hears from the other zones' watchers.
+const WATCHERS_IN_ZONE: usize = 1;
+/// Watchers at least, wherever they are.
+const WATCHERS_AT_LEAST: usize = 2;
 /// Key under which instances are ranked.
 const RANKING: &str = "store-watchers";
 
@@ -17,6 +21,8 @@
 pub struct Candidate {
     /// Its key in rendezvous order.
     pub key: u64,
+    /// Key of its zone.
+    pub zone: u64,
     /// Whether the store answers it.
     pub is_store_reached: bool,
 }
@@ -24,11 +30,16 @@
 /// Whether the instance `own` watches, among itself and `others`.
 #[must_use]
 pub fn is_watcher(own: Candidate, others: &[Candidate]) -> bool {
-    let reached: Vec<u64> = others.iter().filter(|c| c.is_store_reached).map(|c| c.key).collect();
+    let reached: Vec<&Candidate> = others.iter().filter(|c| c.is_store_reached).collect();
     if !own.is_store_reached {
         // Somebody has to find out when the store is back.
         return reached.is_empty();
     }
-    let all: Vec<u64> = reached.into_iter().chain([own.key]).collect();
-    rendezvous::is_in_top(rendezvous::hash(RANKING), own.key, &all, WATCHERS)
+    let ranking = rendezvous::hash(RANKING);
+    let is_in_top = |wanted: &dyn Fn(&Candidate) -> bool, top: usize| {
+        let keys = reached.iter().filter(|c| wanted(c)).map(|c| c.key);
+        let all: Vec<u64> = keys.chain([own.key]).collect();
+        rendezvous::is_in_top(ranking, own.key, &all, top)
+    };
+    is_in_top(&|c| c.zone == own.zone, WATCHERS_IN_ZONE) || is_in_top(&|_| true, WATCHERS_AT_LEAST)
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -16,7 +16,7 @@
     #[prost(uint64, tag = "2")]
     pub stamp: u64,
     /// What is asked or answered.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub body: Option<Body>,
 }
 
@@ -71,6 +71,9 @@
     /// Answers [`Body::Gather`].
     #[prost(message, tag = "18")]
     Gathered(Gathered),
+    /// Asks whether the instance answers at all, and is the answer to that.
+    #[prost(message, tag = "19")]
+    Alive(Nothing),
 }
 
 /// Which changes are asked for.
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -1,12 +1,15 @@
 //! Gossip with the other instances, and what is fetched from them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use eelgrasspier_decide::gatherers;
 use eelgrasspier_decide::membership::{Change, Datagram, Liveness, Member, Send, State};
 use eelgrasspier_decide::mirror::Mirror;
+use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::watchers::{self, Candidate};
 use eelgrasspier_peer::Gossip;
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
@@ -146,8 +149,11 @@
 
     pub(super) fn is_watcher(&self) -> bool {
         let membership = self.membership.borrow();
-        let candidate =
-            |m: &Member| Candidate { key: m.key(), is_store_reached: m.is_store_reached };
+        let candidate = |m: &Member| Candidate {
+            key: m.key(),
+            zone: rendezvous::hash(&m.zone),
+            is_store_reached: m.is_store_reached,
+        };
         let others: Vec<Candidate> =
             membership.alive().filter(|m| m.state() != State::Left).map(candidate).collect();
         watchers::is_watcher(candidate(membership.own()), &others)
@@ -158,15 +164,39 @@
         u64::try_from(self.membership.borrow().alive_count()).unwrap_or(1)
     }
 
+    /// Instances of a zone that gather for the others.
+    fn gatherers(&self, zone: &str) -> Vec<u64> {
+        let membership = self.membership.borrow();
+        let own = std::iter::once(membership.own());
+        let candidate =
+            |m: &Member| gatherers::Candidate { key: m.key(), capacity_milli: m.capacity_milli };
+        let all = own.chain(membership.alive().filter(is_serving)).filter(|m| m.zone == zone);
+        gatherers::choose(zone, &all.map(candidate).collect::<Vec<_>>())
+    }
+
+    pub(super) fn is_gatherer(&self) -> bool {
+        let own = self.membership.borrow().own().key();
+        self.gatherers(&self.identity.zone).contains(&own)
+    }
+
     /// The other instances that serve.
     pub(super) fn peers(&self) -> Vec<Peer> {
         let membership = self.membership.borrow();
-        let is_serving = |m: &&Member| m.state() == State::Ready && m.liveness() == Liveness::Alive;
-        let peer = |m: &Member| {
-            let addr = m.peer_addr.parse().ok()?;
-            Some(Peer { name: m.name.as_str().into(), addr, zone: m.zone.as_str().into() })
+        let serving: Vec<&Member> = membership.alive().filter(is_serving).collect();
+        let mut chosen: HashMap<&str, Vec<u64>> = HashMap::new();
+        for member in &serving {
+            chosen.entry(&member.zone).or_insert_with(|| self.gatherers(&member.zone));
+        }
+        let peer = |m: &&Member| {
+            let is_gatherer = chosen.get(m.zone.as_str()).is_some_and(|c| c.contains(&m.key()));
+            Some(Peer {
+                name: m.name.as_str().into(),
+                addr: m.peer_addr.parse().ok()?,
+                zone: m.zone.as_str().into(),
+                is_gatherer,
+            })
         };
-        membership.alive().filter(is_serving).filter_map(peer).collect()
+        serving.iter().filter_map(peer).collect()
     }
 
     pub(super) fn set_ready(&self, is_ready: bool) {
@@ -184,6 +214,10 @@
     }
 }
 
+fn is_serving(member: &&Member) -> bool {
+    member.state() == State::Ready && member.liveness() == Liveness::Alive
+}
+
 fn revision_of(member: &Member, kind: Kind) -> u64 {
     match kind {
         Kind::Replicas => member.replicas_revision,
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -39,6 +39,7 @@
     pub(crate) zone: String,
     pub(crate) peer_addr: SocketAddr,
     pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) capacity_milli: u32,
 }
 
 /// The state of the control thread.
@@ -221,6 +222,7 @@
             replicas: Arc::new(replicas),
             has_replicas,
             instances: self.instances(),
+            is_gatherer: self.is_gatherer(),
             peers: Arc::new(self.peers()),
         };
         self.set_ready(view.is_ready());
@@ -240,6 +242,7 @@
         zone: identity.zone.clone(),
         peer_addr: identity.peer_addr.to_string(),
         is_store_reached: true,
+        capacity_milli: identity.capacity_milli,
         ..Member::default()
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -52,6 +52,8 @@
     pub peer_addr: SocketAddr,
     /// Where some of the other instances are, or were.
     pub seeds: Vec<SocketAddr>,
+    /// Its processor time, in thousandths of a core.
+    pub capacity_milli: u32,
     /// Where metrics are served.
     pub metrics_addr: Option<SocketAddr>,
     /// What all instances together may send twice.
@@ -127,6 +129,7 @@
         zone: setup.zone.clone(),
         peer_addr: setup.peer_addr,
         seeds: setup.seeds.clone(),
+        capacity_milli: setup.capacity_milli,
     };
     let (started, has_started) = oneshot::channel();
     arbiter.spawn_fn(move || {
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -12,14 +12,16 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::patience::{Gathering, Next};
 use eelgrasspier_decide::prelude::Verdict;
+use eelgrasspier_decide::relays::{self, Place};
+use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::route::Route;
 use tokio::sync::mpsc;
 
 use crate::backend::{Attempt, Reply};
 use crate::model::Request;
 use crate::router::{RouteState, Router};
-use crate::view::View;
-use relay::RelayEnd;
+use crate::view::{Peer, View};
+use relay::{Check, RelayEnd};
 use shard::{Shard, ShardState};
 
 pub(crate) use shard::{Gathered, MergedParts};
@@ -47,8 +49,18 @@
 
 /// The end of one send, or of one question to another instance.
 enum Landed {
-    Send { shard: usize, replica: Arc<str>, result: Result<Reply, PartFailure> },
+    Send {
+        shard: usize,
+        replica: Arc<str>,
+        result: Result<Reply, PartFailure>,
+    },
     Relay(RelayEnd),
+    /// Whether an instance whose answer is late answers at all.
+    Checked {
+        peer: Peer,
+        shards: Vec<usize>,
+        is_alive: bool,
+    },
 }
 
 /// Sends in progress; dropped, they are cancelled, unless they were let go.
@@ -86,6 +98,8 @@
     flights: Flights,
     landed: mpsc::UnboundedReceiver<Landed>,
     land: mpsc::UnboundedSender<Landed>,
+    /// Instances that are asked whether they answer, once that is due.
+    checks: Vec<Check>,
     gathered: Gathered,
 }
 
@@ -112,6 +126,7 @@
             flights: Flights::default(),
             landed,
             land,
+            checks: Vec::new(),
             gathered: Gathered::default(),
         }
     }
@@ -123,6 +138,9 @@
             For::Caller => self.ask_all(),
             For::Peer => {
                 self.least = 0;
+                for shard in &mut self.shards {
+                    shard.relay_zone = Some(Arc::clone(&self.router.zone));
+                }
                 (0..self.shards.len()).for_each(|shard| self.send_first(shard));
             }
         }
@@ -137,19 +155,23 @@
                 Next::WaitUntil(at_ms) => at_ms,
             };
             self.hedge_due(now_ms);
+            self.check_due(now_ms);
             self.take_next(now_ms, wait_until_ms).await;
         }
         // What is still on its way may run; to say that it did not would be a lie.
         self.gathered.may_have_run |= self.shards.iter().any(|s| s.in_flight > 0);
         self.flights.let_go();
+        let missing = self.shards.iter().filter(|s| s.state != ShardState::Covered);
+        self.gathered.missing = missing.map(|s| Arc::clone(&s.service)).collect();
         self.gathered.drop_doubles();
         self.gathered
     }
 
     /// Waits for an end, the next hedge or `until_ms`, whichever comes first.
     async fn take_next(&mut self, now_ms: u64, until_ms: u64) {
-        let next_hedge_ms = self.shards.iter().filter_map(|s| s.hedge_at_ms).min();
-        let wake_ms = next_hedge_ms.map_or(until_ms, |at| at.min(until_ms));
+        let hedges = self.shards.iter().filter_map(|s| s.hedge_at_ms);
+        let next_ms = hedges.chain(self.checks.iter().map(|c| c.at_ms)).min();
+        let wake_ms = next_ms.map_or(until_ms, |at| at.min(until_ms));
         let pause = Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1));
         if let Ok(Some(landed)) = tokio::time::timeout(pause, self.landed.recv()).await {
             self.take(landed);
@@ -185,16 +207,31 @@
     fn pick(&self, shard: &Shard) -> Option<&'a Arc<ReplicaEntry>> {
         let all = self.replicas(&shard.service);
         let attempts = self.route.attempts.max(1);
-        // With no more replicas than attempts it does not matter who sends to which.
-        let has_enough = shard.lent > 0 && all.len() <= attempts;
-        if shard.used_attempts() >= attempts && !has_enough {
+        if shard.used_attempts() >= attempts {
             return None;
         }
+        let allowed: Vec<&Arc<ReplicaEntry>> = match &shard.relay_zone {
+            Some(zone) if all.len() > attempts => self.allowed(all, zone, attempts),
+            _ => all.iter().collect(),
+        };
         let cost = |r: &&Arc<ReplicaEntry>| self.router.cost(r);
-        let open = all.iter().filter(|r| !shard.tried.contains(&r.id));
+        let open = allowed.into_iter().filter(|r| !shard.tried.contains(&r.id));
         open.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    fn allowed(
+        &self,
+        all: &'a [Arc<ReplicaEntry>],
+        zone: &str,
+        attempts: usize,
+    ) -> Vec<&'a Arc<ReplicaEntry>> {
+        let places: Vec<Place<'_>> =
+            all.iter().map(|r| Place { id: &r.id, zone: &r.zone }).collect();
+        let request = rendezvous::hash(self.request.id_text());
+        let allowed = relays::allowed(&places, zone, attempts, request);
+        allowed.into_iter().map(|i| &all[i]).collect()
+    }
+
     fn send_first(&mut self, index: usize) {
         self.router.note_request(&self.shards[index].service);
         self.send(index);
@@ -209,7 +246,7 @@
         let now_ms = self.router.shared.now_ms();
         let hedge_ms = self.route_state.hedge_after_ms(self.route.target_latency_ms);
         let shard = &mut self.shards[index];
-        let can_hedge = self.route.is_idempotent && shard.tried.is_empty() && shard.lent == 0;
+        let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
         shard.in_flight += 1;
         shard.hedge_at_ms = can_hedge.then_some(now_ms + hedge_ms);
@@ -251,11 +288,16 @@
         if self.pick(shard).is_none() {
             return false;
         }
-        let is_paid = self.router.take_repeat(&shard.service, self.view.instances);
+        let is_paid = self.router.take_repeat(&shard.service, self.view);
         let paid = if is_paid { "yes" } else { "no" };
         metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
             .increment(1);
-        is_paid && self.send(index)
+        if !is_paid {
+            self.gathered.unpaid += 1;
+            return false;
+        }
+        self.gathered.repeats += 1;
+        self.send(index)
     }
 
     fn take(&mut self, landed: Landed) {
@@ -269,6 +311,9 @@
                 }
             }
             Landed::Relay(end) => self.take_relay(end),
+            Landed::Checked { peer, shards, is_alive } => {
+                self.take_check(&peer, &shards, is_alive);
+            }
         }
     }
 
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -17,6 +17,21 @@
 /// Time that an answer needs at least for the detour to be worth it.
 const LEAST_ANSWER_MS: u64 = 8;
 
+/// Time in which an instance says that it is alive; a way there and back within a region
+/// takes up to 6 ms.
+const ALIVE_TIMEOUT: Duration = Duration::from_millis(10);
+
+/// When an instance is asked whether it answers at all.
+///
+/// A late answer has two causes. Mostly a shard is late, and the instance sends second
+/// requests itself: to send them from here too took three times the budget for repeats.
+/// But it may be frozen or cut off, and then all its shards must be asked from here.
+pub(super) struct Check {
+    peer: Peer,
+    shards: Vec<usize>,
+    pub(super) at_ms: u64,
+}
+
 /// The end of a question to another instance.
 pub(super) struct RelayEnd {
     peer: Arc<str>,
@@ -65,7 +80,7 @@
     /// has one, or if the best replica is so much better that it is asked directly.
     fn relay_zones<'p>(&self, service: &str, peers: &[&'p Peer]) -> Vec<&'p str> {
         let replicas = self.replicas(service);
-        if replicas.iter().any(|r| r.zone == self.router.zone) {
+        if self.view.is_gatherer && replicas.iter().any(|r| r.zone == self.router.zone) {
             return Vec::new();
         }
         let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
@@ -78,15 +93,15 @@
 
     fn ask(&mut self, peer: &Peer, shards: Vec<usize>) {
         let now_ms = self.router.shared.now_ms();
-        let attempts = self.lent_attempts(&shards);
-        let hedge_ms = self.route_state.relay_hedge_after_ms(self.route.target_latency_ms);
+        let check_ms = self.route_state.relay_check_after_ms(self.route.target_latency_ms);
         for &index in &shards {
             let shard = &mut self.shards[index];
             shard.in_flight += 1;
-            shard.lent = attempts;
-            shard.hedge_at_ms = Some(now_ms + hedge_ms);
+            shard.relay_zone = Some(Arc::clone(&peer.zone));
         }
-        let question = self.question(&shards, attempts, now_ms);
+        let at_ms = now_ms + check_ms;
+        self.checks.push(Check { peer: peer.clone(), shards: shards.clone(), at_ms });
+        let question = self.question(&shards, now_ms);
         let time_left = Duration::from_millis(self.times.limit_at_ms.saturating_sub(now_ms));
         let asking = Rc::clone(self.router).ask_peer(
             peer.clone(),
@@ -96,6 +111,7 @@
         );
         let land = self.land.clone();
         let peer = Arc::clone(&peer.name);
+        self.gathered.relays += 1;
         self.flights.0.push(actix_rt::spawn(async move {
             let end = RelayEnd { peer, shards, result: asking.await };
             // Nobody listens once the answer has gone out.
@@ -103,15 +119,7 @@
         }));
     }
 
-    /// Replicas of each shard that the other instance may use: all attempts, where this
-    /// instance could not choose another replica anyway, else all but one.
-    fn lent_attempts(&self, shards: &[usize]) -> usize {
-        let attempts = self.route.attempts.max(1);
-        let is_few = |&i: &usize| self.replicas(&self.shards[i].service).len() <= attempts;
-        if shards.iter().all(is_few) { attempts } else { (attempts - 1).max(1) }
-    }
-
-    fn question(&self, shards: &[usize], attempts: usize, now_ms: u64) -> Body {
+    fn question(&self, shards: &[usize], now_ms: u64) -> Body {
         let request = self.request;
         let until_target_ms = self.times.target_at_ms.saturating_sub(now_ms);
         let time_left_ms = self.times.limit_at_ms.saturating_sub(now_ms);
@@ -136,7 +144,7 @@
             body: request.body.clone(),
             route: self.route.name.to_string(),
             services: shards.iter().map(service).collect(),
-            attempts: number(attempts),
+            attempts: number(self.route.attempts),
             top_k: number(self.route.top_k),
             time_left_ms,
             answer_within_ms,
@@ -144,6 +152,37 @@
         })
     }
 
+    pub(super) fn check_due(&mut self, now_ms: u64) {
+        let is_due = |c: &mut Check| c.at_ms <= now_ms;
+        let due: Vec<Check> = self.checks.extract_if(.., is_due).collect();
+        for Check { peer, shards, .. } in due {
+            if shards.iter().all(|&i| self.shards[i].state != ShardState::Open) {
+                continue;
+            }
+            let router = Rc::clone(self.router);
+            let land = self.land.clone();
+            self.flights.0.push(actix_rt::spawn(async move {
+                let is_alive = router.is_alive(&peer, ALIVE_TIMEOUT).await;
+                // Nobody listens once the answer has gone out.
+                let _is_late = land.send(Landed::Checked { peer, shards, is_alive }).is_err();
+            }));
+        }
+    }
+
+    pub(super) fn take_check(&mut self, peer: &Peer, shards: &[usize], is_alive: bool) {
+        if is_alive {
+            return;
+        }
+        let id = self.request.id_text();
+        log::info!("event=relay_silent id={id} peer={} shards={}", peer.name, shards.len());
+        self.router.note_silent(peer);
+        for &index in shards {
+            if self.shards[index].state == ShardState::Open {
+                self.send_again(index, "relay_silent");
+            }
+        }
+    }
+
     pub(super) fn take_relay(&mut self, end: RelayEnd) {
         let RelayEnd { peer, shards, result } = end;
         for &index in &shards {
@@ -183,14 +222,13 @@
     /// Asks a replica directly for a shard that the other instance did not bring.
     fn recover_relayed(&mut self, index: usize, was_sent: bool) {
         let shard = &mut self.shards[index];
-        shard.hedge_at_ms = None;
         if shard.state != ShardState::Open {
             return;
         }
         if was_sent {
             self.recover(index, true);
         } else {
-            shard.lent = 0;
+            shard.relay_zone = None;
             self.send_first(index);
         }
     }
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -22,8 +22,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Sends that surely did not run.
     pub(super) not_run: usize,
-    /// Replicas that another instance may have sent it to.
-    pub(super) lent: usize,
+    /// Zone in which it was asked for, where that was by way of another instance.
+    pub(super) relay_zone: Option<Arc<str>>,
     /// Sends and questions to other instances without an end.
     pub(super) in_flight: usize,
     pub(super) hedge_at_ms: Option<u64>,
@@ -36,7 +36,7 @@
             service,
             tried: Vec::new(),
             not_run: 0,
-            lent: 0,
+            relay_zone: None,
             in_flight: 0,
             hedge_at_ms: None,
             state: ShardState::Open,
@@ -47,7 +47,7 @@
     ///
     /// A send that is on its way may run too: a second one beside it counts.
     pub(super) fn used_attempts(&self) -> usize {
-        self.tried.len() - self.not_run + self.lent
+        self.tried.len() - self.not_run
     }
 }
 
@@ -73,6 +73,13 @@
     pub(crate) may_have_run: bool,
     /// Whether the time was over.
     pub(crate) is_timed_out: bool,
+    /// Second sends that went out, and those that the budget did not allow.
+    pub(crate) repeats: u32,
+    pub(crate) unpaid: u32,
+    /// Instances that were asked.
+    pub(crate) relays: u32,
+    /// Shards that are not in, by name.
+    pub(crate) missing: Vec<Arc<str>>,
 }
 
 impl Gathered {
@@ -87,6 +94,13 @@
         Refusal { verdict, reason, retry_after_ms: Some(retry_after_ms) }
     }
 
+    /// What it took, for the log.
+    pub(crate) fn effort(&self) -> String {
+        let Self { repeats, unpaid, relays, missing, .. } = self;
+        let missing = missing.join(",");
+        format!("repeats={repeats} unpaid={unpaid} relays={relays} missing=[{missing}]")
+    }
+
     /// Drops own parts of shards that are in a merged answer too.
     ///
     /// A merged answer can't be taken apart again, and a shard must not count twice.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -39,6 +39,7 @@
                 Body::Gather(question) => {
                     Body::Gathered(self.router.gather_for_peer(question).await)
                 }
+                Body::Alive(nothing) => Body::Alive(nothing),
                 _ => Body::Refused("not a question for a router".to_owned()),
             }
         })
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -16,6 +16,10 @@
 use crate::router::{InProgress, PEER_SLOTS, RouteState, Router, UNSOUND_PEER_COST, peer_key};
 use crate::view::{Peer, View};
 
+/// Time after which a link without an answer is closed; a frozen instance is back within
+/// seconds, but a connection that has gone silent stays so.
+const LINK_PATIENCE: Duration = Duration::from_secs(1);
+
 impl Router {
     /// Instances that answered lately, or were not asked for a while.
     pub(crate) fn sound_peers<'v>(&self, view: &'v View) -> Vec<&'v Peer> {
@@ -24,7 +28,7 @@
             let standing = self.standing(&peer_key(&p.name));
             standing.borrow().cost(PEER_SLOTS, now_ms) < UNSOUND_PEER_COST
         };
-        view.peers.iter().filter(is_sound).collect()
+        view.peers.iter().filter(|p| p.is_gatherer).filter(is_sound).collect()
     }
 
     /// The instance of a zone that is expected to answer first; `turn` breaks ties.
@@ -79,6 +83,20 @@
         }
     }
 
+    /// Whether an instance answers at all.
+    pub(crate) async fn is_alive(&self, peer: &Peer, timeout: Duration) -> bool {
+        let question = Body::Alive(wire::Nothing {});
+        // The link is kept: an answer that is late may still come on it.
+        let asking = self.links.ask(peer.addr, question, LINK_PATIENCE);
+        matches!(tokio::time::timeout(timeout, asking).await, Ok(Ok(Body::Alive(_))))
+    }
+
+    /// Notes that an instance does not answer.
+    pub(crate) fn note_silent(&self, peer: &Peer) {
+        let standing = self.standing(&peer_key(&peer.name));
+        standing.borrow_mut().failed(self.shared.now_ms());
+    }
+
     /// Gathers shards for another instance and merges them.
     pub(crate) async fn gather_for_peer(self: &Rc<Self>, question: wire::Gather) -> wire::Gathered {
         let now_ms = self.shared.now_ms();
@@ -99,6 +117,14 @@
         let gather = Gather::new(self, &view, &route, state, &request, services, times);
         let gathered = gather.run(For::Peer).await;
         metrics::counter!("eelgrasspier_relayed_total").increment(1);
+        log::info!(
+            "event=gathered_for_peer id={} route={} parts={} {} took_ms={}",
+            request.id_text(),
+            route.name,
+            gathered.replies.len(),
+            gathered.effort(),
+            request.arrived.elapsed().as_millis()
+        );
         to_wire(gathered, top_k)
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -20,7 +20,7 @@
 use crate::backend::{Attempt, Backend, Reply};
 use crate::gather::{For, Gather, Gathered, Times};
 use crate::model::{Merged, Outcome, Request};
-use crate::view::{Shared, View};
+use crate::view::{Peer, Shared, View};
 
 /// When to come back to an instance that knows no configuration yet: it learns one
 /// within a second of the store's return.
@@ -37,12 +37,15 @@
 const LEAST_HEDGE_MS: u64 = 4;
 /// Share of the target latency after which a second send goes out at the latest.
 const HEDGE_TARGET_DIVISOR: u64 = 3;
-/// Quantile of merged answers after which their shards are asked directly as well.
-const RELAY_HEDGE_PER_MILLE: u32 = 970;
+/// Quantile of merged answers after which the instance is asked whether it is alive.
+const RELAY_CHECK_PER_MILLE: u32 = 800;
 /// Share of the target latency after which that happens at the latest.
-const RELAY_TARGET_DIVISOR: u64 = 2;
+const RELAY_TARGET_DIVISOR: u64 = 3;
+/// Part of the slack for repeats of the instances that gather, in hundredths, where others
+/// do not: nearly all repeats are sent by those who gather.
+const GATHERERS_PERCENT: u64 = 80;
 /// Connections to a replica that each instance may open whatever the others do.
-const LEAST_CONNECTIONS: u32 = 2;
+const LEAST_CONNECTIONS: u32 = 1;
 /// Part of a replica's connections for the instances of its own zone, in hundredths; they
 /// send it most of its requests, the others hedges only.
 const NEAR_PERCENT: u32 = 60;
@@ -99,10 +102,10 @@
         quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
     }
 
-    /// Time after which shards asked for elsewhere are asked directly, in milliseconds.
-    pub(crate) fn relay_hedge_after_ms(&self, target_ms: u64) -> u64 {
+    /// Time after which an instance that gathers is asked whether it answers at all.
+    pub(crate) fn relay_check_after_ms(&self, target_ms: u64) -> u64 {
         let latest_ms = (target_ms / RELAY_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
-        let quantile_us = self.relay_latency.borrow().value_us(RELAY_HEDGE_PER_MILLE);
+        let quantile_us = self.relay_latency.borrow().value_us(RELAY_CHECK_PER_MILLE);
         quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
     }
 
@@ -203,6 +206,7 @@
         let times = self.times(route, &state, request);
         let gather = Gather::new(self, view, route, state, request, services, times);
         let gathered = gather.run(For::Caller).await;
+        log::info!("event=gathered id={} {}", request.id_text(), gathered.effort());
         match &route.target {
             Target::Shards(_) => merge(route, total, gathered),
             Target::Service(_) | Target::Split(_) => hand_on(gathered),
@@ -245,7 +249,8 @@
     }
 
     /// Takes one second send to `service` from the budget, if there is one.
-    pub(crate) fn take_repeat(&self, service: &Arc<str>, instances: u64) -> bool {
+    pub(crate) fn take_repeat(&self, service: &Arc<str>, view: &View) -> bool {
+        let instances = sharers_of_slack(view);
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
@@ -264,8 +269,9 @@
         let limits = view.configuration.as_ref().and_then(|c| c.services.get(&replica.service));
         let all = limits.map_or(LEAST_CONNECTIONS, |l| l.max_connections);
         let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let near_peers = view.peers.iter().filter(|p| p.zone == replica.zone).count();
-        let is_near = self.zone == replica.zone;
+        let is_beside = |p: &&Peer| p.is_gatherer && p.zone == replica.zone;
+        let near_peers = view.peers.iter().filter(is_beside).count();
+        let is_near = self.zone == replica.zone && view.is_gatherer;
         let (percent, instances) = if is_near {
             (NEAR_PERCENT, number(near_peers) + 1)
         } else {
@@ -322,11 +328,12 @@
             self.standings.borrow_mut().retain(|id, _| ids.contains(id) || is_peer(id));
             if view.configuration.is_some() {
                 // Far replicas are asked by way of others, but for a hedge now and then.
-                let is_new = |e: &&Arc<ReplicaEntry>| !known.contains(&e.id) && e.zone == self.zone;
+                let is_own = |e: &Arc<ReplicaEntry>| view.is_gatherer && e.zone == self.zone;
+                let is_new = |e: &&Arc<ReplicaEntry>| !known.contains(&e.id) && is_own(e);
                 for entry in entries().filter(is_new) {
                     self.warm(&view, entry);
                 }
-                known = ids;
+                known = if view.is_gatherer { ids } else { HashSet::new() };
             }
             self.shared.has_changed.notified().await;
         }
@@ -368,6 +375,18 @@
     }
 }
 
+/// Number of instances by which the slack is divided for this one.
+fn sharers_of_slack(view: &View) -> u64 {
+    let others = view.peers.iter().filter(|p| p.is_gatherer).count();
+    let gatherers = u64::try_from(others).unwrap_or(u64::MAX) + u64::from(view.is_gatherer);
+    let rest = view.instances.saturating_sub(gatherers);
+    match (rest, view.is_gatherer) {
+        (0, _) => view.instances,
+        (_, true) => (gatherers * 100).div_ceil(GATHERERS_PERCENT),
+        (_, false) => (rest * 100).div_ceil(100 - GATHERERS_PERCENT),
+    }
+}
+
 fn hand_on(gathered: Gathered) -> Outcome {
     let refusal = gathered.refusal(NO_REPLICA_RETRY_MS);
     let reply = gathered.replies.into_iter().next().map(|(_, reply)| reply);
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -19,6 +19,8 @@
     pub addr: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Whether it holds connections to its zone's replicas and gathers for others.
+    pub is_gatherer: bool,
 }
 
 /// One state of control, published as a whole.
@@ -34,6 +36,8 @@
     pub has_replicas: bool,
     /// Instances that share connections and repeats, this one included.
     pub instances: u64,
+    /// Whether this instance holds connections to its zone's replicas.
+    pub is_gatherer: bool,
     /// The other live instances.
     pub peers: Arc<Vec<Peer>>,
 }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -219,6 +219,7 @@
         replicas: Arc::new(replicas),
         has_replicas: true,
         instances: 1,
+        is_gatherer: true,
         ..View::default()
     }
 }
