Choose only replicas with a free connection; assume many instances at a start

Change: a replica without a free connection isn't picked, a shard that finds none looks again after 4 ms; 40 % of the connections are for far instances; sixteen instances are assumed until the list was read; hedges wait for a fifth of the target, longer while the budget is scarce.

--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -159,6 +159,14 @@
         Ok(())
     }
 
+    /// Whether a connection is idle, or another may be opened.
+    #[must_use]
+    pub fn has_room(&self, server: &str, most_connections: u32) -> bool {
+        let lanes = self.lanes.borrow();
+        let Some(lane) = lanes.get(server) else { return true };
+        !lane.idle.borrow().is_empty() || lane.open.get() < most_connections
+    }
+
     /// Forgets servers that are gone, with their idle connections.
     pub fn retain(&self, servers: &HashSet<Arc<str>>) {
         self.lanes.borrow_mut().retain(|server, _| servers.contains(server));
--- a/crates/decide/src/allowance.rs
+++ b/crates/decide/src/allowance.rs
@@ -52,17 +52,29 @@
     ///
     /// `instances` is the number of instances that share the slack.
     pub fn take(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> bool {
+        let (repeats_milli, most_milli) = self.balance(limits, instances, now_ms);
+        if repeats_milli + MILLI > most_milli {
+            return false;
+        }
+        self.span(limits, now_ms).repeats += 1;
+        true
+    }
+
+    /// Whether more than half of what may be sent now has been sent.
+    pub fn is_scarce(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> bool {
+        let (repeats_milli, most_milli) = self.balance(limits, instances, now_ms);
+        2 * repeats_milli > most_milli
+    }
+
+    /// Second sends in the window and the most there may be, both in thousandths.
+    fn balance(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> (u64, u64) {
         self.span(limits, now_ms);
         // The oldest span may have left the window for requests, but not for repeats.
         let requests: u64 = self.spans.iter().skip(1).map(|s| s.requests).sum();
         let repeats: u64 = self.spans.iter().map(|s| s.repeats).sum();
         let by_ratio = requests * limits.ratio_milli * RATIO_USED_MILLI / MILLI;
         let by_slack = limits.slack * SLACK_USED_MILLI / instances.max(1);
-        if (repeats + 1) * MILLI > by_ratio + by_slack {
-            return false;
-        }
-        self.span(limits, now_ms).repeats += 1;
-        true
+        (repeats * MILLI, by_ratio + by_slack)
     }
 
     fn span(&mut self, limits: &RepeatLimits, now_ms: u64) -> &mut Span {
--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -140,6 +140,12 @@
         1 + self.alive().count()
     }
 
+    /// Number of instances that the platform lists, this one included.
+    #[must_use]
+    pub fn listed_count(&self) -> usize {
+        1 + self.listed.len()
+    }
+
     /// Moves whenever something changes that shares or views may depend on.
     ///
     /// With thousands of members, conclusions are drawn only when there are any.
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -51,6 +51,9 @@
     /// Sends a request and reads its whole answer.
     fn send(&self, attempt: Attempt) -> BackendFuture<Reply>;
 
+    /// Whether a request could be sent at once within `most_connections`.
+    fn has_room(&self, replica: &str, most_connections: u32) -> bool;
+
     /// Opens a connection to a replica before it is needed.
     fn warm(&self, replica: Arc<ReplicaEntry>, most_connections: u32) -> BackendFuture<()>;
 
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -145,6 +145,9 @@
                     });
                     let listed: Vec<Listed> = listed.map(to_listed).collect();
                     self.membership.borrow_mut().set_listed(&listed);
+                    if !self.has_listed.replace(true) {
+                        self.publish();
+                    }
                     may_be_stale = true;
                     tokio::time::sleep(INSTANCES_EVERY).await;
                 }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -24,6 +24,11 @@
 const TOLD_AT_ONCE: usize = 16;
 /// Time in which another instance must hand over changes.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two records of an instance that does not watch, in milliseconds.
+const TELL_EVERY_MS: u64 = 3_000;
+/// Instances that are assumed until the list was read: more than most deployments have
+/// in a few zones.
+const ASSUMED_INSTANCES: u64 = 16;
 /// Greets seeds at one tick in this many while nobody else is known.
 const GREET_ONE_IN: u64 = 5;
 
@@ -109,11 +114,14 @@
         if self.fetching.borrow().contains(&kind) {
             return;
         }
-        let ahead = self.membership.borrow().alive().find_map(|m| {
-            let addr: SocketAddr = m.peer_addr.parse().ok()?;
-            (revision_of(m, kind) > known).then(|| (m.name.clone(), addr))
-        });
-        let Some((name, addr)) = ahead else { return };
+        let membership = self.membership.borrow();
+        let ahead = membership.alive().filter(|m| revision_of(m, kind) > known);
+        // One in the own zone, if there is one: so changes cross zones but once.
+        let best = ahead.min_by_key(|m| (m.zone != self.identity.zone, rand::random::<u32>()));
+        let Some((name, Ok(addr))) = best.map(|m| (m.name.clone(), m.peer_addr.parse())) else {
+            return;
+        };
+        drop(membership);
         self.fetching.borrow_mut().push(kind);
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -130,6 +138,11 @@
 
     /// Tells the others what this instance has taken in.
     pub(super) fn announce_changes(&self) {
+        // Others fetch from the watchers; that each instance told of each change cost more
+        // bytes than the changes themselves.
+        if !self.is_watcher() && !self.is_told_due() {
+            return;
+        }
         let revision = |kind| self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
         let (replicas, configuration) = (revision(Kind::Replicas), revision(Kind::Configuration));
         self.membership.borrow_mut().update_own(|m| {
@@ -141,6 +154,16 @@
         }
     }
 
+    /// Whether an instance that does not watch may tell again what it has taken in.
+    fn is_told_due(&self) -> bool {
+        let now_ms = self.shared.now_ms();
+        let is_due = now_ms >= self.told_ms.get() + TELL_EVERY_MS;
+        if is_due {
+            self.told_ms.set(now_ms);
+        }
+        is_due
+    }
+
     /// Sends the own record to some others without waiting for a round of gossip.
     pub(super) fn spread_at_once(&self) {
         let sends = self.membership.borrow_mut().farewell(TOLD_AT_ONCE, rand::random());
@@ -160,8 +183,15 @@
     }
 
     /// Instances that share connections and repeats, this one included.
+    ///
+    /// After a restart of all, each at first knows only itself and would take the whole
+    /// slack for its own: together they would send many times what is allowed, in the very
+    /// seconds in which most sends fail. Until the list was read many are assumed.
     pub(super) fn instances(&self) -> u64 {
-        u64::try_from(self.membership.borrow().alive_count()).unwrap_or(1)
+        let membership = self.membership.borrow();
+        let known = membership.alive_count().max(membership.listed_count());
+        let assumed = if self.has_listed.get() { 1 } else { ASSUMED_INSTANCES };
+        u64::try_from(known).unwrap_or(u64::MAX).max(assumed)
     }
 
     /// Instances of a zone that gather for the others.
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -60,6 +60,10 @@
     is_store_up: Cell<bool>,
     /// Whether some instance said that the store does not answer it.
     is_any_turned_away: Cell<bool>,
+    /// When an instance that does not watch last told what it has taken in.
+    told_ms: Cell<u64>,
+    /// Whether the list of instances was ever read.
+    has_listed: Cell<bool>,
     /// Kinds of which changes are being fetched from another instance.
     fetching: RefCell<Vec<Kind>>,
     /// Wakes those whose duties may have changed.
@@ -96,6 +100,8 @@
             heard_ms: Cell::new(0),
             is_store_up: Cell::new(true),
             is_any_turned_away: Cell::new(false),
+            told_ms: Cell::new(0),
+            has_listed: Cell::new(false),
             fetching: RefCell::default(),
             duties: Notify::new(),
         });
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -26,6 +26,9 @@
 
 pub(crate) use shard::{Gathered, MergedParts};
 
+/// Time between two looks for a free connection, in milliseconds: about half of a usual
+/// exchange, after which one is free.
+const ROOM_RETRY_MS: u64 = 4;
 /// Sends beyond the route's attempts that surely did not run, for each shard.
 const MOST_UNRUN_SENDS: usize = 2;
 
@@ -216,7 +219,8 @@
         };
         let cost = |r: &&Arc<ReplicaEntry>| self.router.cost(r);
         let open = allowed.into_iter().filter(|r| !shard.tried.contains(&r.id));
-        open.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        let free = open.filter(|r| self.router.has_room(self.view, r));
+        free.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     fn allowed(
@@ -239,12 +243,21 @@
 
     /// Sends a shard's request to the best replica left; returns whether there was one.
     fn send(&mut self, index: usize) -> bool {
+        let now_ms = self.router.shared.now_ms();
         let Some(replica) = self.pick(&self.shards[index]).cloned() else {
+            if self.is_crowded(index) {
+                self.shards[index].hedge_at_ms = Some(now_ms + ROOM_RETRY_MS);
+                return true;
+            }
             self.settle(index);
             return false;
         };
-        let now_ms = self.router.shared.now_ms();
-        let hedge_ms = self.route_state.hedge_after_ms(self.route.target_latency_ms);
+        let hedge_ms = self.router.hedge_after_ms(
+            self.view,
+            &self.route_state,
+            &replica.service,
+            self.route.target_latency_ms,
+        );
         let shard = &mut self.shards[index];
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
@@ -269,6 +282,13 @@
         true
     }
 
+    /// Whether a shard was not sent yet, only because all connections are in use.
+    fn is_crowded(&self, index: usize) -> bool {
+        let shard = &self.shards[index];
+        let is_unsent = shard.tried.is_empty() && shard.in_flight == 0;
+        is_unsent && !self.replicas(&shard.service).is_empty()
+    }
+
     fn hedge_due(&mut self, now_ms: u64) {
         for index in 0..self.shards.len() {
             let shard = &mut self.shards[index];
@@ -276,7 +296,12 @@
                 continue;
             }
             shard.hedge_at_ms = None;
-            if shard.state == ShardState::Open {
+            if shard.state != ShardState::Open {
+                continue;
+            }
+            if self.is_crowded(index) {
+                self.send(index);
+            } else {
                 self.send_again(index, "hedge");
             }
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -30,13 +30,22 @@
 /// Latency that is taken for usual until enough answers were measured, in milliseconds.
 const FIRST_USUAL_MS: f64 = 10.0;
 /// Answers within this quantile are no reason for a second send.
-const HEDGE_PER_MILLE: u32 = 900;
+const HEDGE_PER_MILLE: u32 = 940;
+/// The same while the budget for repeats is scarce: then it is kept for replicas that are
+/// paused or lost, which make up about a twentieth of all parts.
+const SCARCE_HEDGE_PER_MILLE: u32 = 960;
 /// The usual latency is the median.
 const MEDIAN_PER_MILLE: u32 = 500;
 /// Least time before a second send, in milliseconds: less is within the network's noise.
 const LEAST_HEDGE_MS: u64 = 4;
-/// Share of the target latency after which a second send goes out at the latest.
-const HEDGE_TARGET_DIVISOR: u64 = 3;
+/// Share of the target latency before which no second send goes out: an answer within it
+/// is in time without one, and second sends cross zones.
+const EARLIEST_DIVISOR: u64 = 5;
+/// The same while the budget is scarce.
+const SCARCE_EARLIEST_DIVISOR: u64 = 4;
+/// Share of the target latency after which a second send goes out at the latest, so that
+/// the other replica has as long again.
+const HEDGE_LATEST_DIVISOR: u64 = 3;
 /// Quantile of merged answers after which the instance is asked whether it is alive.
 const RELAY_CHECK_PER_MILLE: u32 = 800;
 /// Share of the target latency after which that happens at the latest.
@@ -49,11 +58,13 @@
 /// Part of a replica's connections for the instances of its own zone, in hundredths; they
 /// send it most of its requests, the others hedges only.
 const NEAR_PERCENT: u32 = 60;
-/// Part for all other instances, in hundredths; the rest is room for instances that start
-/// while connections of others that have just died still count.
-const FAR_PERCENT: u32 = 30;
+/// Part for all other instances, in hundredths. Rounding down leaves room for instances
+/// that start while connections of others that have just died still count.
+const FAR_PERCENT: u32 = 40;
+/// Of the instances not heard of yet, one in this many is assumed in any one zone.
+const UNKNOWN_IN_ZONE_DIVISOR: u32 = 4;
 /// Kept of the target latency for the way to and from the caller and for merging.
-const TARGET_MARGIN_MS: u64 = 6;
+const TARGET_MARGIN_MS: u64 = 7;
 /// Kept of the caller's deadline for the same.
 const DEADLINE_MARGIN_MS: u64 = 10;
 /// Cost, in multiples of the usual latency, from which another instance is not asked.
@@ -96,10 +107,16 @@
     }
 
     /// Time after which a second send may go out, in milliseconds.
-    pub(crate) fn hedge_after_ms(&self, target_ms: u64) -> u64 {
-        let latest_ms = (target_ms / HEDGE_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
-        let quantile_us = self.latency.borrow().value_us(HEDGE_PER_MILLE);
-        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
+    fn hedge_after_ms(&self, target_ms: u64, is_scarce: bool) -> u64 {
+        let (per_mille, earliest_ms) = if is_scarce {
+            (SCARCE_HEDGE_PER_MILLE, target_ms / SCARCE_EARLIEST_DIVISOR)
+        } else {
+            (HEDGE_PER_MILLE, target_ms / EARLIEST_DIVISOR)
+        };
+        let earliest_ms = earliest_ms.max(LEAST_HEDGE_MS);
+        let latest_ms = (target_ms / HEDGE_LATEST_DIVISOR).max(LEAST_HEDGE_MS);
+        let quantile_us = self.latency.borrow().value_us(per_mille);
+        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(earliest_ms, latest_ms))
     }
 
     /// Time after which an instance that gathers is asked whether it answers at all.
@@ -248,6 +265,21 @@
         allowances.entry(Arc::clone(service)).or_default().note_request(&self.limits, now_ms);
     }
 
+    /// Time after which a second send to `service` may go out, in milliseconds.
+    pub(crate) fn hedge_after_ms(
+        &self,
+        view: &View,
+        state: &RouteState,
+        service: &Arc<str>,
+        target_ms: u64,
+    ) -> u64 {
+        let now_ms = self.shared.now_ms();
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(Arc::clone(service)).or_default();
+        let is_scarce = allowance.is_scarce(&self.limits, sharers_of_slack(view), now_ms);
+        state.hedge_after_ms(target_ms, is_scarce)
+    }
+
     /// Takes one second send to `service` from the budget, if there is one.
     pub(crate) fn take_repeat(&self, service: &Arc<str>, view: &View) -> bool {
         let instances = sharers_of_slack(view);
@@ -264,6 +296,10 @@
         cost + if replica.zone == self.zone { 0.0 } else { FAR_COST }
     }
 
+    pub(crate) fn has_room(&self, view: &View, replica: &ReplicaEntry) -> bool {
+        self.backend.has_room(&replica.id, self.most_connections(view, replica))
+    }
+
     /// Connections that this instance may open to a replica.
     pub(crate) fn most_connections(&self, view: &View, replica: &ReplicaEntry) -> u32 {
         let limits = view.configuration.as_ref().and_then(|c| c.services.get(&replica.service));
@@ -272,10 +308,13 @@
         let is_beside = |p: &&Peer| p.is_gatherer && p.zone == replica.zone;
         let near_peers = view.peers.iter().filter(is_beside).count();
         let is_near = self.zone == replica.zone && view.is_gatherer;
+        // Instances that this one has not heard of yet hold connections too.
+        let unknown = number(usize::try_from(view.instances).unwrap_or(usize::MAX))
+            .saturating_sub(number(view.peers.len()) + 1);
         let (percent, instances) = if is_near {
-            (NEAR_PERCENT, number(near_peers) + 1)
+            (NEAR_PERCENT, number(near_peers) + 1 + unknown.div_ceil(UNKNOWN_IN_ZONE_DIVISOR))
         } else {
-            (FAR_PERCENT, number(view.peers.len() - near_peers) + 1)
+            (FAR_PERCENT, number(view.peers.len() - near_peers) + 1 + unknown)
         };
         (all * percent / 100 / instances.max(1)).max(LEAST_CONNECTIONS)
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -46,6 +46,8 @@
 #[derive(Default)]
 pub struct Script {
     pub conduct: RefCell<HashMap<String, Conduct>>,
+    /// Replicas all of whose connections are in use.
+    pub full: RefCell<HashSet<String>>,
     pub arrivals: RefCell<Vec<Arrival>>,
     pub cancelled: Rc<RefCell<u32>>,
     started: RefCell<Option<Instant>>,
@@ -100,6 +102,11 @@
         })
     }
 
+    fn has_room(&self, replica: &str, most_connections: u32) -> bool {
+        let full = self.0.full.borrow();
+        most_connections > 0 && !full.contains(replica)
+    }
+
     fn warm(&self, _: Arc<ReplicaEntry>, _: u32) -> BackendFuture<()> {
         Box::pin(std::future::ready(Ok(())))
     }
