--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -19,8 +19,7 @@
 
 #[test]
 fn seven_greedy_instances_stay_within_the_limits_of_any_window() {
-    let taken: u64 =
-        (0..7).map(|_| spend(&mut Allowance::default(), 7, 0, 10, 13)).sum();
+    let taken: u64 = (0..7).map(|_| spend(&mut Allowance::default(), 7, 0, 10, 13)).sum();
     let allowed = 7 * 10 * 13 * LIMITS.ratio_milli / 1000 + LIMITS.slack;
     assert!(taken <= allowed, "{taken} of {allowed}");
     assert!(taken * 2 > allowed, "{taken} of {allowed} leaves callers waiting");
@@ -45,8 +44,7 @@
 #[test]
 fn instances_that_do_not_know_each_other_yet_stay_within_the_slack() {
     const ASSUMED: u64 = 16;
-    let taken: u64 =
-        (0..7).map(|_| spend(&mut Allowance::default(), ASSUMED, 0, 1, 1)).sum();
+    let taken: u64 = (0..7).map(|_| spend(&mut Allowance::default(), ASSUMED, 0, 1, 1)).sum();
     assert!(taken <= LIMITS.slack / 2, "{taken}");
     let alone: u64 = (0..7).map(|_| spend(&mut Allowance::default(), 1, 0, 1, 1)).sum();
     assert!(alone > LIMITS.slack, "the check can fail: {alone}");
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -22,9 +22,11 @@
 use crate::model::{Merged, Outcome, Request};
 use crate::view::{Peer, Shared, View};
 
-/// When to come back to an instance that knows no configuration yet: it learns one
-/// within a second of the store's return.
-const NOT_READY_RETRY_MS: u64 = 500;
+/// When to come back to an instance that knows no configuration yet, at first: one that
+/// finds the store up has read it within 30 ms.
+const LEAST_NOT_READY_RETRY_MS: u64 = 40;
+/// The same, at most: it learns a configuration within a second of the store's return.
+const MOST_NOT_READY_RETRY_MS: u64 = 1_000;
 /// When to come back where no replica is known: the list is a second old at the most.
 const NO_REPLICA_RETRY_MS: u64 = 300;
 /// Latency that is taken for usual until enough answers were measured, in milliseconds.
@@ -202,7 +204,10 @@
 
     fn find(&self, view: &View, request: &Request) -> Result<Arc<Route>, Refusal> {
         if !view.is_ready() {
-            return Err(Refusal::not_run(RefusalReason::NotReady, Some(NOT_READY_RETRY_MS)));
+            // The longer it has lasted, the longer it is likely to last.
+            let retry_after_ms =
+                (self.shared.now_ms() / 2).clamp(LEAST_NOT_READY_RETRY_MS, MOST_NOT_READY_RETRY_MS);
+            return Err(Refusal::not_run(RefusalReason::NotReady, Some(retry_after_ms)));
         }
         let found = view.table.find(&request.host, request.path.path());
         let path = || format!("{}{}", request.host, request.path.path());
