Let what is remembered of a slow replica fade

Cause: a third of all first sends on the grown Guild site crossed zones although the near replicas were sound: one late answer after a pause raised a replica's cost, it was not chosen again, and so no answer could lower it. Ruled out: full lanes (0 of 13,569) and missing near replicas (46). Change: the remembered ratio halves each second without an answer, one answer counts with ten times the usual at the most.

--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -17,14 +17,21 @@
 const OVERDUE_COST: f64 = 6.0;
 /// Age in milliseconds at which a reported load counts for nothing any more.
 const REPORT_LIFE_MS: f64 = 250.0;
-/// Highest ratio that is remembered; beyond it a slow replica would be shunned for long.
-const MOST_RATIO: f64 = 40.0;
+/// Highest ratio that one answer counts with; a pause of 100 ms is 20 times the usual.
+const MOST_RATIO: f64 = 10.0;
+/// Time in which what is remembered of the ratio halves, in milliseconds.
+///
+/// A replica that was slow once isn't chosen, so no answer of it shows that it is not slow
+/// any more: it would be shunned for good. At this half-life one that is five times slower
+/// is tried again after about two seconds, at the price of a hedge.
+const RATIO_HALF_LIFE_MS: f64 = 1000.0;
 
 /// Conduct of one replica.
 #[derive(Debug, Clone)]
 pub struct Standing {
     /// Latency relative to the usual one of the same requests.
     ratio: f64,
+    ratio_ms: u64,
     /// When each own request in progress was sent, with its usual latency.
     in_progress: Vec<(u64, f64)>,
     reported: u32,
@@ -38,6 +45,7 @@
     fn default() -> Self {
         Self {
             ratio: 1.0,
+            ratio_ms: 0,
             in_progress: Vec::new(),
             reported: 0,
             reported_ms: 0,
@@ -62,12 +70,20 @@
     }
 
     /// Notes an answer that took `took_ms`, where `usual_ms` is usual.
-    pub fn answered(&mut self, took_ms: f64, usual_ms: f64) {
+    pub fn answered(&mut self, took_ms: f64, usual_ms: f64, now_ms: u64) {
         let ratio = (took_ms / usual_ms.max(0.1)).min(MOST_RATIO);
-        self.ratio += (ratio - self.ratio) / BLEND;
+        let known = self.ratio(now_ms);
+        self.ratio = known + (ratio - known) / BLEND;
+        self.ratio_ms = now_ms;
         self.failures_in_a_row = 0;
     }
 
+    /// The ratio, as far as it still holds.
+    fn ratio(&self, now_ms: u64) -> f64 {
+        let kept = 0.5_f64.powf(elapsed_ms(self.ratio_ms, now_ms) / RATIO_HALF_LIFE_MS);
+        1.0 + (self.ratio - 1.0) * kept
+    }
+
     /// Notes the requests that the replica says it runs or holds.
     pub fn reported(&mut self, load: u32, now_ms: u64) {
         self.reported = load;
@@ -111,7 +127,7 @@
         let others = (f64::from(self.reported) - own).max(0.0) * fresh;
         let queue = (own + others) / slots;
         let overdue = if self.is_overdue(now_ms) { OVERDUE_COST } else { 0.0 };
-        self.ratio * (1.0 + queue) + overdue + self.penalty(now_ms)
+        self.ratio(now_ms) * (1.0 + queue) + overdue + self.penalty(now_ms)
     }
 
     fn penalty(&self, now_ms: u64) -> f64 {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -80,7 +80,8 @@
         metrics::histogram!("eelgrasspier_relay_seconds").record(took.as_secs_f64());
         match result {
             Ok(Body::Gathered(answer)) => {
-                standing.borrow_mut().answered(took.as_secs_f64() * 1000.0, usual_ms);
+                let took_ms = took.as_secs_f64() * 1000.0;
+                standing.borrow_mut().answered(took_ms, usual_ms, self.shared.now_ms());
                 state.note_relay(took);
                 Ok(answer)
             }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -360,7 +360,7 @@
                 if reply.status.is_server_error() {
                     standing.failed(now_ms);
                 } else {
-                    standing.answered(took.as_secs_f64() * 1000.0, usual_ms);
+                    standing.answered(took.as_secs_f64() * 1000.0, usual_ms, now_ms);
                     let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
                     state.latency.borrow_mut().record(took_us);
                 }
