Test routes, merging, beliefs and duties without a network

Cause: the new decisions had tests in the router only. Change: tests of routes and splits, of merging against sorting (also in two steps, by arbtest), of when to stop waiting, of the copy of the store under stale lists, of entries that lapse in an outage, of watchers and gatherers at fleet sizes from 6 to 2,600, and of replicas that both sides draw alike.

--- /dev/null
+++ b/crates/decide/tests/beliefs.rs
@@ -0,0 +1,122 @@
+//! The copy of the store and the list of replicas, under outages and stale answers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eelgrasspier_decide::directory::{COME_BACK_MS, Directory, EntryChange, ReplicaEntry};
+use eelgrasspier_decide::mirror::{Changes, Deleted, Effect, Mirror, Versioned};
+
+fn object(name: &str, revision: u64) -> Versioned {
+    let content = Bytes::from(format!("{name}@{revision}"));
+    Versioned { name: name.to_owned(), revision, content }
+}
+
+fn whole(as_of: u64, objects: &[(&str, u64)]) -> Changes {
+    let objects = objects.iter().map(|(name, revision)| object(name, *revision)).collect();
+    Changes { as_of, is_whole: true, objects, deleted: Vec::new() }
+}
+
+fn names(mirror: &Mirror) -> Vec<String> {
+    mirror.since(0).objects.into_iter().map(|o| format!("{}@{}", o.name, o.revision)).collect()
+}
+
+/// Symptom: a version that was replaced came back.
+/// Sequence: a poll was answered from a copy that was seconds old, after the watch had
+/// brought a newer version.
+/// Cause it guards against: taking the last answer for the newest.
+#[test]
+fn a_stale_list_neither_lowers_nor_deletes_nor_brings_back() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+    let newer = Changes {
+        as_of: 20,
+        objects: vec![object("a", 15), object("c", 16)],
+        deleted: vec![Deleted { name: "b".to_owned(), revision: 17 }],
+        ..Changes::default()
+    };
+    mirror.apply(&newer);
+    let effects = mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+    assert_eq!(effects, Vec::<Effect>::new());
+    assert_eq!(names(&mirror), ["a@15", "c@16"]);
+}
+
+#[test]
+fn what_another_instance_lacks_makes_it_the_same() {
+    let mut first = Mirror::default();
+    let mut second = Mirror::default();
+    for mirror in [&mut first, &mut second] {
+        mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+    }
+    first.apply(&Changes {
+        as_of: 12,
+        objects: vec![object("c", 11)],
+        deleted: vec![Deleted { name: "a".to_owned(), revision: 12 }],
+        ..Changes::default()
+    });
+    let changes = first.since(second.changed());
+    assert!(!changes.is_whole && changes.objects.len() == 1);
+    second.apply(&changes);
+    assert_eq!(names(&second), names(&first));
+    assert_eq!(second.changed(), first.changed());
+    // One that has just started gets everything.
+    let mut third = Mirror::default();
+    third.apply(&first.since(0));
+    assert!(third.is_filled());
+    assert_eq!(names(&third), names(&first));
+}
+
+/// Symptom: an instance asked another for changes again and again.
+/// Sequence: both had the same objects, read at different moments; the later reader told
+/// the higher number, and the answer had nothing new in it.
+/// Cause: an answer without an effect left the own number as it was.
+#[test]
+fn an_answer_without_an_effect_still_counts_as_seen() {
+    let mut first = Mirror::default();
+    first.apply(&whole(30, &[("a", 3)]));
+    let mut second = Mirror::default();
+    second.apply(&whole(20, &[("a", 3)]));
+    assert!(second.apply(&first.since(second.changed())).is_empty());
+    assert_eq!(second.changed(), first.changed());
+}
+
+fn entry(id: &str, is_draining: bool) -> ReplicaEntry {
+    ReplicaEntry {
+        id: id.into(),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: "z".into(),
+        slots: 2,
+        is_draining,
+        cold_left_ms: 0,
+    }
+}
+
+fn ids(directory: &Directory) -> Vec<Arc<str>> {
+    directory.entries().map(|e| Arc::clone(&e.id)).collect()
+}
+
+/// Symptom: whole services were empty just when the store had come back.
+/// Sequence: entries could not be renewed during the outage and lapsed; the first list
+/// after it did not have them; they were written again two seconds later.
+/// Cause: what is missing was taken for gone.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_they_must_be_back() {
+    let mut directory = Directory::default();
+    directory.replace(vec![entry("lives", false), entry("dead", false), entry("left", true)], 0);
+    directory.store_is_back(10_000);
+    directory.replace(Vec::new(), 10_050);
+    assert_eq!(ids(&directory), ["dead".into(), "lives".into()]);
+    assert!(!directory.apply(EntryChange::Set(entry("lives", false)), 11_500));
+    assert!(!directory.expire(10_000 + COME_BACK_MS - 1));
+    assert!(directory.expire(10_000 + COME_BACK_MS));
+    assert_eq!(ids(&directory), ["lives".into()]);
+}
+
+#[test]
+fn without_an_outage_what_is_missing_is_gone() {
+    let mut directory = Directory::default();
+    directory.replace(vec![entry("a", false), entry("b", false)], 0);
+    assert!(directory.apply(EntryChange::Gone("a".into()), 5_000));
+    assert!(directory.replace(Vec::new(), 6_000));
+    assert!(ids(&directory).is_empty());
+}
--- /dev/null
+++ b/crates/decide/tests/duties.rs
@@ -0,0 +1,118 @@
+//! Who watches the store, who gathers for a zone, which replicas may be asked.
+
+use std::collections::BTreeMap;
+
+use eelgrasspier_decide::relays::{self, LEAST_GROUP, Place};
+use eelgrasspier_decide::{gatherers, watchers};
+
+fn fleet(zones: u64, in_zone: u64) -> Vec<watchers::Candidate> {
+    let all = (0..zones * in_zone).map(|n| watchers::Candidate {
+        key: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        zone: n % zones,
+        is_store_reached: true,
+    });
+    all.collect()
+}
+
+fn watching(fleet: &[watchers::Candidate]) -> Vec<usize> {
+    let others = |i: usize| {
+        let (before, after) = fleet.split_at(i);
+        [before, &after[1..]].concat()
+    };
+    (0..fleet.len()).filter(|&i| watchers::is_watcher(fleet[i], &others(i))).collect()
+}
+
+#[test]
+fn few_watch_whatever_the_size() {
+    for (zones, in_zone) in [(3, 2), (4, 19), (4, 75), (8, 325)] {
+        let count = watching(&fleet(zones, in_zone)).len() as u64;
+        assert!((zones..=zones + 1).contains(&count), "{count} of {zones} x {in_zone}");
+    }
+}
+
+/// Symptom: after the store had turned its watchers away nobody saw a change for seconds.
+/// Sequence: the watchers' calls failed while other instances were served.
+/// Cause it guards against: a choice that does not follow who is served.
+#[test]
+fn others_step_in_for_watchers_that_are_turned_away() {
+    let mut fleet = fleet(3, 2);
+    for turned_away in watching(&fleet) {
+        fleet[turned_away].is_store_reached = false;
+    }
+    let stepped_in = watching(&fleet);
+    assert!(!stepped_in.is_empty());
+    assert!(stepped_in.iter().all(|&i| fleet[i].is_store_reached));
+    // With nobody served, all find out when the store is back.
+    fleet.iter_mut().for_each(|c| c.is_store_reached = false);
+    assert_eq!(watching(&fleet).len(), fleet.len());
+}
+
+fn zone(count: u64, capacity_milli: u32) -> Vec<gatherers::Candidate> {
+    (0..count).map(|key| gatherers::Candidate { key: key + 1, capacity_milli }).collect()
+}
+
+#[test]
+fn all_gather_in_a_small_zone_and_a_fifth_in_a_large_one() {
+    assert_eq!(gatherers::choose("z", &zone(4, 250)).len(), 4);
+    assert_eq!(gatherers::choose("z", &zone(19, 250)).len(), 4);
+    assert_eq!(gatherers::choose("z", &zone(75, 250)).len(), 15);
+}
+
+#[test]
+fn one_that_goes_moves_only_its_own_place() {
+    let all = zone(40, 250);
+    let before = gatherers::choose("z", &all);
+    let left: Vec<_> = all.into_iter().filter(|c| c.key != before[0]).collect();
+    let after = gatherers::choose("z", &left);
+    let kept = before[1..].iter().filter(|k| after.contains(k)).count();
+    assert_eq!(kept, before.len() - 1);
+}
+
+#[test]
+fn large_instances_gather_more_often() {
+    let mut large_chosen = 0;
+    for number in 0..200 {
+        let mut all = zone(20, 120);
+        all[..5].iter_mut().for_each(|c| c.capacity_milli = 500);
+        let chosen = gatherers::choose(&format!("z{number}"), &all);
+        large_chosen += chosen.iter().filter(|&&k| k <= 5).count();
+    }
+    // A quarter of the instances has 58 % of the capacity.
+    assert!((380..560).contains(&large_chosen), "{large_chosen} of 800");
+}
+
+#[test]
+fn shards_are_grouped_under_as_few_zones_as_possible() {
+    let zones = BTreeMap::from([
+        (0, vec!["a", "b"]),
+        (1, vec!["b", "c"]),
+        (2, vec!["b"]),
+        (3, vec!["c", "a"]),
+    ]);
+    let groups = relays::group(zones.clone(), LEAST_GROUP, 0);
+    assert_eq!(groups.len(), 1);
+    assert_eq!((groups[0].zone, groups[0].shards.clone()), ("b", vec![0, 1, 2]));
+    assert_eq!(relays::group(zones, 1, 0).len(), 2);
+}
+
+/// Symptom: requests ran on three replicas of a shard where the route allows two.
+/// Sequence: the asked instance hedged to one replica, the asking one to another.
+/// Cause it guards against: each side choosing freely among three replicas.
+#[test]
+fn both_sides_draw_the_same_replicas() {
+    let places = [("r1", "a"), ("r2", "b"), ("r3", "c")].map(|(id, zone)| Place { id, zone });
+    let mut reversed = places;
+    reversed.reverse();
+    let mut seconds = BTreeMap::new();
+    for request in 0..300 {
+        let ids = |places: &[Place<'_>]| -> Vec<String> {
+            let allowed = relays::allowed(places, "b", 2, request);
+            allowed.into_iter().map(|i| places[i].id.to_owned()).collect()
+        };
+        let drawn = ids(&places);
+        assert_eq!(drawn, ids(&reversed));
+        assert_eq!((drawn.len(), drawn[0].as_str()), (2, "r2"));
+        *seconds.entry(drawn[1].clone()).or_insert(0) += 1;
+    }
+    assert!(seconds.values().all(|&n| n > 100), "{seconds:?}");
+}
--- /dev/null
+++ b/crates/decide/tests/merging.rs
@@ -0,0 +1,61 @@
+//! The greatest records of all parts, and when to stop waiting for parts.
+
+use arbtest::arbtest;
+use eelgrasspier_decide::merge::{Greatest, RECORD_BYTES};
+use eelgrasspier_decide::patience::{Gathering, Next};
+
+/// The same by sorting everything.
+fn by_sorting(parts: &[Vec<u8>], most: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8]> = parts.iter().flat_map(|p| p.chunks_exact(RECORD_BYTES)).collect();
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(most);
+    records.concat()
+}
+
+#[test]
+fn merging_keeps_the_greatest_records_also_in_two_steps() {
+    arbtest(|u| {
+        let parts: Vec<Vec<u8>> = u.arbitrary()?;
+        let most = u.int_in_range(0..=8)?;
+        let expected = by_sorting(&parts, most);
+        let mut whole = Greatest::new(most);
+        parts.iter().for_each(|p| whole.add(p));
+        assert_eq!(whole.into_bytes(), expected);
+        // As when an instance beside the replicas has merged half of the parts.
+        let (first, second) = parts.split_at(parts.len() / 2);
+        let mut relayed = Greatest::new(most);
+        first.iter().for_each(|p| relayed.add(p));
+        let mut joined = Greatest::new(most);
+        joined.add(&relayed.into_bytes());
+        second.iter().for_each(|p| joined.add(p));
+        assert_eq!(joined.into_bytes(), expected);
+        Ok(())
+    });
+}
+
+#[test]
+fn equal_records_all_count() {
+    let mut greatest = Greatest::new(3);
+    greatest.add(&[9; 4 * RECORD_BYTES]);
+    assert_eq!(greatest.into_bytes(), vec![9; 3 * RECORD_BYTES]);
+}
+
+fn gathering(covered: usize, failed: usize) -> Gathering {
+    Gathering { total: 20, least: 18, covered, failed, target_at_ms: 80, limit_at_ms: 400 }
+}
+
+#[test]
+fn all_shards_are_waited_for_up_to_the_target_and_then_enough_will_do() {
+    assert_eq!(gathering(20, 0).next(10), Next::Answer);
+    assert_eq!(gathering(19, 1).next(10), Next::Answer);
+    assert_eq!(gathering(18, 0).next(79), Next::WaitUntil(80));
+    assert_eq!(gathering(18, 0).next(80), Next::Answer);
+    assert_eq!(gathering(17, 0).next(80), Next::WaitUntil(400));
+    assert_eq!(gathering(17, 0).next(400), Next::GiveUp);
+}
+
+#[test]
+fn what_can_not_become_a_success_is_given_up_at_once() {
+    assert_eq!(gathering(0, 3).next(1), Next::GiveUp);
+    assert_eq!(gathering(17, 2).next(1), Next::WaitUntil(80));
+}
--- /dev/null
+++ b/crates/decide/tests/routes.rs
@@ -0,0 +1,74 @@
+//! Routes: the longest prefix of the host, splits, least shares.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use eelgrasspier_decide::route::{Configuration, Dealer, Route, RouteTable, Target, Weighted};
+
+fn route(name: &str, host: &str, path_prefix: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: name.into(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        target: Target::Service("s".into()),
+        is_idempotent: true,
+        attempts: 2,
+        timeout_ms: 400,
+        target_latency_ms: 80,
+        rank: 1,
+        top_k: 5,
+        least_share: 0.89,
+    })
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|r| r.name.to_string())
+}
+
+/// Symptom: requests on near names were run by another service.
+/// Sequence: a path matched although its host was another, or a prefix without its end.
+/// Cause it guards against: matching the path alone.
+#[test]
+fn the_longest_prefix_of_the_host_is_found_and_no_near_name() {
+    let routes = vec![
+        route("short", "h.example", "/a/"),
+        route("long", "h.example", "/a/b/"),
+        route("other", "x", "/a/"),
+    ];
+    let table = RouteTable::from(&Configuration { routes, ..Configuration::default() });
+    assert_eq!(found(&table, "h.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found(&table, "H.Example:80", "/a/bc").as_deref(), Some("short"));
+    assert_eq!(found(&table, "x", "/a/b/c").as_deref(), Some("other"));
+    for (host, path) in [("h.example", "/a"), ("h.example", "/ab/"), ("y", "/a/"), ("", "/a/")] {
+        assert_eq!(found(&table, host, path), None, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_split_is_dealt_within_one_request_of_its_weights() {
+    let split = [("a", 5.0), ("b", 3.0), ("c", 2.0), ("none", 0.0)]
+        .map(|(service, weight)| Weighted { service: service.into(), weight });
+    let mut dealer = Dealer::default();
+    let mut counts: HashMap<String, f64> = HashMap::new();
+    for turn in 1..=1000 {
+        let service = dealer.next(&split).unwrap();
+        *counts.entry(service.to_string()).or_default() += 1.0;
+        for part in &split[..3] {
+            let expected = f64::from(turn) * part.weight / 10.0;
+            let count = counts.get(&*part.service).copied().unwrap_or_default();
+            assert!((count - expected).abs() <= 1.5, "{} {count} {expected}", part.service);
+        }
+    }
+    assert!(!counts.contains_key("none"));
+}
+
+#[test]
+fn the_least_shards_are_rounded_up_and_never_by_an_error_of_rounding() {
+    let with = |least_share| Route { least_share, ..(*route("r", "h", "/")).clone() };
+    assert_eq!(with(0.89).least_shards(20), 18);
+    assert_eq!(with(0.75).least_shards(20), 15);
+    assert_eq!(with(0.95).least_shards(90), 86);
+    assert_eq!(with(0.9).least_shards(10), 9);
+    assert_eq!(with(0.0).least_shards(10), 1);
+    assert_eq!(with(1.0).least_shards(30), 30);
+}
