Tell the asked instance which replicas it may send to; wait for a free connection

Ruled out: the route's attempts, which hold within each instance. Tests: three of relays; two failed before.

--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -23,6 +23,8 @@
     Status(u16),
     /// the answer is longer than {0} bytes
     TooLarge(usize),
+    /// all connections that may be open to the backend server are in use
+    Crowded,
     /// another backend server has the address now
     Misdirected,
     /// the answer can't be used: {0}
@@ -34,9 +36,11 @@
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::NotReached(_) | Self::Shed(_) | Self::WrongVersion(_) | Self::Misdirected => {
-                Verdict::NotRun
-            }
+            Self::NotReached(_)
+            | Self::Shed(_)
+            | Self::WrongVersion(_)
+            | Self::Crowded
+            | Self::Misdirected => Verdict::NotRun,
             Self::Lost(_)
             | Self::TimedOut
             | Self::Status(_)
--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -109,7 +109,8 @@
     /// Sends a request and reads its whole answer.
     ///
     /// # Errors
-    /// Fails with [`PartFailure::NotReached`] where no byte of the request went out.
+    /// Fails with [`PartFailure::NotReached`] or [`PartFailure::Crowded`] where no byte of
+    /// the request went out.
     pub async fn exchange(&self, send: Send) -> Result<WireAnswer, PartFailure> {
         let time_left = send.time_left;
         let waited = actix_rt::time::timeout(time_left, self.exchange_untimed(send)).await;
@@ -202,7 +203,7 @@
             self.idle.borrow_mut().pop();
         }
         if self.open.get() >= most.max(1) {
-            return Err(PartFailure::NotReached("all connections are in use".to_owned()));
+            return Err(PartFailure::Crowded);
         }
         let slot = Slot::take(&self.open);
         let unreached = |detail: String| PartFailure::NotReached(detail);
--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -26,7 +26,8 @@
 ///
 /// The asking instance and the one in `zone` both send second tries, and neither knows
 /// whom the other has chosen. With more replicas than attempts the two together could
-/// reach too many; so both draw the same ones from the request's id.
+/// reach too many; so the asking one draws them, by the request's id, and says which. That
+/// the other one draws them too isn't enough: lists of replicas differ while they change.
 #[must_use]
 pub fn allowed(replicas: &[Place<'_>], zone: &str, attempts: usize, request: u64) -> Vec<usize> {
     let mut order: Vec<usize> = (0..replicas.len()).collect();
@@ -38,6 +39,17 @@
     order
 }
 
+/// Stands for no replica.
+pub const NO_MARK: u32 = 0;
+
+/// Short mark of a replica's id; of the few replicas of a shard two are hardly ever alike,
+/// and then one more is allowed.
+#[must_use]
+pub fn mark(id: &str) -> u32 {
+    const HALF: u32 = 32;
+    u32::try_from(rendezvous::hash(id) >> HALF).unwrap_or(u32::MAX).max(NO_MARK + 1)
+}
+
 /// The instance of a large zone that gathers a shard, among the zone's that gather.
 ///
 /// Each shard has one, so that few instances hold connections to a replica and keep them
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -125,7 +125,7 @@
     /// The shards, each a service.
     #[prost(string, repeated, tag = "8")]
     pub services: Vec<String>,
-    /// Replicas that each shard's request may be sent to.
+    /// Number of replicas that each shard's request may be sent to.
     #[prost(uint32, tag = "9")]
     pub attempts: u32,
     /// Records that the merged answer needs.
@@ -140,6 +140,9 @@
     /// The route's target latency in milliseconds.
     #[prost(uint64, tag = "13")]
     pub target_latency_ms: u64,
+    /// Marks of those replicas, as many for each shard as there are attempts.
+    #[prost(fixed32, repeated, tag = "14")]
+    pub allowed: Vec<u32>,
 }
 
 /// One part that is in a merged answer.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -12,8 +12,7 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::patience::{Gathering, Next};
 use eelgrasspier_decide::prelude::Verdict;
-use eelgrasspier_decide::relays::{self, Place};
-use eelgrasspier_decide::rendezvous;
+use eelgrasspier_decide::relays;
 use eelgrasspier_decide::route::Route;
 use tokio::sync::mpsc;
 
@@ -134,6 +133,13 @@
         }
     }
 
+    /// Restricts each shard to the replicas with the given marks.
+    pub(crate) fn allow(&mut self, allowed: Vec<Vec<u32>>) {
+        for (shard, marks) in self.shards.iter_mut().zip(allowed) {
+            shard.allowed = Some(marks);
+        }
+    }
+
     /// Gathers until there is enough, or enough is out of reach.
     pub(crate) async fn run(mut self, whom: For) -> Gathered {
         match whom {
@@ -141,9 +147,6 @@
             For::Caller => self.ask_all(),
             For::Peer => {
                 self.least = 0;
-                for shard in &mut self.shards {
-                    shard.relay_zone = Some(Arc::clone(&self.router.zone));
-                }
                 (0..self.shards.len()).for_each(|shard| self.send_first(shard));
             }
         }
@@ -213,31 +216,17 @@
         if shard.used_attempts() >= attempts {
             return None;
         }
-        let allowed: Vec<&Arc<ReplicaEntry>> = match &shard.relay_zone {
-            Some(zone) if all.len() > attempts => self.allowed(all, zone, attempts),
-            _ => all.iter().collect(),
+        let is_allowed = |r: &&Arc<ReplicaEntry>| {
+            shard.allowed.as_ref().is_none_or(|marks| marks.contains(&relays::mark(&r.id)))
         };
         let usual_ms = self.route_state.usual_ms();
         let target_ms = self.route.target_latency_ms;
         let cost = |r: &&Arc<ReplicaEntry>| self.router.cost_ms(r, usual_ms, target_ms);
-        let open = allowed.into_iter().filter(|r| !shard.tried.contains(&r.id));
+        let open = all.iter().filter(is_allowed).filter(|r| !shard.tried.contains(&r.id));
         let free = open.filter(|r| self.router.has_room(self.view, r));
         free.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    fn allowed(
-        &self,
-        all: &'a [Arc<ReplicaEntry>],
-        zone: &str,
-        attempts: usize,
-    ) -> Vec<&'a Arc<ReplicaEntry>> {
-        let places: Vec<Place<'_>> =
-            all.iter().map(|r| Place { id: &r.id, zone: &r.zone }).collect();
-        let request = rendezvous::hash(self.request.id_text());
-        let allowed = relays::allowed(&places, zone, attempts, request);
-        allowed.into_iter().map(|i| &all[i]).collect()
-    }
-
     fn send_first(&mut self, index: usize) {
         self.router.note_request(&self.shards[index].service);
         self.send(index);
@@ -369,6 +358,9 @@
 
     /// No usable answer came.
     fn take_loss(&mut self, index: usize, replica: &str, failure: &PartFailure) {
+        if *failure == PartFailure::Crowded {
+            return self.wait_for_room(index, replica);
+        }
         self.note_failure(replica, index, &failure.to_string());
         let may_have_run = failure.verdict() == Verdict::MayHaveRun;
         self.gathered.may_have_run |= may_have_run;
@@ -383,6 +375,14 @@
         }
     }
 
+    /// Others took the last connections first: looks again in a moment.
+    fn wait_for_room(&mut self, index: usize, replica: &str) {
+        let again_ms = self.router.shared.now_ms() + ROOM_RETRY_MS;
+        let shard = &mut self.shards[index];
+        shard.tried.retain(|tried| **tried != *replica);
+        shard.hedge_at_ms = Some(shard.hedge_at_ms.map_or(again_ms, |at| at.min(again_ms)));
+    }
+
     fn fail(&mut self, index: usize) {
         let shard = &mut self.shards[index];
         if shard.state == ShardState::Open {
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_decide::relays::{self, Group, LEAST_GROUP};
+use eelgrasspier_decide::relays::{self, Group, LEAST_GROUP, Place};
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire::{self, Body};
@@ -118,9 +118,10 @@
         let now_ms = self.router.shared.now_ms();
         let check_ms = self.route_state.relay_check_after_ms(self.route.target_latency_ms);
         for &index in &shards {
+            let allowed = self.draw(index, &peer.zone);
             let shard = &mut self.shards[index];
             shard.in_flight += 1;
-            shard.relay_zone = Some(Arc::clone(&peer.zone));
+            shard.allowed = Some(allowed);
         }
         let at_ms = now_ms + check_ms;
         self.checks.push(Check { peer: peer.clone(), shards: shards.clone(), at_ms });
@@ -142,6 +143,16 @@
         }));
     }
 
+    /// Marks of the replicas that a shard asked for in `zone` may be sent to.
+    fn draw(&self, index: usize, zone: &str) -> Vec<u32> {
+        let all = self.replicas(&self.shards[index].service);
+        let places: Vec<Place<'_>> =
+            all.iter().map(|r| Place { id: &r.id, zone: &r.zone }).collect();
+        let request = rendezvous::hash(self.request.id_text());
+        let drawn = relays::allowed(&places, zone, self.route.attempts, request);
+        drawn.into_iter().map(|i| relays::mark(&all[i].id)).collect()
+    }
+
     fn question(&self, shards: &[usize], now_ms: u64) -> Body {
         let request = self.request;
         let until_target_ms = self.times.target_at_ms.saturating_sub(now_ms);
@@ -158,6 +169,12 @@
         };
         let service = |&i: &usize| self.shards[i].service.to_string();
         let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        // Padded, so that the other side can tell which belong to which shard.
+        let marks = |&i: &usize| {
+            let mut marks = self.shards[i].allowed.clone().unwrap_or_default();
+            marks.resize(self.route.attempts.max(1), relays::NO_MARK);
+            marks
+        };
         Body::Gather(wire::Gather {
             request_id: request.id.as_bytes().to_vec().into(),
             method: request.method.as_str().to_owned(),
@@ -167,6 +184,7 @@
             body: request.body.clone(),
             route: self.route.name.to_string(),
             services: shards.iter().map(service).collect(),
+            allowed: shards.iter().flat_map(marks).collect(),
             attempts: number(self.route.attempts),
             top_k: number(self.route.top_k),
             time_left_ms,
@@ -251,7 +269,7 @@
         if was_sent {
             self.recover(index, true);
         } else {
-            shard.relay_zone = None;
+            shard.allowed = None;
             self.send_first(index);
         }
     }
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -22,8 +22,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Sends that surely did not run.
     pub(super) not_run: usize,
-    /// Zone in which it was asked for, where that was by way of another instance.
-    pub(super) relay_zone: Option<Arc<str>>,
+    /// Marks of the replicas that it may be sent to, where two instances send.
+    pub(super) allowed: Option<Vec<u32>>,
     /// Sends and questions to other instances without an end.
     pub(super) in_flight: usize,
     pub(super) hedge_at_ms: Option<u64>,
@@ -36,7 +36,7 @@
             service,
             tried: Vec::new(),
             not_run: 0,
-            relay_zone: None,
+            allowed: None,
             in_flight: 0,
             hedge_at_ms: None,
             state: ShardState::Open,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -112,7 +112,7 @@
     }
 
     /// Gathers shards for another instance and merges them.
-    pub(crate) async fn gather_for_peer(self: &Rc<Self>, question: wire::Gather) -> wire::Gathered {
+    pub async fn gather_for_peer(self: &Rc<Self>, question: wire::Gather) -> wire::Gathered {
         let now_ms = self.shared.now_ms();
         let times = Times {
             target_at_ms: now_ms + question.answer_within_ms,
@@ -121,6 +121,7 @@
         let services: Vec<Arc<str>> = question.services.iter().map(|s| s.as_str().into()).collect();
         let route = Arc::new(to_route(&question, &services));
         let top_k = route.top_k;
+        let allowed = question.allowed.chunks(route.attempts.max(1)).map(<[u32]>::to_vec).collect();
         let Some(request) = to_request(question) else {
             log::warn!("event=relay_unreadable");
             return wire::Gathered::default();
@@ -128,7 +129,8 @@
         let view = self.shared.view.load_full();
         let state = self.route_state(&route.name);
         let request = Rc::new(request);
-        let gather = Gather::new(self, &view, &route, state, &request, services, times);
+        let mut gather = Gather::new(self, &view, &route, state, &request, services, times);
+        gather.allow(allowed);
         let gathered = gather.run(For::Peer).await;
         metrics::counter!("eelgrasspier_relayed_total").increment(1);
         log::info!(
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -369,6 +369,8 @@
                 standing.reported(report.load.unwrap_or(replica.slots), now_ms);
                 standing.failed(now_ms);
             }
+            // The own limit says nothing of the replica.
+            Err(PartFailure::Crowded) => {}
             Err(_) => standing.failed(now_ms),
         }
         result
--- /dev/null
+++ b/crates/router/tests/relays.rs
@@ -0,0 +1,86 @@
+//! Gathering for another instance, and full connections.
+
+mod common;
+
+use common::{Conduct, World, in_virtual_time, route};
+use eelgrasspier_decide::relays;
+use eelgrasspier_peer::wire;
+use eelgrasspier_router::Outcome;
+
+fn question(services: &[&str], allowed: Vec<u32>) -> wire::Gather {
+    wire::Gather {
+        request_id: "r1".into(),
+        method: "GET".to_owned(),
+        host: "h".to_owned(),
+        path: "/q/x".to_owned(),
+        route: "r".to_owned(),
+        services: services.iter().map(|s| (*s).to_owned()).collect(),
+        attempts: 2,
+        top_k: 5,
+        time_left_ms: 400,
+        answer_within_ms: 70,
+        target_latency_ms: 80,
+        allowed,
+        ..wire::Gather::default()
+    }
+}
+
+/// Symptom: requests ran on three replicas of a shard where the route allows two.
+/// Sequence: a replica had just been taken off one instance's list and not yet off the
+/// other's; each drew two of what it knew.
+/// Cause: both sides drew, from lists that differ while they change.
+#[test]
+fn an_asked_instance_sends_only_to_the_replicas_it_is_told() {
+    in_virtual_time(async {
+        let world = World::new(route(2), 2);
+        world.script.set("s0/a", Conduct::Silent);
+        let only =
+            vec![relays::mark("s0/a"), relays::NO_MARK, relays::mark("s1/b"), relays::NO_MARK];
+        let answer = world.router.gather_for_peer(question(&["s0", "s1"], only)).await;
+        assert_eq!(answer.parts.len(), 1);
+        assert!(answer.may_have_run);
+        let arrived = |id| world.script.arrivals_at(id);
+        assert_eq!(
+            [arrived("s0/a"), arrived("s0/b"), arrived("s1/a"), arrived("s1/b")],
+            [1, 0, 0, 1]
+        );
+    });
+}
+
+#[test]
+fn an_asked_instance_hedges_and_answers_in_time_with_what_is_there() {
+    in_virtual_time(async {
+        let world = World::new(route(3), 3);
+        world.script.set("s0/a", Conduct::Silent);
+        world.script.set("s1/a", Conduct::Silent);
+        world.script.set("s1/b", Conduct::Silent);
+        let services = ["s0", "s1", "s2"];
+        let both =
+            services.iter().flat_map(|s| ["a", "b"].map(|r| relays::mark(&format!("{s}/{r}"))));
+        let started = tokio::time::Instant::now();
+        let answer = world.router.gather_for_peer(question(&services, both.collect())).await;
+        assert!(started.elapsed().as_millis() <= 72, "{:?}", started.elapsed());
+        let shards: Vec<u32> = answer.parts.iter().map(|p| p.shard).collect();
+        assert_eq!(shards.len(), 2);
+        assert!(!shards.contains(&1));
+    });
+}
+
+/// Symptom: shards were missing though their replicas were idle.
+/// Sequence: all of this instance's connections to both replicas were in use for a moment;
+/// both counted as tried and failed.
+/// Cause: the own limit was taken for the replicas' failure.
+#[test]
+fn a_shard_without_a_free_connection_is_sent_as_soon_as_one_is_free() {
+    in_virtual_time(async {
+        let world = World::new(route(2), 2);
+        world.script.full.borrow_mut().extend(["s0/a".to_owned(), "s0/b".to_owned()]);
+        let script = std::rc::Rc::clone(&world.script);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            script.full.borrow_mut().clear();
+        });
+        let Outcome::Merged(merged) = world.serve("r1", 400).await else { panic!("refused") };
+        assert_eq!((merged.signatures.len(), merged.missing), (2, 0));
+    });
+}
