--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -264,6 +264,7 @@
         Change::Died(name) => log::info!("event=instance_dead instance={name}"),
         Change::Left(name) => log::info!("event=instance_left instance={name}"),
         Change::Refuted => log::info!("event=suspicion_refuted"),
-        Change::ServerLeaving(server) => log::debug!("event=server_leaving server={server:?}"),
+        // Replicas that leave are learnt from the store's entries.
+        Change::ServerLeaving(_) => {}
     }
 }
--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,66 @@
+//! The catalogue of the router's log lines; docs/EVENTS.md lists the same.
+
+/// One kind of line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, which never changes its meaning.
+    pub number: u16,
+    /// Its name in the line's field `event`.
+    pub name: &'static str,
+}
+
+const fn event(number: u16, name: &'static str) -> Event {
+    Event { number, name }
+}
+
+/// All kinds, by number.
+pub const CATALOGUE: &[Event] = &[
+    event(701, "started"),
+    event(702, "ready"),
+    event(703, "reload"),
+    event(704, "settings_unusable"),
+    event(705, "stopping"),
+    event(706, "stopped"),
+    event(707, "failed"),
+    event(708, "metrics_not_served"),
+    event(711, "store_lost"),
+    event(712, "store_regained"),
+    event(713, "store_call_failed"),
+    event(714, "not_announced"),
+    event(715, "instances_not_listed"),
+    event(716, "instance_unreadable"),
+    event(721, "configuration"),
+    event(722, "configuration_stale"),
+    event(723, "configuration_unreadable"),
+    event(724, "configuration_deleted"),
+    event(725, "route_type_unknown"),
+    event(731, "replica_entry"),
+    event(732, "entry_unreadable"),
+    event(733, "lapsed_entries_dropped"),
+    event(734, "not_warmed"),
+    event(741, "instance_joined"),
+    event(742, "instance_state"),
+    event(743, "instance_suspected"),
+    event(744, "instance_dead"),
+    event(745, "instance_left"),
+    event(746, "suspicion_refuted"),
+    event(747, "fetch_failed"),
+    event(748, "fetch_refused"),
+    event(751, "merged"),
+    event(752, "relayed"),
+    event(753, "refused"),
+    event(754, "gathered"),
+    event(755, "gathered_for_peer"),
+    event(756, "send_failed"),
+    event(757, "relay_failed"),
+    event(758, "relay_silent"),
+    event(759, "relay_refused"),
+    event(760, "relay_unreadable"),
+];
+
+/// The number of the event that a line names, if it names one of the catalogue.
+#[must_use]
+pub fn number_of(line: &str) -> Option<u16> {
+    let name = line.strip_prefix("event=")?.split(' ').next()?;
+    CATALOGUE.iter().find(|e| e.name == name).map(|e| e.number)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod control;
 mod daemon;
+pub mod events;
 mod gather;
 mod model;
 mod output;
--- a/crates/router/src/output.rs
+++ b/crates/router/src/output.rs
@@ -3,6 +3,8 @@
 use std::io::{self, Write};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 
+use crate::events::number_of;
+
 /// Lines that may wait to be written; at about 150 bytes each they take under 400 KB.
 const MOST_WAITING: usize = 2048;
 
@@ -49,8 +51,13 @@
         builder.target(env_logger::Target::Pipe(Box::new(Lines { waiting })));
     }
     builder.format(|to, record| {
-        let level = record.level().as_str();
-        writeln!(to, "t={} level={level} {}", to.timestamp_millis(), record.args())
+        let (time, level) = (to.timestamp_millis(), record.level().as_str());
+        let line = record.args().to_string();
+        match number_of(&line) {
+            Some(number) => writeln!(to, "t={time} level={level} E{number} {line}"),
+            // A library's line, or one for developers only.
+            None => writeln!(to, "t={time} level={level} {line}"),
+        }
     });
     builder.init();
 }
--- /dev/null
+++ b/crates/router/tests/catalogue.rs
@@ -0,0 +1,61 @@
+//! The catalogue of events, the lines of the sources and the docs say the same.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use eelgrasspier_router::events::{CATALOGUE, number_of};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn sources(folder: &Path, into: &mut String) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, into);
+        } else if path.extension().is_some_and(|e| e == "rs") && !path.ends_with("events.rs") {
+            into.push_str(&std::fs::read_to_string(&path).unwrap());
+        }
+    }
+}
+
+#[test]
+fn every_line_of_the_sources_is_in_the_catalogue_and_no_other() {
+    let mut text = String::new();
+    sources(&root().join("crates/router/src"), &mut text);
+    sources(&root().join("platform/src"), &mut text);
+    let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
+    let mut used: BTreeSet<String> = text
+        .split("event=")
+        .skip(1)
+        .map(|rest| rest.chars().take_while(|&c| is_name(c)).collect())
+        .filter(|name: &String| !name.is_empty())
+        .collect();
+    // The outcome of a request names its event itself.
+    used.extend(["merged", "relayed", "refused"].map(str::to_owned));
+    let known: BTreeSet<String> = CATALOGUE.iter().map(|e| e.name.to_owned()).collect();
+    assert_eq!(used, known);
+    assert_eq!(number_of("event=merged id=1"), Some(751));
+    assert_eq!(number_of("something else"), None);
+}
+
+#[test]
+fn the_docs_list_every_event_with_its_number() {
+    let text = std::fs::read_to_string(root().join("docs/EVENTS.md")).unwrap();
+    for event in CATALOGUE {
+        let start = format!("| {} | {} |", event.number, event.name);
+        assert!(text.lines().any(|line| line.starts_with(&start)), "{start}");
+    }
+}
+
+#[test]
+fn the_docs_list_every_metric_of_the_router() {
+    let docs = std::fs::read_to_string(root().join("docs/METRICS.md")).unwrap();
+    let mut text = String::new();
+    sources(&root().join("crates/router/src"), &mut text);
+    let names = text.split('"').filter(|part| part.starts_with("eelgrasspier_"));
+    for name in names {
+        assert!(docs.contains(name), "{name}");
+    }
+}
