Fetch changes within the zone; poll changes, not lists; let watchers list first

By time: 13 of 46 MB before the first caller, when 77 instances each read the same list and fetched each replica's entry across zones; then instances that don't watch told each change (77 records a change by gossip, up to the 6 KB/s of each) and polled whole lists of 100 KB. Ruled out: second sends alone (9 of 46 MB). Change: at the first start of all those who watch read the list, the others hear from them; a change is fetched across zones only if the own zone has not brought it after 400 ms; polls ask for changes and are rarer in larger fleets; instances that don't watch tell what they have each 30 s.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrasspier_decide::membership::Listed;
+use eelgrasspier_decide::mirror::Mirror;
 use eelgrasspier_store::{Announcement, Backoff, CollectionError, Kind};
 
 use super::Control;
@@ -16,9 +17,16 @@
 /// Pause between two watches: changes that come close together cost one call, and a
 /// tenth of a second is nothing against the seconds in which they must be in force.
 const BATCH: Duration = Duration::from_millis(100);
-/// Time between the reads of an instance that hears of changes from others; each may be
-/// answered from a stale copy and only repairs what gossip lost.
+/// Time between the polls of an instance that hears of changes from others, for each six
+/// instances: a poll only repairs what gossip lost, and the store's rates don't grow with
+/// the fleet. It asks for changes, since a whole list of 400 replicas has 100 KB, and 77
+/// instances that read it each 5 s made most of the bytes between zones.
 const POLL: Duration = Duration::from_secs(5);
+const POLL_FOR_INSTANCES: u64 = 6;
+/// When the whole system starts for the first time: how long gossip has to join the
+/// instances, and how long one that won't watch waits for those who do.
+const JOIN_TIME: Duration = Duration::from_millis(600);
+const FIRST_LIST_TIME: Duration = Duration::from_secs(3);
 /// First and longest pause after a call that failed, in milliseconds.
 const LEAST_PAUSE_MS: u64 = 60;
 const MOST_PAUSE_MS: u64 = 600;
@@ -34,7 +42,10 @@
     /// Lists a kind, then watches it, or hears of it from those who do.
     pub(super) async fn follow(self: Rc<Self>, kind: Kind) {
         let mut pauses = Backoff::new(LEAST_PAUSE_MS, MOST_PAUSE_MS);
-        let mut since = None;
+        if self.identity.is_first_start {
+            self.wait_for_others(kind).await;
+        }
+        let mut since = self.filled_up_to(kind);
         loop {
             let called = Instant::now();
             let result = match since {
@@ -42,11 +53,11 @@
                 Some(revision) if self.is_watcher() => {
                     self.store.watch(kind, revision, WATCH_WAIT).await
                 }
-                Some(_) => {
+                Some(revision) => {
                     if !self.wait_for_poll().await {
                         continue;
                     }
-                    self.store.list(kind, true).await
+                    self.store.poll(kind, revision).await
                 }
             };
             match result {
@@ -76,10 +87,31 @@
         }
     }
 
+    /// At the first start of all: lets those who watch read the list for the others.
+    ///
+    /// No callers come in the first seconds, and 77 instances that each read the same list
+    /// at the same moment cost more than all calls of the rest of a quiet minute.
+    async fn wait_for_others(&self, kind: Kind) {
+        const LOOK_EVERY: Duration = Duration::from_millis(50);
+        tokio::time::sleep(JOIN_TIME).await;
+        let until = Instant::now() + FIRST_LIST_TIME;
+        while !self.is_watcher() && self.filled_up_to(kind).is_none() && Instant::now() < until {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Change up to which the copy is complete, once it is filled.
+    fn filled_up_to(&self, kind: Kind) -> Option<u64> {
+        let mirrors = self.mirrors.borrow();
+        mirrors.get(&kind).filter(|m| m.is_filled()).map(Mirror::changed)
+    }
+
     /// Waits for the next poll; returns whether it is due, and not a change of duties.
     async fn wait_for_poll(&self) -> bool {
         // Spread, so that the polls of a fleet don't meet.
-        let wait = POLL.mul_f64(rand::random_range(0.8..1.2));
+        let times = u32::try_from((self.instances() / POLL_FOR_INSTANCES).max(1));
+        let wait = POLL * times.unwrap_or(u32::MAX);
+        let wait = wait.mul_f64(rand::random_range(0.8..1.2));
         let duties = self.duties.notified();
         tokio::time::timeout(wait, duties).await.is_err()
     }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -25,10 +25,13 @@
 /// Time in which another instance must hand over changes.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two records of an instance that does not watch, in milliseconds.
-const TELL_EVERY_MS: u64 = 3_000;
+const TELL_EVERY_MS: u64 = 30_000;
 /// Instances that are assumed until the list was read: more than most deployments have
 /// in a few zones.
 const ASSUMED_INSTANCES: u64 = 16;
+/// Time that the own zone has to bring a change, in milliseconds; a change must be in
+/// force within three seconds.
+const OWN_ZONE_MS: u64 = 400;
 /// Greets seeds at one tick in this many while nobody else is known.
 const GREET_ONE_IN: u64 = 5;
 
@@ -118,10 +121,16 @@
         let ahead = membership.alive().filter(|m| revision_of(m, kind) > known);
         // One in the own zone, if there is one: so changes cross zones but once.
         let best = ahead.min_by_key(|m| (m.zone != self.identity.zone, rand::random::<u32>()));
-        let Some((name, Ok(addr))) = best.map(|m| (m.name.clone(), m.peer_addr.parse())) else {
+        let found = best.map(|m| (m.name.clone(), m.zone.clone(), m.peer_addr.parse()));
+        let Some((name, zone, Ok(addr))) = found else {
+            self.behind_since_ms.borrow_mut().remove(&kind);
             return;
         };
         drop(membership);
+        if zone != self.identity.zone && !self.is_long_behind(kind) {
+            return;
+        }
+        self.behind_since_ms.borrow_mut().remove(&kind);
         self.fetching.borrow_mut().push(kind);
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
@@ -136,6 +145,17 @@
         });
     }
 
+    /// Whether the own zone has had its time to bring a change that another zone has.
+    ///
+    /// Its watcher hears of it at about the same moment; without the wait half of all
+    /// changes were fetched across zones, by each instance for itself.
+    fn is_long_behind(&self, kind: Kind) -> bool {
+        let now_ms = self.shared.now_ms();
+        let mut behind = self.behind_since_ms.borrow_mut();
+        let since_ms = *behind.entry(kind).or_insert(now_ms);
+        now_ms >= since_ms + OWN_ZONE_MS
+    }
+
     /// Tells the others what this instance has taken in.
     pub(super) fn announce_changes(&self) {
         // Others fetch from the watchers; that each instance told of each change cost more
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -40,6 +40,7 @@
     pub(crate) peer_addr: SocketAddr,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) capacity_milli: u32,
+    pub(crate) is_first_start: bool,
 }
 
 /// The state of the control thread.
@@ -62,6 +63,8 @@
     is_any_turned_away: Cell<bool>,
     /// When an instance that does not watch last told what it has taken in.
     told_ms: Cell<u64>,
+    /// Since when only instances of other zones have seen more, in milliseconds.
+    behind_since_ms: RefCell<HashMap<Kind, u64>>,
     /// Whether the list of instances was ever read.
     has_listed: Cell<bool>,
     /// Kinds of which changes are being fetched from another instance.
@@ -101,6 +104,7 @@
             is_store_up: Cell::new(true),
             is_any_turned_away: Cell::new(false),
             told_ms: Cell::new(0),
+            behind_since_ms: RefCell::default(),
             has_listed: Cell::new(false),
             fetching: RefCell::default(),
             duties: Notify::new(),
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -54,6 +54,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Its processor time, in thousandths of a core.
     pub capacity_milli: u32,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// Where metrics are served.
     pub metrics_addr: Option<SocketAddr>,
     /// What all instances together may send twice.
@@ -130,6 +132,7 @@
         peer_addr: setup.peer_addr,
         seeds: setup.seeds.clone(),
         capacity_milli: setup.capacity_milli,
+        is_first_start: setup.is_first_start,
     };
     let (started, has_started) = oneshot::channel();
     arbiter.spawn_fn(move || {
@@ -182,7 +185,6 @@
     phase.send_replace(StopPhase::Closing);
     let ended = tokio::time::timeout_at(began + grace, serving).await;
     log::info!("event=stopped cut_short={}", ended.is_err());
-    log::logger().flush();
     arbiter.stop();
     Ok(())
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,6 @@
 pub use backend::{Attempt, Backend, BackendFuture, Reply};
 pub use daemon::{Adapters, RunError, Setup, run};
 pub use model::{Merged, Outcome, Request};
-pub use output::log_to_stdout;
+pub use output::{finish_log, log_to_stdout};
 pub use router::Router;
 pub use view::{Peer, Shared, View};
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -62,6 +62,9 @@
         wait: Duration,
     ) -> StoreFuture<'_, Result<Changes, CollectionError>>;
 
+    /// Changes above `since` that there are now; they may be some seconds old.
+    fn poll(&self, kind: Kind, since: u64) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+
     /// Writes this instance's own entry.
     fn announce<'a>(
         &'a self,
