Let watchers step in at once and tell news that changes nothing here

Traced from the lines: (1) the store cut all watchers' connections while a version was written; all but one instance said that the store did not answer them, so they waited for their polls, and the one left was not told of its duty, since a changed flag alone woke nobody; the version was in force 5 s late. (2) Waiting for a poll began anew whenever duties changed, up to 19 s. (3) A watcher kept an entry that was gone (2.2 s after an outage) and, as nothing changed for it, told nobody; the others heard by their polls, 4 s later. Ruled out: the mirror, which was right on the watchers. Change: watchers that are turned away go on trying while others step in; any change of a record wakes those with duties; a poll has a fixed time; news is told whether or not it changes anything here. Test: duties, rewritten for the new rule and as strict (others step in in each zone, and the first ones go on).

--- a/crates/decide/src/watchers.rs
+++ b/crates/decide/src/watchers.rs
@@ -3,8 +3,8 @@
 //! Each call of the store is paid for and its rates grow more slowly than the fleet. A
 //! few watchers, the same at every instance by rendezvous over the members, carry news
 //! to all others by gossip: one in each zone, so that changes cross zones but once, and
-//! one more of all. An instance that the store turns away drops out of the choice as soon
-//! as its record says so, and the next one steps in.
+//! one more of all. Where the store turns one away, the next one steps in as soon as the
+//! first one's record says so.
 
 use crate::rendezvous;
 
@@ -30,11 +30,9 @@
 /// Whether the instance `own` watches, among itself and `others`.
 #[must_use]
 pub fn is_watcher(own: Candidate, others: &[Candidate]) -> bool {
+    // One that is turned away goes on trying, though others step in: its connection may
+    // only have been cut, and when nobody is reached somebody has to find out first.
     let reached: Vec<&Candidate> = others.iter().filter(|c| c.is_store_reached).collect();
-    if !own.is_store_reached {
-        // Somebody has to find out when the store is back.
-        return reached.is_empty();
-    }
     let ranking = rendezvous::hash(RANKING);
     let is_in_top = |wanted: &dyn Fn(&Candidate) -> bool, top: usize| {
         let keys = reached.iter().filter(|c| wanted(c)).map(|c| c.key);
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -46,6 +46,7 @@
             self.wait_for_others(kind).await;
         }
         let mut since = self.filled_up_to(kind);
+        let mut next_poll = self.next_poll();
         loop {
             let called = Instant::now();
             let result = match since {
@@ -54,9 +55,10 @@
                     self.store.watch(kind, revision, WATCH_WAIT).await
                 }
                 Some(revision) => {
-                    if !self.wait_for_poll().await {
+                    if !self.is_poll_due(next_poll).await {
                         continue;
                     }
+                    next_poll = self.next_poll();
                     self.store.poll(kind, revision).await
                 }
             };
@@ -106,14 +108,17 @@
         mirrors.get(&kind).filter(|m| m.is_filled()).map(Mirror::changed)
     }
 
-    /// Waits for the next poll; returns whether it is due, and not a change of duties.
-    async fn wait_for_poll(&self) -> bool {
-        // Spread, so that the polls of a fleet don't meet.
+    fn next_poll(&self) -> Instant {
         let times = u32::try_from((self.instances() / POLL_FOR_INSTANCES).max(1));
         let wait = POLL * times.unwrap_or(u32::MAX);
-        let wait = wait.mul_f64(rand::random_range(0.8..1.2));
+        // Spread, so that the polls of a fleet don't meet.
+        Instant::now() + wait.mul_f64(rand::random_range(0.8..1.2))
+    }
+
+    /// Waits for a poll that is due at `at`; false if duties may have changed before.
+    async fn is_poll_due(&self, at: Instant) -> bool {
         let duties = self.duties.notified();
-        tokio::time::timeout(wait, duties).await.is_err()
+        tokio::time::timeout_at(at.into(), duties).await.is_err()
     }
 
     /// During an outage the calls for one kind find out when it is over.
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -91,6 +91,11 @@
         }
         if has_changes {
             self.publish();
+        }
+        // Also where a record only says that the store does not answer: without this nobody
+        // stepped in before the next poll, and a change was in force five seconds late.
+        let epoch = self.membership.borrow().epoch();
+        if self.seen_epoch.replace(epoch) != epoch {
             self.duties.notify_waiters();
         }
         self.judge_store();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -65,6 +65,8 @@
     told_ms: Cell<u64>,
     /// Since when only instances of other zones have seen more, in milliseconds.
     behind_since_ms: RefCell<HashMap<Kind, u64>>,
+    /// The members' epoch from which duties were last drawn.
+    seen_epoch: Cell<u64>,
     /// Whether the list of instances was ever read.
     has_listed: Cell<bool>,
     /// Kinds of which changes are being fetched from another instance.
@@ -105,6 +107,7 @@
             is_any_turned_away: Cell::new(false),
             told_ms: Cell::new(0),
             behind_since_ms: RefCell::default(),
+            seen_epoch: Cell::new(0),
             has_listed: Cell::new(false),
             fetching: RefCell::default(),
             duties: Notify::new(),
@@ -153,6 +156,9 @@
             (mirror.apply(changes), was_filled)
         };
         let mut has_changed = !was_filled && changes.is_whole;
+        // Told even where nothing changes here, such as an entry that is kept for a while:
+        // the others would hear of it only by their next poll.
+        let has_news = has_changed || !effects.is_empty();
         for effect in effects {
             has_changed |= match kind {
                 Kind::Replicas => self.take_replica(effect, changes.as_of, source),
@@ -162,6 +168,8 @@
         }
         if has_changed {
             self.publish();
+        }
+        if has_news {
             self.announce_changes();
         }
     }
