--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -52,7 +52,7 @@
             let result = match since {
                 None => self.store.list(kind, false).await,
                 Some(revision) if self.is_watcher() => {
-                    self.store.watch(kind, revision, WATCH_WAIT).await
+                    self.store.watch(kind, revision, self.watch_wait()).await
                 }
                 Some(revision) => {
                     if !self.is_poll_due(next_poll).await {
@@ -108,6 +108,15 @@
         mirrors.get(&kind).filter(|m| m.is_filled()).map(Mirror::changed)
     }
 
+    /// While the store is lost a call doesn't wait there for changes.
+    ///
+    /// The first watch after an outage would be answered only when its wait is over: two
+    /// seconds in which nobody knows that the store is back, and what was kept for the time
+    /// of the outage is kept two seconds too long.
+    fn watch_wait(&self) -> Duration {
+        if self.is_store_up.get() { WATCH_WAIT } else { Duration::from_millis(1) }
+    }
+
     fn next_poll(&self) -> Instant {
         let times = u32::try_from((self.instances() / POLL_FOR_INSTANCES).max(1));
         let wait = POLL * times.unwrap_or(u32::MAX);
