--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -74,11 +74,7 @@
 /// Shards in no group are asked directly; groups have `least` shards or more. `turn`
 /// rotates which of several equally good zones is taken.
 #[must_use]
-pub fn group<'a>(
-    mut zones: BTreeMap<usize, Vec<&'a str>>,
-    least: usize,
-    turn: u64,
-) -> Vec<Group<'a>> {
+pub fn group(mut zones: BTreeMap<usize, Vec<&str>>, least: usize, turn: u64) -> Vec<Group<'_>> {
     let mut groups = Vec::new();
     loop {
         let mut by_zone: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
--- a/crates/decide/tests/duties.rs
+++ b/crates/decide/tests/duties.rs
@@ -47,7 +47,9 @@
     // Those that are turned away go on trying: it may have been their connection only.
     assert!(first.iter().all(|i| second.contains(i)));
     // With nobody served, all find out when the store is back.
-    fleet.iter_mut().for_each(|c| c.is_store_reached = false);
+    for candidate in &mut fleet {
+        candidate.is_store_reached = false;
+    }
     assert_eq!(watching(&fleet).len(), fleet.len());
 }
 
@@ -77,7 +79,9 @@
     let mut large_chosen = 0;
     for number in 0..200 {
         let mut all = zone(20, 120);
-        all[..5].iter_mut().for_each(|c| c.capacity_milli = 500);
+        for large in &mut all[..5] {
+            large.capacity_milli = 500;
+        }
         let chosen = gatherers::choose(&format!("z{number}"), &all);
         large_chosen += chosen.iter().filter(|&&k| k <= 5).count();
     }
--- a/crates/decide/tests/merging.rs
+++ b/crates/decide/tests/merging.rs
@@ -12,6 +12,12 @@
     records.concat()
 }
 
+fn add_all(greatest: &mut Greatest, parts: &[Vec<u8>]) {
+    for part in parts {
+        greatest.add(part);
+    }
+}
+
 #[test]
 fn merging_keeps_the_greatest_records_also_in_two_steps() {
     arbtest(|u| {
@@ -19,15 +25,15 @@
         let most = u.int_in_range(0..=8)?;
         let expected = by_sorting(&parts, most);
         let mut whole = Greatest::new(most);
-        parts.iter().for_each(|p| whole.add(p));
+        add_all(&mut whole, &parts);
         assert_eq!(whole.into_bytes(), expected);
         // As when an instance beside the replicas has merged half of the parts.
         let (first, second) = parts.split_at(parts.len() / 2);
         let mut relayed = Greatest::new(most);
-        first.iter().for_each(|p| relayed.add(p));
+        add_all(&mut relayed, first);
         let mut joined = Greatest::new(most);
         joined.add(&relayed.into_bytes());
-        second.iter().for_each(|p| joined.add(p));
+        add_all(&mut joined, second);
         assert_eq!(joined.into_bytes(), expected);
         Ok(())
     });
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -13,7 +13,7 @@
 ///
 /// A connection that has gone silent is noticed when this is over: it must leave time to
 /// read anew before the instance counts as undisturbed again, 4 s after the cut.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause between two watches: changes that come close together cost one call, and a
 /// tenth of a second is nothing against the seconds in which they must be in force.
 const BATCH: Duration = Duration::from_millis(100);
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -69,8 +69,8 @@
             return;
         }
         let own = self.identity.peer_addr;
-        let seeds = self.identity.seeds.iter().filter(|addr| **addr != own);
-        let sends: Vec<Send> = seeds.map(|&addr| membership.greet(addr)).collect();
+        let others = self.identity.seeds.iter().filter(|addr| **addr != own);
+        let sends: Vec<Send> = others.map(|&addr| membership.greet(addr)).collect();
         drop(membership);
         self.send(sends);
     }
@@ -225,7 +225,8 @@
         let own = std::iter::once(membership.own());
         let candidate =
             |m: &Member| gatherers::Candidate { key: m.key(), capacity_milli: m.capacity_milli };
-        let all = own.chain(membership.alive().filter(is_serving)).filter(|m| m.zone == zone);
+        let all =
+            own.chain(membership.alive().filter(|m| is_serving(m))).filter(|m| m.zone == zone);
         gatherers::choose(zone, &all.map(candidate).collect::<Vec<_>>())
     }
 
@@ -237,7 +238,7 @@
     /// The other instances that serve.
     pub(super) fn peers(&self) -> Vec<Peer> {
         let membership = self.membership.borrow();
-        let serving: Vec<&Member> = membership.alive().filter(is_serving).collect();
+        let serving: Vec<&Member> = membership.alive().filter(|m| is_serving(m)).collect();
         let mut chosen: HashMap<&str, Vec<u64>> = HashMap::new();
         for member in &serving {
             chosen.entry(&member.zone).or_insert_with(|| self.gatherers(&member.zone));
@@ -269,7 +270,7 @@
     }
 }
 
-fn is_serving(member: &&Member) -> bool {
+fn is_serving(member: &Member) -> bool {
     member.state() == State::Ready && member.liveness() == Liveness::Alive
 }
 
--- a/crates/router/src/output.rs
+++ b/crates/router/src/output.rs
@@ -57,7 +57,7 @@
 /// Starts logging to standard output, one structured line for each event.
 pub fn log_to_stdout() {
     let (waiting, lines) = sync_channel::<Vec<u8>>(MOST_WAITING);
-    let writing = move || {
+    let write_all = move || {
         let mut out = io::stdout().lock();
         for line in lines {
             let written = out.write_all(&line).and_then(|()| out.flush());
@@ -68,7 +68,7 @@
             }
         }
     };
-    let started = std::thread::Builder::new().name("log".to_owned()).spawn(writing);
+    let started = std::thread::Builder::new().name("log".to_owned()).spawn(write_all);
     let env = env_logger::Env::default().default_filter_or("info");
     let mut builder = env_logger::Builder::from_env(env);
     if started.is_ok() {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasspier_backend::{PartFailure, Report};
+use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
@@ -122,7 +122,7 @@
             pause(ms).await;
             return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, replica));
         }
-        Conduct::Sheds => return Err(PartFailure::Shed(Box::new(Report::default()))),
+        Conduct::Sheds => return Err(PartFailure::Shed(Box::default())),
         Conduct::Loses(ms) => {
             pause(ms).await;
             return Err(PartFailure::Lost("reset".to_owned()));
