Split the router's large files; write the sending of gossip once

Change: route_state, outcome and connections out of router, ends out of gather; Gossip::send_all serves both daemons. Ruled out: moving decisions, which are in decide already.

--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -8,9 +8,7 @@
 use eelgrasspier_decide::leaving::Server;
 use eelgrasspier_decide::membership::{Change, Datagram, LeavingServer, Listed, Send, State};
 use eelgrasspier_decide::share::Agreement;
-use eelgrasspier_peer::Gossip;
 use futures_util::{Stream, StreamExt};
-use tokio::sync::mpsc;
 
 use super::Control;
 use crate::event;
@@ -30,12 +28,6 @@
 /// Pause between reads while the list does not show this instance yet.
 const UNLISTED_PAUSE: Duration = Duration::from_millis(500);
 
-pub(super) async fn send_all(mut gossip: Gossip, mut outgoing: mpsc::UnboundedReceiver<Send>) {
-    while let Some(Send { to, datagram }) = outgoing.recv().await {
-        gossip.send(to, datagram).await;
-    }
-}
-
 pub(super) async fn receive_all(
     control: Rc<Control>,
     mut received: Pin<Box<dyn Stream<Item = (Datagram, SocketAddr)>>>,
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -100,7 +100,7 @@
             duties: Notify::new(),
             shared,
         });
-        actix_rt::spawn(members::send_all(gossip, outgoing));
+        actix_rt::spawn(gossip.send_all(outgoing));
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
         actix_rt::spawn(Rc::clone(&control).tick());
         actix_rt::spawn(Rc::clone(&control).keep_gauges());
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 
 use bytes::{BufMut, BytesMut};
-use eelgrasspier_decide::membership::Datagram;
+use eelgrasspier_decide::membership::{Datagram, Send};
 use futures_util::stream::SplitSink;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::udp::UdpFramed;
 
@@ -59,8 +60,15 @@
         Ok((Self { sink }, received))
     }
 
+    /// Sends what comes out of the queue, for as long as its other end lives.
+    pub async fn send_all(mut self, mut outgoing: UnboundedReceiver<Send>) {
+        while let Some(Send { to, datagram }) = outgoing.recv().await {
+            self.send(to, datagram).await;
+        }
+    }
+
     /// Sends one datagram; a failure is like a lost one and only counted.
-    pub async fn send(&mut self, to: SocketAddr, datagram: Datagram) {
+    async fn send(&mut self, to: SocketAddr, datagram: Datagram) {
         let size_bytes = datagram.encoded_len() as u64;
         metrics::counter!("eelgrasspier_gossip_sent_bytes_total").increment(size_bytes);
         if self.sink.send((datagram, to)).await.is_err() {
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -11,11 +11,9 @@
 use eelgrasspier_decide::mirror::Mirror;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::watchers::{self, Candidate};
-use eelgrasspier_peer::Gossip;
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
 use eelgrasspier_store::Kind;
 use futures_util::{Stream, StreamExt};
-use tokio::sync::mpsc;
 
 use super::Control;
 use crate::view::Peer;
@@ -35,12 +33,6 @@
 /// Greets seeds at one tick in this many while nobody else is known.
 const GREET_ONE_IN: u64 = 5;
 
-pub(super) async fn send_all(mut gossip: Gossip, mut outgoing: mpsc::UnboundedReceiver<Send>) {
-    while let Some(Send { to, datagram }) = outgoing.recv().await {
-        gossip.send(to, datagram).await;
-    }
-}
-
 pub(super) async fn receive_all(
     control: Rc<Control>,
     mut received: Pin<Box<dyn Stream<Item = (Datagram, SocketAddr)>>>,
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -112,7 +112,7 @@
             fetching: RefCell::default(),
             duties: Notify::new(),
         });
-        actix_rt::spawn(members::send_all(gossip, outgoing));
+        actix_rt::spawn(gossip.send_all(outgoing));
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Configuration));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -1,5 +1,6 @@
 //! Gathers the answers of the shards of one request: first sends, second sends, the end.
 
+mod ends;
 mod relay;
 mod shard;
 
@@ -11,14 +12,14 @@
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::patience::{Gathering, Next};
-use eelgrasspier_decide::prelude::Verdict;
 use eelgrasspier_decide::relays;
 use eelgrasspier_decide::route::Route;
 use tokio::sync::mpsc;
 
 use crate::backend::{Attempt, Reply};
 use crate::model::Request;
-use crate::router::{RouteState, Router};
+use crate::route_state::RouteState;
+use crate::router::Router;
 use crate::view::{Peer, View};
 use relay::{Check, RelayEnd};
 use shard::{Shard, ShardState};
@@ -316,113 +317,4 @@
         self.gathered.repeats += 1;
         self.send(index)
     }
-
-    fn take(&mut self, landed: Landed) {
-        match landed {
-            Landed::Send { shard, replica, result } => {
-                self.shards[shard].in_flight -= 1;
-                match result {
-                    Ok(reply) if reply.status.is_success() => self.cover(shard, reply),
-                    Ok(reply) => self.take_failure(shard, &replica, reply),
-                    Err(failure) => self.take_loss(shard, &replica, &failure),
-                }
-            }
-            Landed::Relay(end) => self.take_relay(end),
-            Landed::Checked { peer, shards, is_alive } => {
-                self.take_check(&peer, &shards, is_alive);
-            }
-        }
-    }
-
-    fn cover(&mut self, index: usize, reply: Reply) {
-        self.gathered.may_have_run = true;
-        let shard = &mut self.shards[index];
-        if shard.state != ShardState::Covered {
-            shard.state = ShardState::Covered;
-            self.gathered.replies.push((index, reply));
-        }
-    }
-
-    /// A replica's own failure: it ran the request.
-    fn take_failure(&mut self, index: usize, replica: &str, reply: Reply) {
-        self.note_failure(replica, index, reply.status.as_str());
-        self.gathered.may_have_run = true;
-        let is_final = reply.status.is_client_error() || !self.route.is_idempotent;
-        self.gathered.failure = Some(reply);
-        if is_final {
-            self.fail(index);
-        } else {
-            self.recover(index, true);
-        }
-    }
-
-    /// No usable answer came.
-    fn take_loss(&mut self, index: usize, replica: &str, failure: &PartFailure) {
-        if *failure == PartFailure::Crowded {
-            return self.wait_for_room(index, replica);
-        }
-        self.note_failure(replica, index, &failure.to_string());
-        let may_have_run = failure.verdict() == Verdict::MayHaveRun;
-        self.gathered.may_have_run |= may_have_run;
-        if !may_have_run {
-            self.shards[index].not_run += 1;
-        }
-        let is_arrival = !matches!(failure, PartFailure::NotReached(_));
-        if may_have_run && !self.route.is_idempotent {
-            self.fail(index);
-        } else {
-            self.recover(index, is_arrival);
-        }
-    }
-
-    /// Others took the last connections first: looks again in a moment.
-    fn wait_for_room(&mut self, index: usize, replica: &str) {
-        let again_ms = self.router.shared.now_ms() + ROOM_RETRY_MS;
-        let shard = &mut self.shards[index];
-        shard.tried.retain(|tried| **tried != *replica);
-        shard.hedge_at_ms = Some(shard.hedge_at_ms.map_or(again_ms, |at| at.min(again_ms)));
-    }
-
-    fn fail(&mut self, index: usize) {
-        let shard = &mut self.shards[index];
-        if shard.state == ShardState::Open {
-            shard.state = ShardState::Failed;
-        }
-    }
-
-    /// Sends once more after a failed send; `is_arrival` if that one counts as sent.
-    fn recover(&mut self, index: usize, is_arrival: bool) {
-        let shard = &self.shards[index];
-        let is_over = self.router.shared.now_ms() >= self.times.limit_at_ms;
-        if shard.state != ShardState::Open || is_over {
-            return;
-        }
-        let most = self.route.attempts.max(1) + MOST_UNRUN_SENDS;
-        let has_sent = if shard.tried.len() >= most {
-            false
-        } else if is_arrival {
-            self.send_again(index, "retry")
-        } else {
-            self.send(index)
-        };
-        if !has_sent {
-            self.settle(index);
-        }
-    }
-
-    /// A shard with nothing on its way has failed.
-    fn settle(&mut self, index: usize) {
-        if self.shards[index].in_flight == 0 {
-            self.fail(index);
-        }
-    }
-
-    fn note_failure(&self, replica: &str, shard: usize, cause: &str) {
-        let id = self.request.id_text();
-        let service = &self.shards[shard].service;
-        metrics::counter!("eelgrasspier_failed_sends_total").increment(1);
-        log::info!(
-            "event=send_failed id={id} service={service} replica={replica} cause=\"{cause}\""
-        );
-    }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,14 +5,17 @@
 //! to one of each shard; both are the same gathering, with one shard or many.
 
 mod backend;
+mod connections;
 mod control;
 mod daemon;
 pub mod events;
 mod gather;
 mod model;
+mod outcome;
 mod output;
 mod peers;
 mod relay;
+mod route_state;
 mod router;
 mod view;
 
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -15,7 +15,8 @@
 
 use crate::gather::{For, Gather, Gathered, Times};
 use crate::model::Request;
-use crate::router::{InProgress, PEER_SLOTS, RouteState, Router, UNSOUND_PEER_COST, peer_key};
+use crate::route_state::RouteState;
+use crate::router::{InProgress, PEER_SLOTS, Router, UNSOUND_PEER_COST, peer_key};
 use crate::view::{Peer, View};
 
 /// Time after which a link without an answer is closed; a frozen instance is back within
--- /dev/null
+++ b/crates/router/src/route_state.rs
@@ -0,0 +1,88 @@
+//! What is learnt of one route: latencies, whose turn it is, callers' whole deadlines.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use eelgrasspier_decide::hedge::Quantile;
+use eelgrasspier_decide::route::Dealer;
+
+/// Latency that is taken for usual until enough answers were measured, in milliseconds.
+const FIRST_USUAL_MS: f64 = 10.0;
+/// Answers within this quantile are no reason for a second send.
+const HEDGE_PER_MILLE: u32 = 940;
+/// The same while the budget for repeats is scarce: then it is kept for replicas that are
+/// paused or lost, which make up about a twentieth of all parts.
+const SCARCE_HEDGE_PER_MILLE: u32 = 960;
+/// The usual latency is the median.
+const MEDIAN_PER_MILLE: u32 = 500;
+/// Least time before a second send, in milliseconds: less is within the network's noise.
+const LEAST_HEDGE_MS: u64 = 4;
+/// Share of the target latency before which no second send goes out: an answer within it
+/// is in time without one, and second sends cross zones.
+const EARLIEST_DIVISOR: u64 = 5;
+/// The same while the budget is scarce.
+const SCARCE_EARLIEST_DIVISOR: u64 = 4;
+/// Share of the target latency after which a second send goes out at the latest, so that
+/// the other replica has as long again.
+const HEDGE_LATEST_DIVISOR: u64 = 3;
+/// Quantile of merged answers after which the instance is asked whether it is alive.
+const RELAY_CHECK_PER_MILLE: u32 = 800;
+/// Share of the target latency after which that happens at the latest.
+const RELAY_TARGET_DIVISOR: u64 = 3;
+/// What is learnt of one route's requests.
+#[derive(Debug, Default)]
+pub(crate) struct RouteState {
+    pub(crate) latency: RefCell<Quantile>,
+    relay_latency: RefCell<Quantile>,
+    pub(crate) dealer: RefCell<Dealer>,
+    /// Longest deadline that a caller named: that of its first attempt.
+    full_deadline_ms: Cell<u64>,
+}
+
+impl RouteState {
+    /// The usual latency of one exchange, in milliseconds.
+    pub(crate) fn usual_ms(&self) -> f64 {
+        let median_us = self.latency.borrow().value_us(MEDIAN_PER_MILLE);
+        median_us.map_or(FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
+    }
+
+    /// Time after which a second send may go out, in milliseconds.
+    pub(crate) fn hedge_after_ms(&self, target_ms: u64, is_scarce: bool) -> u64 {
+        let (per_mille, earliest_ms) = if is_scarce {
+            (SCARCE_HEDGE_PER_MILLE, target_ms / SCARCE_EARLIEST_DIVISOR)
+        } else {
+            (HEDGE_PER_MILLE, target_ms / EARLIEST_DIVISOR)
+        };
+        let earliest_ms = earliest_ms.max(LEAST_HEDGE_MS);
+        let latest_ms = (target_ms / HEDGE_LATEST_DIVISOR).max(LEAST_HEDGE_MS);
+        let quantile_us = self.latency.borrow().value_us(per_mille);
+        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(earliest_ms, latest_ms))
+    }
+
+    /// Time after which an instance that gathers is asked whether it answers at all.
+    pub(crate) fn relay_check_after_ms(&self, target_ms: u64) -> u64 {
+        let latest_ms = (target_ms / RELAY_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
+        let quantile_us = self.relay_latency.borrow().value_us(RELAY_CHECK_PER_MILLE);
+        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
+    }
+
+    /// The usual latency of another instance's answer, in milliseconds.
+    pub(crate) fn usual_relay_ms(&self) -> f64 {
+        let median_us = self.relay_latency.borrow().value_us(MEDIAN_PER_MILLE);
+        median_us
+            .map_or(2.0 * FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
+    }
+
+    pub(crate) fn note_relay(&self, took: Duration) {
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.relay_latency.borrow_mut().record(took_us);
+    }
+
+    /// Time that the caller has spent on earlier attempts, in milliseconds.
+    ///
+    /// Callers lower the deadline with each attempt, so the longest one seen tells.
+    pub(crate) fn spent_ms(&self, deadline_ms: u64) -> u64 {
+        self.full_deadline_ms.set(self.full_deadline_ms.get().max(deadline_ms));
+        self.full_deadline_ms.get() - deadline_ms
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,26 +1,25 @@
 //! The traffic thread's state: standings, budgets, latencies; and the way of a request.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
 use eelgrasspier_decide::directory::ReplicaEntry;
-use eelgrasspier_decide::hedge::Quantile;
-use eelgrasspier_decide::merge::Greatest;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::rendezvous;
-use eelgrasspier_decide::route::{Dealer, Route, Target};
+use eelgrasspier_decide::route::{Route, Target};
 use eelgrasspier_decide::standing::Standing;
 use eelgrasspier_peer::Links;
 use tokio::time::Instant;
 
 use crate::backend::{Attempt, Backend, Reply};
-use crate::gather::{For, Gather, Gathered, Times};
-use crate::model::{Merged, Outcome, Request};
+use crate::gather::{For, Gather, Times};
+use crate::model::{Outcome, Request};
+use crate::outcome::{hand_on, merge, note_outcome};
+use crate::route_state::RouteState;
 use crate::view::{Shared, View};
 
 /// When to come back to an instance that knows no configuration yet, at first: one that
@@ -28,44 +27,9 @@
 const LEAST_NOT_READY_RETRY_MS: u64 = 40;
 /// The same, at most: it learns a configuration within a second of the store's return.
 const MOST_NOT_READY_RETRY_MS: u64 = 1_000;
-/// When to come back where no replica is known: the list is a second old at the most.
-const NO_REPLICA_RETRY_MS: u64 = 300;
-/// Latency that is taken for usual until enough answers were measured, in milliseconds.
-const FIRST_USUAL_MS: f64 = 10.0;
-/// Answers within this quantile are no reason for a second send.
-const HEDGE_PER_MILLE: u32 = 940;
-/// The same while the budget for repeats is scarce: then it is kept for replicas that are
-/// paused or lost, which make up about a twentieth of all parts.
-const SCARCE_HEDGE_PER_MILLE: u32 = 960;
-/// The usual latency is the median.
-const MEDIAN_PER_MILLE: u32 = 500;
-/// Least time before a second send, in milliseconds: less is within the network's noise.
-const LEAST_HEDGE_MS: u64 = 4;
-/// Share of the target latency before which no second send goes out: an answer within it
-/// is in time without one, and second sends cross zones.
-const EARLIEST_DIVISOR: u64 = 5;
-/// The same while the budget is scarce.
-const SCARCE_EARLIEST_DIVISOR: u64 = 4;
-/// Share of the target latency after which a second send goes out at the latest, so that
-/// the other replica has as long again.
-const HEDGE_LATEST_DIVISOR: u64 = 3;
-/// Quantile of merged answers after which the instance is asked whether it is alive.
-const RELAY_CHECK_PER_MILLE: u32 = 800;
-/// Share of the target latency after which that happens at the latest.
-const RELAY_TARGET_DIVISOR: u64 = 3;
 /// Part of the slack for repeats of the instances that gather, in hundredths, where others
 /// do not: nearly all repeats are sent by those who gather.
 const GATHERERS_PERCENT: u64 = 80;
-/// Connections to a replica that each instance may open whatever the others do.
-const LEAST_CONNECTIONS: u32 = 1;
-/// Part of a replica's connections for the instances of its own zone, in hundredths; they
-/// send it most of its requests, the others hedges only.
-const NEAR_PERCENT: u32 = 60;
-/// Part for all other instances, in hundredths. Rounding down leaves room for instances
-/// that start while connections of others that have just died still count.
-const FAR_PERCENT: u32 = 40;
-/// Of the instances not heard of yet, one in this many is assumed in any one zone.
-const UNKNOWN_IN_ZONE_DIVISOR: u32 = 4;
 /// Kept of the target latency for the way to and from the caller and for merging.
 const TARGET_MARGIN_MS: u64 = 7;
 /// Kept of the caller's deadline for the same.
@@ -91,69 +55,11 @@
     pub(crate) key: u64,
     pub(crate) links: Links,
     limits: RepeatLimits,
-    standings: RefCell<HashMap<Arc<str>, Rc<RefCell<Standing>>>>,
+    pub(crate) standings: RefCell<HashMap<Arc<str>, Rc<RefCell<Standing>>>>,
     allowances: RefCell<HashMap<Arc<str>, Allowance>>,
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
 }
 
-/// What is learnt of one route's requests.
-#[derive(Debug, Default)]
-pub(crate) struct RouteState {
-    latency: RefCell<Quantile>,
-    relay_latency: RefCell<Quantile>,
-    dealer: RefCell<Dealer>,
-    /// Longest deadline that a caller named: that of its first attempt.
-    full_deadline_ms: Cell<u64>,
-}
-
-impl RouteState {
-    /// The usual latency of one exchange, in milliseconds.
-    pub(crate) fn usual_ms(&self) -> f64 {
-        let median_us = self.latency.borrow().value_us(MEDIAN_PER_MILLE);
-        median_us.map_or(FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
-    }
-
-    /// Time after which a second send may go out, in milliseconds.
-    fn hedge_after_ms(&self, target_ms: u64, is_scarce: bool) -> u64 {
-        let (per_mille, earliest_ms) = if is_scarce {
-            (SCARCE_HEDGE_PER_MILLE, target_ms / SCARCE_EARLIEST_DIVISOR)
-        } else {
-            (HEDGE_PER_MILLE, target_ms / EARLIEST_DIVISOR)
-        };
-        let earliest_ms = earliest_ms.max(LEAST_HEDGE_MS);
-        let latest_ms = (target_ms / HEDGE_LATEST_DIVISOR).max(LEAST_HEDGE_MS);
-        let quantile_us = self.latency.borrow().value_us(per_mille);
-        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(earliest_ms, latest_ms))
-    }
-
-    /// Time after which an instance that gathers is asked whether it answers at all.
-    pub(crate) fn relay_check_after_ms(&self, target_ms: u64) -> u64 {
-        let latest_ms = (target_ms / RELAY_TARGET_DIVISOR).max(LEAST_HEDGE_MS);
-        let quantile_us = self.relay_latency.borrow().value_us(RELAY_CHECK_PER_MILLE);
-        quantile_us.map_or(latest_ms, |us| us.div_ceil(1000).clamp(LEAST_HEDGE_MS, latest_ms))
-    }
-
-    /// The usual latency of another instance's answer, in milliseconds.
-    pub(crate) fn usual_relay_ms(&self) -> f64 {
-        let median_us = self.relay_latency.borrow().value_us(MEDIAN_PER_MILLE);
-        median_us
-            .map_or(2.0 * FIRST_USUAL_MS, |us| Duration::from_micros(us).as_secs_f64() * 1000.0)
-    }
-
-    pub(crate) fn note_relay(&self, took: Duration) {
-        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        self.relay_latency.borrow_mut().record(took_us);
-    }
-
-    /// Time that the caller has spent on earlier attempts, in milliseconds.
-    ///
-    /// Callers lower the deadline with each attempt, so the longest one seen tells.
-    fn spent_ms(&self, deadline_ms: u64) -> u64 {
-        self.full_deadline_ms.set(self.full_deadline_ms.get().max(deadline_ms));
-        self.full_deadline_ms.get() - deadline_ms
-    }
-}
-
 impl std::fmt::Debug for Router {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Router").field("zone", &self.zone).finish_non_exhaustive()
@@ -310,34 +216,6 @@
         usual_ms * cost + far_ms
     }
 
-    pub(crate) fn has_room(&self, view: &View, replica: &ReplicaEntry) -> bool {
-        self.backend.has_room(&replica.id, self.most_connections(view, replica))
-    }
-
-    /// Connections that this instance may open to a replica.
-    pub(crate) fn most_connections(&self, view: &View, replica: &ReplicaEntry) -> u32 {
-        let limits = view.configuration.as_ref().and_then(|c| c.services.get(&replica.service));
-        let all = limits.map_or(LEAST_CONNECTIONS, |l| l.max_connections);
-        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        // Instances that this one has not heard of yet hold connections too.
-        let unknown = number(usize::try_from(view.instances).unwrap_or(usize::MAX))
-            .saturating_sub(number(view.peers.len()) + 1);
-        let is_sliced = view.is_sliced(&replica.zone, &self.zone);
-        let gatherers = view.peers.iter().filter(|p| p.is_gatherer);
-        let near_peers = number(gatherers.clone().filter(|p| p.zone == replica.zone).count());
-        let far_peers = number(gatherers.count()) - near_peers;
-        let is_near = self.zone == replica.zone && view.is_gatherer;
-        let (percent, instances) = if is_near {
-            (NEAR_PERCENT, near_peers + 1 + unknown.div_ceil(UNKNOWN_IN_ZONE_DIVISOR))
-        } else if is_sliced {
-            // In each zone one instance gathers the shard; the others send next to nothing.
-            (FAR_PERCENT, far_peers.div_ceil(near_peers.max(1)) * 2 + 1 + unknown)
-        } else {
-            (FAR_PERCENT, far_peers + 1 + unknown)
-        };
-        (all * percent / 100 / instances.max(1)).max(LEAST_CONNECTIONS)
-    }
-
     /// Sends one attempt and learns from how it ends.
     pub(crate) async fn send(
         self: Rc<Self>,
@@ -375,41 +253,6 @@
         }
         result
     }
-
-    /// Follows the views: forgets replicas that are gone, connects to new ones.
-    pub(crate) async fn follow_views(self: Rc<Self>) {
-        let mut known: HashSet<Arc<str>> = HashSet::new();
-        loop {
-            let view = self.shared.view.load_full();
-            let entries = || view.replicas.values().flatten();
-            let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
-            self.backend.retain(&ids);
-            let is_peer = |id: &Arc<str>| view.peers.iter().any(|p| peer_key(&p.name) == *id);
-            self.standings.borrow_mut().retain(|id, _| ids.contains(id) || is_peer(id));
-            if view.configuration.is_some() {
-                // Far replicas are asked by way of others, but for a hedge now and then.
-                let is_own =
-                    |e: &Arc<ReplicaEntry>| e.zone == self.zone && self.gathers(&view, &e.service);
-                let is_new = |e: &&Arc<ReplicaEntry>| !known.contains(&e.id) && is_own(e);
-                for entry in entries().filter(is_new) {
-                    self.warm(&view, entry);
-                }
-                known = if view.is_gatherer { ids } else { HashSet::new() };
-            }
-            self.shared.has_changed.notified().await;
-        }
-    }
-
-    fn warm(&self, view: &View, entry: &Arc<ReplicaEntry>) {
-        let most = self.most_connections(view, entry);
-        let warming = self.backend.warm(Arc::clone(entry), most);
-        let id = Arc::clone(&entry.id);
-        actix_rt::spawn(async move {
-            if let Err(error) = warming.await {
-                log::info!("event=not_warmed replica={id} cause={error:?}");
-            }
-        });
-    }
 }
 
 /// Key of another instance among the standings.
@@ -447,49 +290,3 @@
         (_, false) => (rest * 100).div_ceil(100 - GATHERERS_PERCENT),
     }
 }
-
-fn hand_on(gathered: Gathered) -> Outcome {
-    let refusal = gathered.refusal(NO_REPLICA_RETRY_MS);
-    let reply = gathered.replies.into_iter().next().map(|(_, reply)| reply);
-    reply.or(gathered.failure).map_or(Outcome::Refused(refusal), Outcome::Relayed)
-}
-
-fn merge(route: &Route, total: usize, gathered: Gathered) -> Outcome {
-    let merged_parts: usize = gathered.merged.iter().map(|m| m.parts.len()).sum();
-    if gathered.replies.len() + merged_parts < route.least_shards(total) {
-        return Outcome::Refused(gathered.refusal(NO_REPLICA_RETRY_MS));
-    }
-    let mut greatest = Greatest::new(route.top_k);
-    let mut signatures = Vec::with_capacity(total);
-    for merged in gathered.merged {
-        greatest.add(&merged.records);
-        signatures.extend(merged.parts.into_iter().map(|(_, signature)| signature));
-    }
-    for (_, reply) in gathered.replies {
-        greatest.add(&reply.body);
-        signatures.extend(reply.signature);
-    }
-    let missing = total - signatures.len();
-    Outcome::Merged(Merged { body: greatest.into_bytes().into(), signatures, missing })
-}
-
-fn note_outcome(request: &Request, route: &str, version: u64, outcome: &Outcome) {
-    let took = request.arrived.elapsed();
-    let (name, detail) = match outcome {
-        Outcome::Relayed(reply) => ("relayed", format!("status={}", reply.status.as_u16())),
-        Outcome::Merged(merged) => {
-            ("merged", format!("parts={} missing={}", merged.signatures.len(), merged.missing))
-        }
-        Outcome::Refused(refusal) => {
-            let wait = refusal.retry_after_ms.unwrap_or(0);
-            let Refusal { verdict, reason, .. } = refusal;
-            ("refused", format!("verdict={verdict} reason=\"{reason}\" retry_after_ms={wait}"))
-        }
-    };
-    metrics::counter!("eelgrasspier_requests_total", "outcome" => name).increment(1);
-    metrics::histogram!("eelgrasspier_request_seconds", "outcome" => name)
-        .record(took.as_secs_f64());
-    let id = request.id_text();
-    let took_ms = took.as_millis();
-    log::info!("event={name} id={id} route={route} version={version} {detail} took_ms={took_ms}");
-}
