--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -1,4 +1,4 @@
-//! The catalogue of the router's log lines; docs/EVENTS.md lists the same.
+//! The catalogue of the router's log lines; docs/ROUTER-EVENTS.md lists the same.
 
 /// One kind of line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/router/tests/catalogue.rs
+++ b/crates/router/tests/catalogue.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn the_docs_list_every_event_with_its_number() {
-    let text = std::fs::read_to_string(root().join("docs/EVENTS.md")).unwrap();
+    let text = std::fs::read_to_string(root().join("docs/ROUTER-EVENTS.md")).unwrap();
     for event in CATALOGUE {
         let start = format!("| {} | {} |", event.number, event.name);
         assert!(text.lines().any(|line| line.starts_with(&start)), "{start}");
