Tell the own zone first, and more instances at once

Ruled out: the store (213 ms to acknowledge) and fetching, which is one question. Change: a watcher tells up to 100 instances at once, its own zone first. Test: of 40 instances in two zones the own zone's are told first; the order was by chance before. Fleets of up to 17 instances do as before.

--- a/crates/decide/src/membership/spread.rs
+++ b/crates/decide/src/membership/spread.rs
@@ -47,13 +47,15 @@
         self.enqueue(Update::Leaving(server), sends);
     }
 
-    /// Datagrams that tell up to `most` others this instance's last state at once.
+    /// Datagrams that tell up to `most` others this instance's last state at once, those of
+    /// its own zone first.
     pub fn farewell(&mut self, most: usize, random: u64) -> Vec<Send> {
-        let mut addrs: Vec<(u64, SocketAddr)> = self
+        let is_far = |m: &Member| m.zone != self.own.zone;
+        let mut addrs: Vec<(bool, u64, SocketAddr)> = self
             .others
             .values()
             .filter(|k| !k.is_over())
-            .map(|k| (rendezvous::weight(random, k.member.key()), k.addr))
+            .map(|k| (is_far(&k.member), rendezvous::weight(random, k.member.key()), k.addr))
             .collect();
         addrs.sort_unstable();
         let records = |to| Send {
@@ -64,7 +66,7 @@
                 ..Datagram::default()
             },
         };
-        addrs.into_iter().take(most).map(|(_, to)| records(to)).collect()
+        addrs.into_iter().take(most).map(|(_, _, to)| records(to)).collect()
     }
 
     /// Brings what is in the queue to one other member, without waiting for a probe.
--- a/crates/decide/tests/duties.rs
+++ b/crates/decide/tests/duties.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use eelgrasspier_decide::membership::{Datagram, Member, Membership};
 use eelgrasspier_decide::relays::{self, LEAST_GROUP, Place};
 use eelgrasspier_decide::{gatherers, watchers};
 
@@ -53,6 +54,34 @@
     assert_eq!(watching(&fleet).len(), fleet.len());
 }
 
+/// Symptom: with 300 instances a configuration was in force after five seconds.
+/// Sequence: a zone's watcher told a few instances of all zones; the own zone's heard by
+/// rounds of gossip, one datagram each 200 ms.
+/// Cause: the zone that one watches for did not come first.
+#[test]
+fn the_own_zone_is_told_first() {
+    let member = |name: &str, zone: &str| Member {
+        name: name.to_owned(),
+        incarnation: 1,
+        revision: 1,
+        zone: zone.to_owned(),
+        peer_addr: format!("127.0.0.1:{}", 1000 + name.len()),
+        ..Member::default()
+    };
+    let mut own = Membership::new(member("own", "a"));
+    let others = (0..40).map(|n: usize| member(&"x".repeat(n + 5), ["a", "b"][n % 2]));
+    let datagram = Datagram { members: others.collect(), ..Datagram::default() };
+    own.receive(1, ([127, 0, 0, 1], 9).into(), &datagram);
+    let near: Vec<u16> = datagram.members.iter().filter(|m| m.zone == "a").map(port).collect();
+    let told: Vec<u16> = own.farewell(20, 7).iter().map(|s| s.to.port()).collect();
+    assert_eq!(told.len(), 20);
+    assert!(told.iter().all(|port| near.contains(port)), "{told:?}");
+}
+
+fn port(member: &Member) -> u16 {
+    member.peer_addr.rsplit(':').next().unwrap().parse().unwrap()
+}
+
 fn zone(count: u64, capacity_milli: u32) -> Vec<gatherers::Candidate> {
     (0..count).map(|key| gatherers::Candidate { key: key + 1, capacity_milli }).collect()
 }
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -19,6 +19,7 @@
 const FAR_PERCENT: u32 = 40;
 /// Of the instances not heard of yet, one in this many is assumed in any one zone.
 const UNKNOWN_IN_ZONE_DIVISOR: u32 = 4;
+
 impl Router {
     /// Whether a request could be sent to a replica at once.
     pub(crate) fn has_room(&self, view: &View, replica: &ReplicaEntry) -> bool {
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -18,8 +18,10 @@
 use super::Control;
 use crate::view::Peer;
 
-/// Instances that are told of news at once; gossip tells the rest.
-const TOLD_AT_ONCE: usize = 16;
+/// Instances that are told of news at once, those of the own zone first; gossip tells the
+/// rest. With 300 instances, 75 in a zone, 16 let a configuration be in force after 4.9 s,
+/// just within its bound; a datagram has some 150 bytes.
+const TOLD_AT_ONCE: usize = 100;
 /// Time in which another instance must hand over changes.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two records of an instance that does not watch, in milliseconds.
