Send a replica nothing more once another has its address

Replicas had crashed and their addresses had gone to that service; the store was down, so that their entries stayed listed.

Change: an id stands for one start, so that a 421 proves that this replica has ended. It counts as gone from then on, for choosing, for drawing and for whether a shard is in reach; the send is made good without the budget, since it never reached the service. A line for each such belief (E761), and one for each second send with its cause (E762).

Three tests, each seen failing first.

--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -39,6 +39,7 @@
     failures_in_a_row: u32,
     penalty: f64,
     penalty_ms: u64,
+    is_replaced: bool,
 }
 
 impl Default for Standing {
@@ -52,6 +53,7 @@
             failures_in_a_row: 0,
             penalty: 0.0,
             penalty_ms: 0,
+            is_replaced: false,
         }
     }
 }
@@ -98,6 +100,22 @@
         self.penalty_ms = now_ms;
     }
 
+    /// Notes that another replica answered at its address.
+    ///
+    /// An id stands for one start of a replica, so this one has ended and never comes back,
+    /// whatever the list still says. Each further send would reach a replica of another
+    /// service and count there as a repeat: over a store outage of some seconds six instances
+    /// made 120 of them, more than the slack that is left for mistakes.
+    pub fn replaced(&mut self) {
+        self.is_replaced = true;
+    }
+
+    /// Whether another replica has its address.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
     /// Failures since the last answer.
     #[must_use]
     pub fn failures_in_a_row(&self) -> u32 {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -56,6 +56,8 @@
     event(758, "relay_silent"),
     event(759, "relay_refused"),
     event(760, "relay_unreadable"),
+    event(761, "replica_replaced"),
+    event(762, "sent_again"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/gather/ends.rs
+++ b/crates/router/src/gather/ends.rs
@@ -58,7 +58,8 @@
         if !may_have_run {
             self.shards[index].not_run += 1;
         }
-        let is_arrival = !matches!(failure, PartFailure::NotReached(_));
+        // A misdirected one reached another service.
+        let is_arrival = !matches!(failure, PartFailure::NotReached(_) | PartFailure::Misdirected);
         if may_have_run && !self.route.is_idempotent {
             self.fail(index);
         } else {
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -190,12 +190,15 @@
 
     /// Whether enough shards have a replica at all; if not, waiting helps nobody.
     fn is_within_reach(&self) -> bool {
-        let has_replica = |s: &&Shard| !self.replicas(&s.service).is_empty();
+        let has_replica = |s: &&Shard| self.replicas(&s.service).next().is_some();
         self.shards.iter().filter(has_replica).count() >= self.least
     }
 
-    fn replicas(&self, service: &str) -> &'a [Arc<ReplicaEntry>] {
-        self.view.replicas.get(service).map_or(&[], Vec::as_slice)
+    /// Replicas of a service, without those that are known to be replaced.
+    fn replicas(&self, service: &str) -> impl Iterator<Item = &'a Arc<ReplicaEntry>> + Clone {
+        let listed = self.view.replicas.get(service).map_or(&[][..], Vec::as_slice);
+        let router = self.router;
+        listed.iter().filter(|r| !router.is_replaced(r))
     }
 
     fn progress(&self) -> Gathering {
@@ -223,7 +226,7 @@
         let usual_ms = self.route_state.usual_ms();
         let target_ms = self.route.target_latency_ms;
         let cost = |r: &&Arc<ReplicaEntry>| self.router.cost_ms(r, usual_ms, target_ms);
-        let open = all.iter().filter(is_allowed).filter(|r| !shard.tried.contains(&r.id));
+        let open = all.filter(is_allowed).filter(|r| !shard.tried.contains(&r.id));
         let free = open.filter(|r| self.router.has_room(self.view, r));
         free.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
@@ -279,7 +282,7 @@
     fn is_crowded(&self, index: usize) -> bool {
         let shard = &self.shards[index];
         let is_unsent = shard.tried.is_empty() && shard.in_flight == 0;
-        is_unsent && !self.replicas(&shard.service).is_empty()
+        is_unsent && self.replicas(&shard.service).next().is_some()
     }
 
     fn hedge_due(&mut self, now_ms: u64) {
@@ -310,6 +313,8 @@
         let paid = if is_paid { "yes" } else { "no" };
         metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
             .increment(1);
+        let (id, service) = (self.request.id_text(), &shard.service);
+        log::info!("event=sent_again id={id} service={service} cause={cause} paid={paid}");
         if !is_paid {
             self.gathered.unpaid += 1;
             return false;
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -102,11 +102,11 @@
     fn relay_zones<'p>(&self, service: &str, peers: &[&'p Peer]) -> Vec<&'p str> {
         let replicas = self.replicas(service);
         if self.router.gathers(self.view, service)
-            && replicas.iter().any(|r| r.zone == self.router.zone)
+            && replicas.clone().any(|r| r.zone == self.router.zone)
         {
             return Vec::new();
         }
-        let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
+        let has_replica = |zone: &Arc<str>| replicas.clone().any(|r| r.zone == *zone);
         let mut zones: Vec<&str> =
             peers.iter().filter(|p| has_replica(&p.zone)).map(|p| &*p.zone).collect();
         zones.sort_unstable();
@@ -145,7 +145,7 @@
 
     /// Marks of the replicas that a shard asked for in `zone` may be sent to.
     fn draw(&self, index: usize, zone: &str) -> Vec<u32> {
-        let all = self.replicas(&self.shards[index].service);
+        let all: Vec<_> = self.replicas(&self.shards[index].service).collect();
         let places: Vec<Place<'_>> =
             all.iter().map(|r| Place { id: &r.id, zone: &r.zone }).collect();
         let request = rendezvous::hash(self.request.id_text());
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -176,6 +176,12 @@
         Rc::clone(self.standings.borrow_mut().entry(Arc::clone(id)).or_default())
     }
 
+    /// Whether another replica is known to have the address of this one.
+    pub(crate) fn is_replaced(&self, replica: &ReplicaEntry) -> bool {
+        let standings = self.standings.borrow();
+        standings.get(&replica.id).is_some_and(|s| s.borrow().is_replaced())
+    }
+
     /// Notes a request whose first send goes to `service`.
     pub(crate) fn note_request(&self, service: &Arc<str>) {
         let now_ms = self.shared.now_ms();
@@ -249,6 +255,10 @@
             }
             // The own limit says nothing of the replica.
             Err(PartFailure::Crowded) => {}
+            Err(PartFailure::Misdirected) => {
+                log::info!("event=replica_replaced replica={} addr={}", replica.id, replica.addr);
+                standing.replaced();
+            }
             Err(_) => standing.failed(now_ms),
         }
         result
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -31,6 +31,8 @@
     Loses(u64),
     /// It never answers.
     Silent,
+    /// Another replica has its address and says so.
+    Replaced,
 }
 
 /// One send that reached a replica.
@@ -122,6 +124,7 @@
             pause(ms).await;
             return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, replica));
         }
+        Conduct::Replaced => return Err(PartFailure::Misdirected),
         Conduct::Sheds => return Err(PartFailure::Shed(Box::default())),
         Conduct::Loses(ms) => {
             pause(ms).await;
@@ -173,10 +176,14 @@
 
 impl World {
     pub fn new(route: Route, services: usize) -> Self {
+        Self::with_limits(route, services, LIMITS)
+    }
+
+    pub fn with_limits(route: Route, services: usize, limits: RepeatLimits) -> Self {
         let script = Rc::new(Script::default());
         let shared = Arc::new(Shared::new());
         let backend = Rc::new(Scripted(Rc::clone(&script)));
-        let router = Router::new(Arc::clone(&shared), backend, "own", "z1".into(), LIMITS);
+        let router = Router::new(Arc::clone(&shared), backend, "own", "z1".into(), limits);
         shared.publish(view(route, services));
         Self { script, shared, router }
     }
--- a/crates/router/tests/sends.rs
+++ b/crates/router/tests/sends.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Conduct, World, in_virtual_time, route};
+use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_decide::prelude::Verdict;
 use eelgrasspier_decide::route::Target;
 use eelgrasspier_router::Outcome;
@@ -119,3 +120,57 @@
         assert_eq!(*world.script.cancelled.borrow(), 0);
     });
 }
+
+/// Symptom: a service got 300 sends beyond the first of its requests, where 270 were
+/// allowed, though each instance had kept to its part of the budget.
+/// Sequence: replicas of another service crashed and their addresses went to this one;
+/// while the store was down their entries stayed listed, so that they were tried again and
+/// again, and each try reached a replica of this service.
+/// Cause: that another replica answers was taken for a failure that may pass.
+#[test]
+fn a_replica_whose_address_another_has_is_sent_nothing_more() {
+    in_virtual_time(async {
+        let world = World::new(route(1), 1);
+        world.script.set("s0/a", Conduct::Replaced);
+        for i in 0..50 {
+            let outcome = world.serve(&format!("r{i}"), 400).await;
+            assert!(matches!(outcome, Outcome::Merged(_)), "{outcome:?}");
+            tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        }
+        assert_eq!(world.script.arrivals_at("s0/a"), 1);
+    });
+}
+
+/// Symptom: a request failed at once though a sound replica was listed.
+/// Sequence: its first replica's address had gone to another service, and the budget for
+/// repeats was used up.
+/// Cause it guards against: paying for a repeat where the first send never reached the
+/// service.
+#[test]
+fn a_send_that_reached_another_service_is_made_good_without_the_budget() {
+    in_virtual_time(async {
+        let limits = RepeatLimits { ratio_milli: 0, slack: 0, window_ms: 10_000 };
+        let world = World::with_limits(route(1), 1, limits);
+        world.script.set("s0/a", Conduct::Replaced);
+        assert!(matches!(world.serve("r1", 400).await, Outcome::Merged(_)));
+    });
+}
+
+/// Symptom: callers waited for replicas that were known to be gone.
+/// Sequence: both replicas of a service had been replaced; each request was sent to both.
+/// Cause it guards against: counting a replica that is gone as one that could be asked.
+#[test]
+fn a_service_whose_replicas_are_all_replaced_is_refused_at_once() {
+    in_virtual_time(async {
+        let mut single = route(1);
+        single.target = Target::Service("s0".into());
+        let world = World::new(single, 1);
+        world.script.set("s0/a", Conduct::Replaced);
+        world.script.set("s0/b", Conduct::Replaced);
+        world.serve("r1", 400).await;
+        let Outcome::Refused(refusal) = world.serve("r2", 400).await else { panic!("served") };
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        assert!(refusal.retry_after_ms.is_some());
+        assert_eq!(world.script.arrivals.borrow().len(), 2);
+    });
+}
