Let a slow pull of changes go on while another instance is asked

Cause: an earlier change gave fleets of 17 and more 2.5 s for a pull, by a constant and without a test; smaller fleets still gave up after 400 ms, so that a large configuration over a thin link would never come into force there, and in large fleets a frozen instance held a change up for 2.5 s. Ruled out: a longer limit for all (a frozen instance would hold changes up everywhere). Change: `decide::pulls`, pure: a pull may take 2.5 s in any fleet, and each 400 ms one more instance is asked beside it, three at the most.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod patience;
 pub mod prelude;
 pub mod problem;
+pub mod pulls;
 pub mod relays;
 pub mod rendezvous;
 pub mod replica;
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -9,6 +9,7 @@
 use eelgrasspier_decide::gatherers;
 use eelgrasspier_decide::membership::{Change, Datagram, Liveness, Member, Send, State};
 use eelgrasspier_decide::mirror::Mirror;
+use eelgrasspier_decide::pulls;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::watchers::{self, Candidate};
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
@@ -22,14 +23,6 @@
 /// rest. With 300 instances, 75 in a zone, 16 let a configuration be in force after 4.9 s,
 /// just within its bound; a datagram has some 150 bytes.
 const TOLD_AT_ONCE: usize = 100;
-/// Time in which another instance must hand over changes.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
-/// The same in a large fleet: some 20 instances of a zone pull a configuration of hundreds of
-/// routes from one at the same time, over links of 30 Mbit/s. A pull that is given up starts
-/// from nothing, so that a version was never in force.
-const LARGE_FLEET_FETCH_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Instances from which a fleet is large.
-const LARGE_FLEET: u64 = 17;
 /// Time between two records of an instance that does not watch, in milliseconds.
 const TELL_EVERY_MS: u64 = 30_000;
 /// Instances that are assumed until the list was read: more than most deployments have
@@ -119,11 +112,14 @@
     /// Fetches changes from an instance that has seen more.
     fn fetch_newer(self: &Rc<Self>, kind: Kind) {
         let known = self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
-        if self.fetching.borrow().contains(&kind) {
+        let now_ms = self.shared.now_ms();
+        let pulls = self.pulls.borrow().get(&kind).cloned().unwrap_or_default();
+        if !pulls.may_start(now_ms) {
             return;
         }
         let membership = self.membership.borrow();
-        let ahead = membership.alive().filter(|m| revision_of(m, kind) > known);
+        let is_ahead = |m: &&Member| revision_of(m, kind) > known && !pulls.is_asked(&m.name);
+        let ahead = membership.alive().filter(is_ahead);
         // One in the own zone, if there is one: so changes cross zones but once.
         let best = ahead.min_by_key(|m| (m.zone != self.identity.zone, rand::random::<u32>()));
         let found = best.map(|m| (m.name.clone(), m.zone.clone(), m.peer_addr.parse()));
@@ -136,19 +132,18 @@
             return;
         }
         self.behind_since_ms.borrow_mut().remove(&kind);
-        self.fetching.borrow_mut().push(kind);
+        self.pulls.borrow_mut().entry(kind).or_default().start(&name, now_ms);
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
             let is_replicas = kind == Kind::Replicas;
             let question = Body::ChangesAbove(ChangesAbove { is_replicas, revision: known });
-            let is_large = control.instances() >= LARGE_FLEET;
-            let timeout = if is_large { LARGE_FLEET_FETCH_TIMEOUT } else { FETCH_TIMEOUT };
+            let timeout = Duration::from_millis(pulls::GIVE_UP_MS);
             match control.links.ask(addr, question, timeout).await {
                 Ok(Body::Changes(changes)) => control.take(kind, &changes, &name),
                 Ok(other) => log::warn!("event=fetch_refused from={name} answer={other:?}"),
                 Err(error) => log::info!("event=fetch_failed from={name} cause=\"{error}\""),
             }
-            control.fetching.borrow_mut().retain(|k| *k != kind);
+            control.pulls.borrow_mut().entry(kind).or_default().end(&name);
         });
     }
 
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -13,6 +13,7 @@
 use eelgrasspier_decide::directory::{Directory, EntryChange, ReplicaEntry};
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
+use eelgrasspier_decide::pulls::Pulls;
 use eelgrasspier_decide::route::{Configuration, RouteTable};
 use eelgrasspier_peer::Links;
 use eelgrasspier_store::{Collections, Decode, Kind};
@@ -69,8 +70,8 @@
     seen_epoch: Cell<u64>,
     /// Whether the list of instances was ever read.
     has_listed: Cell<bool>,
-    /// Kinds of which changes are being fetched from another instance.
-    fetching: RefCell<Vec<Kind>>,
+    /// Changes that are being pulled from other instances.
+    pulls: RefCell<HashMap<Kind, Pulls>>,
     /// Wakes those whose duties may have changed.
     duties: Notify,
 }
@@ -109,7 +110,7 @@
             behind_since_ms: RefCell::default(),
             seen_epoch: Cell::new(0),
             has_listed: Cell::new(false),
-            fetching: RefCell::default(),
+            pulls: RefCell::default(),
             duties: Notify::new(),
         });
         actix_rt::spawn(gossip.send_all(outgoing));
