Compress long changes between instances

Ruled out: first sends to other zones (their number does not change then). Change: answers to pulls above 4 KB are compressed (zstd, fastest level), once for all that pull the same; fuzzed for strange bytes. A configuration of 1,800 routes takes under a tenth (test). What each instance reads of the store itself after a restart is as long as before.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod gossip;
 mod link;
+pub mod packed;
 mod server;
 pub mod wire;
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -16,7 +16,10 @@
     #[prost(uint64, tag = "2")]
     pub stamp: u64,
     /// What is asked or answered.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Body",
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+    )]
     pub body: Option<Body>,
 }
 
@@ -74,6 +77,9 @@
     /// Asks whether the instance answers at all, and is the answer to that.
     #[prost(message, tag = "19")]
     Alive(Nothing),
+    /// Answers [`Body::ChangesAbove`] with compressed changes.
+    #[prost(bytes = "bytes", tag = "20")]
+    PackedChanges(bytes::Bytes),
 }
 
 /// Which changes are asked for.
--- /dev/null
+++ b/crates/peer/tests/packed.rs
@@ -0,0 +1,73 @@
+//! Changes on their way between instances.
+
+use arbtest::arbtest;
+use bytes::Bytes;
+use eelgrasspier_decide::mirror::{Changes, Deleted, Versioned};
+use eelgrasspier_peer::packed::{pack, unpack};
+use eelgrasspier_peer::wire::{Body, Frame};
+use prost::Message;
+
+fn configuration(routes: usize) -> Changes {
+    let route = |n| {
+        format!(
+            "{{\"name\":\"r-{n}\",\"host\":\"h{n}.example\",\"path_prefix\":\"/p{n}/\",\
+             \"type\":\"idempotent\",\"timeout_ms\":400,\"target_latency_ms\":80,\"attempts\":2,\
+             \"service\":\"s{}\"}}",
+            n % 7
+        )
+    };
+    let content: Vec<String> = (0..routes).map(route).collect();
+    let object =
+        Versioned { name: "main".to_owned(), revision: 7, content: content.join(",").into() };
+    Changes { as_of: 9, objects: vec![object], ..Changes::default() }
+}
+
+/// Symptom: a large configuration was in force seconds late on instances with thin links.
+/// Sequence: twenty instances pulled a megabyte each from one of their zone.
+/// Cause it guards against: sending as it is what repeats itself.
+#[test]
+fn a_large_configuration_takes_a_tenth_of_its_bytes() {
+    let large = configuration(1_800);
+    let plain_bytes = large.encoded_len();
+    let answer = pack(large.clone());
+    let Body::PackedChanges(packed) = &answer else { panic!("sent as it is") };
+    assert!(packed.len() * 10 < plain_bytes, "{} of {plain_bytes} bytes", packed.len());
+    assert_eq!(unpack(answer), Some(large));
+}
+
+#[test]
+fn small_changes_travel_as_they_are() {
+    let small = configuration(3);
+    assert_eq!(pack(small.clone()), Body::Changes(small.clone()));
+    assert_eq!(unpack(Body::Changes(small.clone())), Some(small));
+    assert_eq!(unpack(Body::Refused("no".to_owned())), None);
+}
+
+#[test]
+fn all_changes_come_through() {
+    arbtest(|u| {
+        let mut changes =
+            Changes { as_of: u.arbitrary()?, is_whole: u.arbitrary()?, ..Changes::default() };
+        for _ in 0..u.int_in_range(0..=60)? {
+            let content: Vec<u8> = u.arbitrary()?;
+            let (name, revision) = (u.arbitrary()?, u.arbitrary()?);
+            changes.objects.push(Versioned { name, revision, content: content.into() });
+            changes.deleted.push(Deleted { name: u.arbitrary()?, revision: u.arbitrary()? });
+        }
+        assert_eq!(unpack(pack(changes.clone())), Some(changes));
+        Ok(())
+    });
+}
+
+/// Whatever bytes come, they are read or refused; nothing panics.
+#[test]
+fn strange_bytes_are_refused() {
+    arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let bytes = Bytes::from(bytes);
+        // Refused or read: either is an answer.
+        let _changes = unpack(Body::PackedChanges(bytes.clone()));
+        let _frame = Frame::decode(bytes);
+        Ok(())
+    });
+}
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -12,6 +12,7 @@
 use eelgrasspier_decide::pulls;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::watchers::{self, Candidate};
+use eelgrasspier_peer::packed;
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
 use eelgrasspier_store::Kind;
 use futures_util::{Stream, StreamExt};
@@ -139,8 +140,10 @@
             let question = Body::ChangesAbove(ChangesAbove { is_replicas, revision: known });
             let timeout = Duration::from_millis(pulls::GIVE_UP_MS);
             match control.links.ask(addr, question, timeout).await {
-                Ok(Body::Changes(changes)) => control.take(kind, &changes, &name),
-                Ok(other) => log::warn!("event=fetch_refused from={name} answer={other:?}"),
+                Ok(answer) => match packed::unpack(answer) {
+                    Some(changes) => control.take(kind, &changes, &name),
+                    None => log::warn!("event=fetch_refused from={name}"),
+                },
                 Err(error) => log::info!("event=fetch_failed from={name} cause=\"{error}\""),
             }
             control.pulls.borrow_mut().entry(kind).or_default().end(&name);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -157,7 +157,7 @@
         setup.repeat_limits,
     );
     actix_rt::spawn(Rc::clone(&router).follow_views());
-    let peers = Rc::new(Peers { router: Rc::clone(&router), control: control.clone() });
+    let peers = Rc::new(Peers::new(Rc::clone(&router), control.clone()));
     actix_rt::spawn(eelgrasspier_peer::serve(peer, peers));
 
     let (phase, phases) = watch::channel(StopPhase::Serving);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,9 +1,12 @@
 //! Answers the questions of other instances.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 
+use eelgrasspier_decide::mirror::Changes;
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
-use eelgrasspier_peer::{AnswerFuture, PeerService};
+use eelgrasspier_peer::{AnswerFuture, PeerService, packed};
 use eelgrasspier_store::Kind;
 use tokio::sync::{mpsc, oneshot};
 
@@ -14,9 +17,26 @@
 pub(crate) struct Peers {
     pub(crate) router: Rc<Router>,
     pub(crate) control: mpsc::UnboundedSender<Ask>,
+    /// The last long answer of each kind.
+    packed: RefCell<HashMap<Kind, Packed>>,
+}
+
+/// An answer that others of the zone are about to ask for too: packing one takes 20 ms of an
+/// eighth of a core, and twenty instances pull the same changes within a second.
+#[derive(Clone, PartialEq)]
+struct Packed {
+    /// Change from which the asker wanted to go on.
+    asked: u64,
+    /// Change up to which the answer is complete.
+    as_of: u64,
+    answer: Body,
 }
 
 impl Peers {
+    pub(crate) fn new(router: Rc<Router>, control: mpsc::UnboundedSender<Ask>) -> Self {
+        Self { router, control, packed: RefCell::default() }
+    }
+
     async fn changes(&self, question: ChangesAbove) -> Body {
         let kind = if question.is_replicas { Kind::Replicas } else { Kind::Configuration };
         let (done, changes) = oneshot::channel();
@@ -25,10 +45,24 @@
             return Body::Refused("control has ended".to_owned());
         }
         match changes.await {
-            Ok(changes) => Body::Changes(changes),
+            Ok(changes) => self.pack(kind, question.revision, changes),
             Err(_) => Body::Refused("control has ended".to_owned()),
         }
     }
+
+    fn pack(&self, kind: Kind, asked: u64, changes: Changes) -> Body {
+        let as_of = changes.as_of;
+        let mut known = self.packed.borrow_mut();
+        let last = known.get(&kind).filter(|p| (p.asked, p.as_of) == (asked, as_of));
+        if let Some(last) = last {
+            return last.answer.clone();
+        }
+        let answer = packed::pack(changes);
+        if matches!(answer, Body::PackedChanges(_)) {
+            known.insert(kind, Packed { asked, as_of, answer: answer.clone() });
+        }
+        answer
+    }
 }
 
 impl PeerService for Peers {
