Tell the asking instance which replicas are slow; tell failed shards from late ones

Lines (the new field `failed`) show 5 to 14 shards failed at relays, one with no replica left, the others with both drawn replicas slow: a route allows two of three replicas, the asking instance draws them, near one first and one by chance, and two in five were slow or hung. A shard in six had two bad ones; 4 of 90 may be missing. Ruled out: the budget (4,008 of 4,599 hedges were paid), processor time (the same without), letting both sides choose (three replicas of a shard would run, which the route forbids). Change: a merged answer carries the marks of the shards' replicas that cost three times the usual; the asking instance draws those last for 300 ms.

--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -28,12 +28,15 @@
 /// whom the other has chosen. With more replicas than attempts the two together could
 /// reach too many; so the asking one draws them, by the request's id, and says which. That
 /// the other one draws them too isn't enough: lists of replicas differ while they change.
+/// Slow ones come last: the asked instance says which are, since it sends to them. Drawn
+/// blindly, one shard in six had two bad replicas of three while two in five were bad, and no
+/// answer was complete enough.
 #[must_use]
 pub fn allowed(replicas: &[Place<'_>], zone: &str, attempts: usize, request: u64) -> Vec<usize> {
     let mut order: Vec<usize> = (0..replicas.len()).collect();
     order.sort_by_key(|&i| {
-        let Place { id, zone: place } = replicas[i];
-        (place != zone, rendezvous::weight(request, rendezvous::hash(id)))
+        let Place { id, zone: place, is_slow } = replicas[i];
+        (is_slow, place != zone, rendezvous::weight(request, rendezvous::hash(id)))
     });
     order.truncate(attempts.max(1));
     order
@@ -57,6 +60,8 @@
     pub id: &'a str,
     /// Its zone.
     pub zone: &'a str,
+    /// Whether it was said to be slow.
+    pub is_slow: bool,
 }
 
 /// Groups shards by zone; `zones` lists for each shard the zones that could serve it.
--- a/crates/decide/tests/duties.rs
+++ b/crates/decide/tests/duties.rs
@@ -146,12 +146,36 @@
     assert_eq!(relays::group(zones, 1, 0).len(), 2);
 }
 
+/// Symptom: no answer covered enough shards while two replicas in five were slow.
+/// Sequence: of three replicas a request may be sent to two; the asking instance drew the
+/// near one and one by chance, and for one shard in six both were bad.
+/// Cause: the one that draws did not know what the one that sends had learnt.
+#[test]
+fn slow_replicas_are_drawn_last() {
+    let place = |id, zone, is_slow| Place { id, zone, is_slow };
+    let drawn = |places: &[Place<'_>], request| relays::allowed(places, "b", 2, request);
+    for request in 0..100 {
+        let near_slow = [place("r1", "a", false), place("r2", "b", true), place("r3", "c", false)];
+        let mut both = drawn(&near_slow, request);
+        both.sort_unstable();
+        assert_eq!(both, [0, 2]);
+        let far_slow = [place("r1", "a", true), place("r2", "b", false), place("r3", "c", false)];
+        assert_eq!(drawn(&far_slow, request), [1, 2]);
+        let all_slow = near_slow.map(|p| Place { is_slow: true, ..p });
+        assert_eq!(drawn(&all_slow, request)[0], 1);
+    }
+}
+
 /// Symptom: requests ran on three replicas of a shard where the route allows two.
 /// Sequence: the asked instance hedged to one replica, the asking one to another.
 /// Cause it guards against: each side choosing freely among three replicas.
 #[test]
 fn both_sides_draw_the_same_replicas() {
-    let places = [("r1", "a"), ("r2", "b"), ("r3", "c")].map(|(id, zone)| Place { id, zone });
+    let places = [("r1", "a"), ("r2", "b"), ("r3", "c")].map(|(id, zone)| Place {
+        id,
+        zone,
+        is_slow: false,
+    });
     let mut reversed = places;
     reversed.reverse();
     let mut seconds = BTreeMap::new();
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -174,6 +174,9 @@
     /// Whether a replica may have run any of the others.
     #[prost(bool, tag = "3")]
     pub may_have_run: bool,
+    /// Marks of replicas of the shards that are slow, paused or failing.
+    #[prost(fixed32, repeated, tag = "4")]
+    pub slow: Vec<u32>,
 }
 
 /// Nothing.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -175,12 +175,18 @@
         // What is still on its way may run; to say that it did not would be a lie.
         self.gathered.may_have_run |= self.shards.iter().any(|s| s.in_flight > 0);
         self.flights.let_go();
-        let missing = self.shards.iter().filter(|s| s.state != ShardState::Covered);
-        self.gathered.missing = missing.map(|s| Arc::clone(&s.service)).collect();
+        self.gathered.missing = self.services(|state| state != ShardState::Covered);
+        self.gathered.failed = self.services(|state| state == ShardState::Failed);
         self.gathered.drop_doubles();
         self.gathered
     }
 
+    /// Services of the shards in a certain state.
+    fn services(&self, is_wanted: impl Fn(ShardState) -> bool) -> Vec<Arc<str>> {
+        let wanted = self.shards.iter().filter(|s| is_wanted(s.state));
+        wanted.map(|s| Arc::clone(&s.service)).collect()
+    }
+
     /// Waits for an end, the next hedge or `until_ms`, whichever comes first.
     async fn take_next(&mut self, now_ms: u64, until_ms: u64) {
         let hedges = self.shards.iter().filter_map(|s| s.hedge_at_ms);
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_decide::relays::{self, Group, LEAST_GROUP, Place};
 use eelgrasspier_decide::rendezvous;
@@ -41,7 +42,7 @@
     result: Result<wire::Gathered, PeerError>,
 }
 
-impl Gather<'_> {
+impl<'a> Gather<'a> {
     /// Sends all shards: some directly, some by way of other instances.
     pub(super) fn ask_all(&mut self) {
         let groups = self.groups();
@@ -147,13 +148,17 @@
     /// Marks of the replicas that a shard asked for in `zone` may be sent to.
     fn draw(&self, index: usize, zone: &str) -> Vec<u32> {
         let all: Vec<_> = self.replicas(&self.shards[index].service).collect();
-        let places: Vec<Place<'_>> =
-            all.iter().map(|r| Place { id: &r.id, zone: &r.zone }).collect();
+        let places: Vec<Place<'_>> = all.iter().map(|r| self.place(r)).collect();
         let request = rendezvous::hash(self.request.id_text());
         let drawn = relays::allowed(&places, zone, self.route.attempts, request);
         drawn.into_iter().map(|i| relays::mark(&all[i].id)).collect()
     }
 
+    fn place(&self, replica: &'a ReplicaEntry) -> Place<'a> {
+        let is_slow = self.router.is_slow(relays::mark(&replica.id));
+        Place { id: &replica.id, zone: &replica.zone, is_slow }
+    }
+
     fn question(&self, shards: &[usize], now_ms: u64) -> Body {
         let request = self.request;
         let until_target_ms = self.times.target_at_ms.saturating_sub(now_ms);
@@ -245,7 +250,8 @@
     }
 
     fn take_merged(&mut self, shards: &[usize], answer: wire::Gathered) {
-        let wire::Gathered { records, parts, may_have_run } = answer;
+        let wire::Gathered { records, parts, may_have_run, slow } = answer;
+        self.router.note_slow(&slow);
         self.gathered.may_have_run |= may_have_run || !parts.is_empty();
         let position = |part: wire::Signed| {
             let shard = shards.get(usize::try_from(part.shard).ok()?)?;
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -85,6 +85,8 @@
     pub(crate) relays: u32,
     /// Shards that are not in, by name.
     pub(crate) missing: Vec<Arc<str>>,
+    /// Those of them that had failed, and were not just late.
+    pub(crate) failed: Vec<Arc<str>>,
 }
 
 impl Gathered {
@@ -101,9 +103,12 @@
 
     /// What it took, for the log.
     pub(crate) fn effort(&self) -> String {
-        let Self { repeats, unpaid, far, relays, missing, .. } = self;
-        let missing = missing.join(",");
-        format!("repeats={repeats} unpaid={unpaid} far={far} relays={relays} missing=[{missing}]")
+        let Self { repeats, unpaid, far, relays, missing, failed, .. } = self;
+        let (missing, failed) = (missing.join(","), failed.join(","));
+        format!(
+            "repeats={repeats} unpaid={unpaid} far={far} relays={relays} missing=[{missing}] \
+             failed=[{failed}]"
+        )
     }
 
     /// Drops own parts of shards that are in a merged answer too.
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_decide::merge::Greatest;
+use eelgrasspier_decide::relays;
 use eelgrasspier_decide::route::{Route, Target};
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire::{self, Body};
@@ -22,6 +24,13 @@
 /// seconds, but a connection that has gone silent stays so.
 const LINK_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Cost, in multiples of the usual latency, from which a replica is called slow: an idle one
+/// costs 1, one with both slots in use 2, one that is four times slower or fails more.
+const SLOW_COST: f64 = 3.0;
+/// Time for which a replica counts as slow after another instance has said so, in
+/// milliseconds: each shard is asked for some tens of times a second, and a pause lasts 100.
+const SLOW_LIFE_MS: u64 = 300;
+
 impl Router {
     /// Whether this instance holds connections to its zone's replicas of a shard.
     pub(crate) fn gathers(&self, view: &View, service: &str) -> bool {
@@ -129,7 +138,7 @@
         let view = self.shared.view.load_full();
         let state = self.route_state(&route.name);
         let request = Rc::new(request);
-        let mut gather = Gather::new(self, &view, &route, state, &request, services, times);
+        let mut gather = Gather::new(self, &view, &route, state, &request, services.clone(), times);
         gather.allow(allowed);
         let gathered = gather.run(For::Peer).await;
         metrics::counter!("eelgrasspier_relayed_total").increment(1);
@@ -141,7 +150,33 @@
             gathered.effort(),
             request.arrived.elapsed().as_millis()
         );
-        to_wire(gathered, top_k)
+        wire::Gathered { slow: self.slow_replicas(&view, &services), ..to_wire(gathered, top_k) }
+    }
+
+    /// Marks of the replicas of some services that are slow, paused or failing.
+    fn slow_replicas(&self, view: &View, services: &[Arc<str>]) -> Vec<u32> {
+        let now_ms = self.shared.now_ms();
+        let standings = self.standings.borrow();
+        let is_slow = |replica: &&Arc<ReplicaEntry>| {
+            let standing = standings.get(&replica.id);
+            standing.is_some_and(|s| s.borrow().cost(replica.slots, now_ms) > SLOW_COST)
+        };
+        let listed = services.iter().filter_map(|s| view.replicas.get(s)).flatten();
+        listed.filter(is_slow).map(|r| relays::mark(&r.id)).collect()
+    }
+
+    /// Notes which replicas another instance finds slow.
+    pub(crate) fn note_slow(&self, marks: &[u32]) {
+        let now_ms = self.shared.now_ms();
+        let mut slow = self.slow_until_ms.borrow_mut();
+        slow.retain(|_, until_ms| *until_ms > now_ms);
+        slow.extend(marks.iter().map(|&mark| (mark, now_ms + SLOW_LIFE_MS)));
+    }
+
+    /// Whether another instance has lately found a replica slow.
+    pub(crate) fn is_slow(&self, mark: u32) -> bool {
+        let until_ms = self.slow_until_ms.borrow().get(&mark).copied();
+        until_ms.is_some_and(|until_ms| until_ms > self.shared.now_ms())
     }
 }
 
@@ -190,5 +225,5 @@
         parts.push(wire::Signed { shard: u32::try_from(shard).unwrap_or(u32::MAX), signature });
     }
     let records = greatest.into_bytes().into();
-    wire::Gathered { records, parts, may_have_run: gathered.may_have_run }
+    wire::Gathered { records, parts, may_have_run: gathered.may_have_run, slow: Vec::new() }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -59,6 +59,8 @@
     pub(crate) links: Links,
     limits: RepeatLimits,
     pub(crate) standings: RefCell<ByName<Rc<RefCell<Standing>>>>,
+    /// Marks of replicas that other instances find slow, with when that was too long ago.
+    pub(crate) slow_until_ms: RefCell<HashMap<u32, u64>>,
     allowances: RefCell<ByName<Allowance>>,
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
 }
@@ -88,6 +90,7 @@
             links: Links::new(Rc::new(|| 0)),
             limits,
             standings: RefCell::default(),
+            slow_until_ms: RefCell::default(),
             allowances: RefCell::default(),
             routes: RefCell::default(),
         })
--- a/crates/router/tests/relays.rs
+++ b/crates/router/tests/relays.rs
@@ -84,3 +84,15 @@
         assert_eq!((merged.signatures.len(), merged.missing), (2, 0));
     });
 }
+
+#[test]
+fn an_asked_instance_says_which_replicas_are_slow() {
+    in_virtual_time(async {
+        let world = World::new(route(2), 2);
+        world.script.set("s0/a", Conduct::Silent);
+        let both = ["s0/a", "s0/b", "s1/a", "s1/b"].map(relays::mark);
+        let answer = world.router.gather_for_peer(question(&["s0", "s1"], both.to_vec())).await;
+        assert_eq!(answer.parts.len(), 2);
+        assert_eq!(answer.slow, [relays::mark("s0/a")]);
+    });
+}
