Ask the own zone for all shards that it has, then as few others as possible

Merged answers crossed zones, and two instances of sixteen carried most of the work. Ruled out: rotating among zones (as many bytes), asking each shard's nearest (more questions). Change: `relays::group` takes the own zone first, then greedily as before.

--- a/crates/decide/src/relays.rs
+++ b/crates/decide/src/relays.rs
@@ -66,11 +66,23 @@
 
 /// Groups shards by zone; `zones` lists for each shard the zones that could serve it.
 ///
-/// Shards in no group are asked directly; groups have `least` shards or more. `turn`
-/// rotates which of several equally good zones is taken.
+/// Shards in no group are asked directly; groups have `least` shards or more. The zone
+/// `first` comes first, whatever the others could serve: its answers cross no zones, and each
+/// zone serves its own callers. Without it the zone with most replicas was asked by all.
+/// `turn` rotates which of several equally good zones is taken.
 #[must_use]
-pub fn group(mut zones: BTreeMap<usize, Vec<&str>>, least: usize, turn: u64) -> Vec<Group<'_>> {
+pub fn group<'a>(
+    mut zones: BTreeMap<usize, Vec<&'a str>>,
+    first: &'a str,
+    least: usize,
+    turn: u64,
+) -> Vec<Group<'a>> {
+    let in_first = zones.extract_if(.., |_, places| places.contains(&first));
+    let shards: Vec<usize> = in_first.map(|(shard, _)| shard).collect();
     let mut groups = Vec::new();
+    if !shards.is_empty() {
+        groups.push(Group { zone: first, shards });
+    }
     loop {
         let mut by_zone: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
         for (&shard, places) in &zones {
--- a/crates/decide/tests/duties.rs
+++ b/crates/decide/tests/duties.rs
@@ -140,10 +140,28 @@
         (2, vec!["b"]),
         (3, vec!["c", "a"]),
     ]);
-    let groups = relays::group(zones.clone(), LEAST_GROUP, 0);
+    let groups = relays::group(zones.clone(), "own", LEAST_GROUP, 0);
     assert_eq!(groups.len(), 1);
     assert_eq!((groups[0].zone, groups[0].shards.clone()), ("b", vec![0, 1, 2]));
-    assert_eq!(relays::group(zones, 1, 0).len(), 2);
+    assert_eq!(relays::group(zones, "own", 1, 0).len(), 2);
+}
+
+/// Symptom: one zone's instances merged three quarters of all parts, and most answers
+/// crossed zones.
+/// Sequence: each shard has replicas in three of four zones; the zone with most of them was
+/// asked first, by the instances of all zones.
+/// Cause: the own zone did not come first.
+#[test]
+fn the_own_zone_is_asked_for_all_that_it_has() {
+    let zones = BTreeMap::from([
+        (0, vec!["a", "b"]),
+        (1, vec!["b", "own"]),
+        (2, vec!["b", "own"]),
+        (3, vec!["b", "c"]),
+    ]);
+    let groups = relays::group(zones, "own", 1, 0);
+    let asked: Vec<_> = groups.iter().map(|g| (g.zone, g.shards.clone())).collect();
+    assert_eq!(asked, [("own", vec![1, 2]), ("b", vec![0, 3])]);
 }
 
 /// Symptom: no answer covered enough shards while two replicas in five were slow.
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -76,7 +76,7 @@
         let turn = rand::random();
         let least = if is_sliced(&router.zone) { 1 } else { LEAST_GROUP };
         let mut asked = Vec::new();
-        for group in relays::group(places, least, turn) {
+        for group in relays::group(places, &router.zone, least, turn) {
             if is_sliced(group.zone) {
                 asked.extend(self.by_owner(&group, &peers));
             } else if let Some(peer) = router.best_peer(&peers, group.zone, turn) {
