Put changed settings in force without a restart, with or without a signal

Change: `SettingsFile` at the border; the file's time of change is looked at each 5 s (one call of the system). Bounds for repeats and the grace period follow it; a wrong file leaves the old values in force and is told.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::backend::Backend;
 use crate::control::{Ask, Control, Identity};
 use crate::peers::Peers;
+use crate::reload::{InForce, SettingsFile};
 use crate::router::Router;
 use crate::view::Shared;
 
@@ -85,8 +86,8 @@
     pub backend: Rc<dyn Backend>,
     /// Reads callers' requests and writes their answers.
     pub front: fn(Rc<Router>) -> Rc<dyn Handler>,
-    /// Called when a signal says that the settings have changed.
-    pub reload: fn(),
+    /// The settings file, which may change.
+    pub settings: Box<dyn SettingsFile>,
 }
 
 impl std::fmt::Debug for Adapters {
@@ -118,7 +119,7 @@
 async fn serve_all(setup: &Setup, adapters: Adapters, metrics: Page) -> Result<(), RunError> {
     let front = bind(setup.front_addr).await?;
     let ready = bind(setup.ready_addr).await?;
-    let Adapters { store, decode, backend, front: make_front, reload } = adapters;
+    let Adapters { store, decode, backend, front: make_front, settings } = adapters;
     let shared = Arc::new(Shared::new());
     log::info!(
         "event=started instance={} zone={} front={}",
@@ -175,11 +176,14 @@
             Err(error) => log::error!("event=metrics_not_served cause=\"{error}\""),
         }
     }
-    actix_rt::spawn(reload_on_signal(reload)?);
+    let settings = InForce::new(settings, setup.clone(), Rc::clone(&router));
+    let grace = settings.grace();
+    let hangups = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
+    actix_rt::spawn(settings.follow(hangups));
     let stop = wait_for_stop()?;
-    let grace = setup.grace.saturating_sub(GRACE_MARGIN);
     let serving = actix_rt::spawn(serve(front, make_front(router), phases));
     stop.await;
+    let grace = grace.get().saturating_sub(GRACE_MARGIN);
     log::info!("event=stopping grace_ms={}", grace.as_millis());
     let began = tokio::time::Instant::now();
     phase.send_replace(StopPhase::Leaving);
@@ -208,16 +212,6 @@
     })
 }
 
-fn reload_on_signal(reload: fn()) -> Result<impl Future<Output = ()>, RunError> {
-    let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
-    Ok(async move {
-        while hup.recv().await.is_some() {
-            log::info!("event=reload cause=signal");
-            reload();
-        }
-    })
-}
-
 /// Tells the balancer whether callers can be sent here.
 struct Readiness {
     shared: Arc<Shared>,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,6 @@
 //! The traffic thread's state: standings, budgets, latencies; and the way of a request.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,7 +57,7 @@
     /// Key of this instance in rendezvous order.
     pub(crate) key: u64,
     pub(crate) links: Links,
-    limits: RepeatLimits,
+    limits: Cell<RepeatLimits>,
     pub(crate) standings: RefCell<ByName<Rc<RefCell<Standing>>>>,
     /// Marks of replicas that other instances find slow, with when that was too long ago.
     pub(crate) slow_until_ms: RefCell<HashMap<u32, u64>>,
@@ -88,7 +88,7 @@
             key: rendezvous::hash(name),
             // Nobody orders these frames, so they carry no clock stamp.
             links: Links::new(Rc::new(|| 0)),
-            limits,
+            limits: Cell::new(limits),
             standings: RefCell::default(),
             slow_until_ms: RefCell::default(),
             allowances: RefCell::default(),
@@ -190,11 +190,16 @@
         standings.get(&replica.id).is_some_and(|s| s.borrow().is_replaced())
     }
 
+    /// Puts other limits for repeats in force.
+    pub(crate) fn set_repeat_limits(&self, limits: RepeatLimits) {
+        self.limits.set(limits);
+    }
+
     /// Notes a request whose first send goes to `service`.
     pub(crate) fn note_request(&self, service: &Arc<str>) {
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
-        allowances.entry(Arc::clone(service)).or_default().note_request(&self.limits, now_ms);
+        allowances.entry(Arc::clone(service)).or_default().note_request(&self.limits.get(), now_ms);
     }
 
     /// Time after which a second send to `service` may go out, in milliseconds.
@@ -202,7 +207,7 @@
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
-        let is_scarce = allowance.is_scarce(&self.limits, sharers_of_slack(view), now_ms);
+        let is_scarce = allowance.is_scarce(&self.limits.get(), sharers_of_slack(view), now_ms);
         if is_scarce { pace.scarce_hedge_ms } else { pace.hedge_ms }
     }
 
@@ -212,7 +217,7 @@
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
-        allowance.take(&self.limits, instances, now_ms)
+        allowance.take(&self.limits.get(), instances, now_ms)
     }
 
     /// Expected latency of one more request in milliseconds, with what crossing zones costs.
