Keep entries that lapsed in an outage on every instance, watcher or not

Only an instance that the store itself answers knew that an outage had ended; the others heard of lapsed entries as gone, from the first one that was answered, and dropped live replicas until these were listed again about two seconds later. Ruled out: waiting before telling others (a change must be in force soon). Change: an instance that lost the store tries until it is answered; one that hears that the store answers another, where it answered none, keeps lapsed entries from that moment, before it fetches anything.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -58,7 +58,10 @@
                     self.store.watch(kind, revision, self.watch_wait()).await
                 }
                 Some(revision) => {
-                    if !self.is_poll_due(next_poll).await {
+                    // One that lost the store goes on until it is answered, watcher or not: its
+                    // record would say "not reached" until the next poll, a minute later in a
+                    // large fleet.
+                    if self.is_store_up.get() && !self.is_poll_due(next_poll).await {
                         continue;
                     }
                     next_poll = self.next_poll();
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -110,7 +110,10 @@
         }
         let answered = self.membership.borrow().alive().filter(|m| m.is_store_reached).count();
         let before = self.answered_by_store.replace(answered);
-        if before == 0 && answered > 0 {
+        if before == 0 && answered > 0 && !self.is_store_up.get() {
+            // Before anything is fetched from the one that is answered: it may tell of entries
+            // that lapsed, and an instance that dropped them knew no replica for two seconds.
+            self.directory.borrow_mut().store_is_back(self.shared.now_ms());
             self.store_answers_another.notify_waiters();
         }
     }
