Give the settings type a module of its own

Cause: the daemon and the reload of its settings imported each other. Change: `setup` holds the checked settings; no line of logic changed.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use eelgrasspier_caller::{Answering, Handler, StopPhase, serve};
-use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_decide::route::CallerLimits;
 use eelgrasspier_store::{Collections, Decode};
 use eelgrasspier_telemetry::{Latency, Page, TelemetryError};
@@ -26,6 +25,7 @@
 use crate::peers::Peers;
 use crate::reload::{InForce, SettingsFile};
 use crate::router::Router;
+use crate::setup::Setup;
 use crate::view::Shared;
 
 /// Time after the start of a stop for which idle connections stay open.
@@ -49,33 +49,6 @@
     },
 ];
 
-/// One instance's own settings.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    /// Name of the instance.
-    pub name: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Where callers connect.
-    pub front_addr: SocketAddr,
-    /// Where the balancer asks whether callers can be sent here.
-    pub ready_addr: SocketAddr,
-    /// Where other instances connect.
-    pub peer_addr: SocketAddr,
-    /// Where some of the other instances are, or were.
-    pub seeds: Vec<SocketAddr>,
-    /// Its processor time, in thousandths of a core.
-    pub capacity_milli: u32,
-    /// Whether the whole system starts for the first time.
-    pub is_first_start: bool,
-    /// Where metrics are served.
-    pub metrics_addr: Option<SocketAddr>,
-    /// What all instances together may send twice.
-    pub repeat_limits: RepeatLimits,
-    /// Time from the signal to stop to the kill.
-    pub grace: Duration,
-}
-
 /// What speaks to callers, backend servers and the store.
 pub struct Adapters {
     /// Makes the store's client, on the control thread.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,12 +18,14 @@
 mod reload;
 mod route_state;
 mod router;
+mod setup;
 mod view;
 
 pub use backend::{Attempt, Backend, BackendFuture, Reply};
-pub use daemon::{Adapters, RunError, Setup, run};
+pub use daemon::{Adapters, RunError, run};
 pub use model::{Merged, Outcome, Request};
 pub use output::{finish_log, log_to_stdout};
 pub use reload::SettingsFile;
 pub use router::Router;
+pub use setup::Setup;
 pub use view::{Peer, Shared, View};
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use crate::daemon::Setup;
 use crate::router::Router;
+use crate::setup::Setup;
 
 /// Time between two looks at the file, which may change without a signal; a look is one call
 /// of the system.
