Withdraw entries of instances that are gone for good

Cause: each instance writes one entry and nothing in the store expires by itself; a call to withdraw existed and nobody made it, so that the list, which each start reads, grew with each replaced instance. Ruled out: withdrawing at a planned stop (a restart would write it anew each time, and a killed instance never does). Change: `decide::roster`, pure: an entry goes once its instance was missing for five minutes, by an instance that watches the store and sees at least half of the listed ones; an instance that misses its own entry in two lists writes it again. Lines E717 and E718.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod relays;
 pub mod rendezvous;
 pub mod replica;
+pub mod roster;
 pub mod route;
 pub mod share;
 pub mod snapshot;
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -207,6 +207,7 @@
                     });
                     let listed: Vec<Listed> = listed.map(to_listed).collect();
                     self.membership.borrow_mut().set_listed(&listed);
+                    self.tidy(&listed, &own).await;
                     if !self.has_listed.replace(true) {
                         self.publish();
                     }
@@ -221,6 +222,30 @@
         }
     }
 
+    /// Withdraws entries of instances that are gone, and writes the own one where it is.
+    async fn tidy(&self, listed: &[Listed], own: &Announcement) {
+        let names: Vec<&str> = listed.iter().map(|l| l.name.as_str()).collect();
+        let is_own_lost = self.roster.borrow_mut().is_own_lost(names.contains(&own.name.as_str()));
+        if is_own_lost && let Err(error) = self.store.announce(own).await {
+            log::info!("event=not_announced cause=\"{error}\"");
+        }
+        let gone = {
+            let membership = self.membership.borrow();
+            let alive: Vec<&str> = membership.alive().map(|m| m.name.as_str()).collect();
+            let is_there = |name: &str| name == own.name || alive.contains(&name);
+            self.roster.borrow_mut().gone(&names, is_there, self.shared.now_ms())
+        };
+        // Few watch, so that few withdraw; that two of them do is as good.
+        for name in gone.iter().filter(|_| self.is_watcher()) {
+            match self.store.withdraw(name).await {
+                Ok(()) => log::info!("event=instance_withdrawn instance={name}"),
+                Err(error) => {
+                    log::info!("event=instance_not_withdrawn instance={name} cause=\"{error}\"");
+                }
+            }
+        }
+    }
+
     /// Pause before the next try to be listed, or to list the others.
     fn list_pause(&self, pauses: &mut Backoff) -> Duration {
         let pause = pauses.next_pause();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -14,6 +14,7 @@
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::pulls::Pulls;
+use eelgrasspier_decide::roster::Roster;
 use eelgrasspier_decide::route::{Configuration, RouteTable};
 use eelgrasspier_peer::Links;
 use eelgrasspier_store::{Collections, Decode, Kind};
@@ -72,6 +73,8 @@
     behind_since_ms: RefCell<HashMap<Kind, u64>>,
     /// The members' epoch from which duties were last drawn.
     seen_epoch: Cell<u64>,
+    /// Who is listed and not there.
+    roster: RefCell<Roster>,
     /// Whether the list of instances was ever read.
     has_listed: Cell<bool>,
     /// Changes that are being pulled from other instances.
@@ -115,6 +118,7 @@
             told_ms: Cell::new(0),
             behind_since_ms: RefCell::default(),
             seen_epoch: Cell::new(0),
+            roster: RefCell::default(),
             has_listed: Cell::new(false),
             pulls: RefCell::default(),
             duties: Notify::new(),
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -29,6 +29,8 @@
     event(714, "not_announced"),
     event(715, "instances_not_listed"),
     event(716, "instance_unreadable"),
+    event(717, "instance_withdrawn"),
+    event(718, "instance_not_withdrawn"),
     event(721, "configuration"),
     event(722, "configuration_stale"),
     event(723, "configuration_unreadable"),
