--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -24,8 +24,8 @@
 ///
 /// A replica that was slow once isn't chosen, so no answer of it shows that it is not slow
 /// any more: it would be shunned for good. At this half-life one that is five times slower
-/// is tried again after about two seconds, at the price of a hedge.
-const RATIO_HALF_LIFE_MS: f64 = 1000.0;
+/// is tried again after about a second and a half, at the price of a hedge.
+const RATIO_HALF_LIFE_MS: f64 = 800.0;
 
 /// Conduct of one replica.
 #[derive(Debug, Clone)]
