--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -92,7 +92,7 @@
     /// Every replica pauses for a tenth of a second now and then, and answers that were in
     /// progress together were held up by the same pause. A replica that is slow is so for an
     /// answer that was sent after the last one had come, too. Without this one pause sent
-    /// first sends to other zones for a second: 19,000 of 300,000, with it 15,400.
+    /// first sends to other zones for a second: bytes between zones were a tenth more.
     fn confirm(&mut self, ratio: f64, took_ms: f64, now_ms: u64) -> f64 {
         let is_apart = elapsed_ms(self.last_ms, now_ms) >= took_ms;
         if !is_apart && ratio >= self.last_ratio {
--- a/crates/peer/src/packed.rs
+++ b/crates/peer/src/packed.rs
@@ -12,7 +12,7 @@
 
 /// Changes up to this length in bytes travel as they are: a few packets.
 const PLAIN_UP_TO_BYTES: usize = 4 << 10;
-/// Fastest level: an eighth of a core takes some 20 ms for a megabyte.
+/// The fastest level: a configuration shrinks to a tenth with it already.
 const LEVEL: i32 = 1;
 /// Longest unpacked changes in bytes; the store's objects have one megabyte at the most, and
 /// 20,000 entries of replicas eight.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -21,8 +21,8 @@
     packed: RefCell<HashMap<Kind, Packed>>,
 }
 
-/// An answer that others of the zone are about to ask for too: packing one takes 20 ms of an
-/// eighth of a core, and twenty instances pull the same changes within a second.
+/// An answer that others of the zone are about to ask for too: twenty instances pull the same
+/// changes within a second, and each would have them packed anew on the traffic thread.
 #[derive(Clone, PartialEq)]
 struct Packed {
     /// Change from which the asker wanted to go on.
--- a/crates/router/src/route_state.rs
+++ b/crates/router/src/route_state.rs
@@ -32,8 +32,8 @@
 
 /// What a request's sends go by, as of its start.
 ///
-/// Reading the quantiles anew for each send took an eighth of the traffic thread's
-/// instructions at 40 shards; they hardly change within one request.
+/// Reading the quantiles anew for each send took some 4 % of the daemon's instructions at 40
+/// shards; they hardly change within one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Pace {
     /// The usual latency of one exchange, in milliseconds.
