Tell starts of a replica apart, and pass over entries of other writers

Cause: a replica may start again under its id, with counts that start anew; an entry may lack fields, be of other types or not readable. An id stood for one start: a late write of the one that had ended could overwrite its successor's entry, and what was learnt of it (replaced, failing) stuck to the successor. Ruled out: ordering by the store's numbers alone (a write given up for lost is carried out later). Change: identity is id and time of start, order is (start, number of the report); the name goes on the wire.

--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -9,11 +9,28 @@
 /// Live replicas write again within about two seconds; the rest is the way of the news.
 pub const COME_BACK_MS: u64 = 2_200;
 
+/// Place of a report among all that replicas of one name have written, later ones greater.
+///
+/// The store numbers writes in the order in which it carries them out, and a write that was
+/// given up for lost may be carried out seconds later: the last write of a crashed replica
+/// then overwrites the first one of its successor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Report {
+    /// Unix time of the replica's start in milliseconds; 0 where replicas don't tell it.
+    pub born_ms: u64,
+    /// Number of the report since then.
+    pub number: u64,
+}
+
 /// A replica as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaEntry {
     /// Identity of this start of the replica.
     pub id: Arc<str>,
+    /// Name under which the store lists it; a replica that starts again may keep it.
+    pub name: Arc<str>,
+    /// Which of its reports this is.
+    pub report: Report,
     /// Service that it serves.
     pub service: Arc<str>,
     /// Where it listens.
@@ -28,16 +45,24 @@
     pub cold_left_ms: u64,
 }
 
+impl ReplicaEntry {
+    /// Whether an entry differs from this one in nothing but the number of its report.
+    fn says_the_same(&self, other: &Self) -> bool {
+        let renumbered = Self { report: other.report, ..self.clone() };
+        renumbered == *other
+    }
+}
+
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EntryChange {
     /// The entry is as given.
     Set(ReplicaEntry),
-    /// The entry is gone.
+    /// The entry of this name is gone, or names no replica any more.
     Gone(Arc<str>),
 }
 
-/// The replicas by id, with those that lapsed during an outage kept for a while.
+/// The replicas by name, with those that lapsed during an outage kept for a while.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<Arc<str>, Arc<ReplicaEntry>>,
@@ -59,15 +84,15 @@
     /// Takes in the whole list; returns whether anything changed.
     pub fn replace(&mut self, list: Vec<ReplicaEntry>, now_ms: u64) -> bool {
         let listed: std::collections::BTreeSet<Arc<str>> =
-            list.iter().map(|e| Arc::clone(&e.id)).collect();
+            list.iter().map(|e| Arc::clone(&e.name)).collect();
         let missing: Vec<Arc<str>> =
-            self.entries.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+            self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect();
         let mut has_changed = false;
         for entry in list {
             has_changed |= self.apply(EntryChange::Set(entry), now_ms);
         }
-        for id in missing {
-            has_changed |= self.apply(EntryChange::Gone(id), now_ms);
+        for name in missing {
+            has_changed |= self.apply(EntryChange::Gone(name), now_ms);
         }
         has_changed
     }
@@ -76,26 +101,27 @@
     pub fn apply(&mut self, change: EntryChange, now_ms: u64) -> bool {
         match change {
             EntryChange::Set(entry) => {
-                self.lapsed.remove(&entry.id);
-                let known = self.entries.get(&entry.id);
-                if known.is_some_and(|k| **k == entry) {
+                let known = self.entries.get(&entry.name);
+                if known.is_some_and(|k| entry.report < k.report) {
                     return false;
                 }
-                self.entries.insert(Arc::clone(&entry.id), Arc::new(entry));
-                true
+                self.lapsed.remove(&entry.name);
+                let is_known = known.is_some_and(|k| k.says_the_same(&entry));
+                self.entries.insert(Arc::clone(&entry.name), Arc::new(entry));
+                !is_known
             }
-            EntryChange::Gone(id) => self.remove(&id, now_ms),
+            EntryChange::Gone(name) => self.remove(&name, now_ms),
         }
     }
 
-    fn remove(&mut self, id: &Arc<str>, now_ms: u64) -> bool {
-        let Some(entry) = self.entries.get(id) else { return false };
+    fn remove(&mut self, name: &Arc<str>, now_ms: u64) -> bool {
+        let Some(entry) = self.entries.get(name) else { return false };
         if now_ms < self.lenient_until_ms && !entry.is_draining {
-            self.lapsed.entry(Arc::clone(id)).or_insert(self.lenient_until_ms);
+            self.lapsed.entry(Arc::clone(name)).or_insert(self.lenient_until_ms);
             return false;
         }
-        self.lapsed.remove(id);
-        self.entries.remove(id);
+        self.lapsed.remove(name);
+        self.entries.remove(name);
         true
     }
 
@@ -105,11 +131,11 @@
             .lapsed
             .iter()
             .filter(|(_, until_ms)| now_ms >= **until_ms)
-            .map(|(id, _)| Arc::clone(id))
+            .map(|(name, _)| Arc::clone(name))
             .collect();
-        for id in &due {
-            self.lapsed.remove(id);
-            self.entries.remove(id);
+        for name in &due {
+            self.lapsed.remove(name);
+            self.entries.remove(name);
         }
         !due.is_empty()
     }
--- a/crates/decide/tests/beliefs.rs
+++ b/crates/decide/tests/beliefs.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use eelgrasspier_decide::directory::{COME_BACK_MS, Directory, EntryChange, ReplicaEntry};
+use eelgrasspier_decide::directory::{COME_BACK_MS, Directory, EntryChange, ReplicaEntry, Report};
 use eelgrasspier_decide::mirror::{Changes, Deleted, Effect, Mirror, Versioned};
 
 fn object(name: &str, revision: u64) -> Versioned {
@@ -82,6 +82,8 @@
 fn entry(id: &str, is_draining: bool) -> ReplicaEntry {
     ReplicaEntry {
         id: id.into(),
+        name: id.into(),
+        report: Report::default(),
         service: "s".into(),
         addr: ([127, 0, 0, 1], 80).into(),
         zone: "z".into(),
@@ -120,3 +122,38 @@
     assert!(directory.replace(Vec::new(), 6_000));
     assert!(ids(&directory).is_empty());
 }
+
+/// A report of the replica `a`, started at `born_ms`.
+fn report(born_ms: u64, number: u64, is_draining: bool) -> ReplicaEntry {
+    let id = format!("a@{born_ms}").into();
+    ReplicaEntry { id, report: Report { born_ms, number }, ..entry("a", is_draining) }
+}
+
+/// Symptom: requests went to a replica that had ended, while its successor idled.
+/// Sequence: a replica crashed just after its last report was given up for lost; it started
+/// again under its id and reported; then the store carried the lost write out.
+/// Cause: the entry that was written last was taken for the newest report.
+#[test]
+fn a_late_report_of_an_earlier_start_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.apply(EntryChange::Set(report(1_000, 50, false)), 0);
+    assert!(directory.apply(EntryChange::Set(report(9_000, 1, false)), 1));
+    assert_eq!(ids(&directory), ["a@9000".into()]);
+    assert!(!directory.apply(EntryChange::Set(report(1_000, 51, true)), 2));
+    assert_eq!(ids(&directory), ["a@9000".into()]);
+    assert!(directory.entries().all(|e| !e.is_draining));
+}
+
+/// Symptom: a leaving replica got new work.
+/// Sequence: it reported that it leaves; an earlier report was carried out after that one.
+/// Cause: as above, within one start.
+#[test]
+fn reports_of_one_start_are_ordered_by_their_numbers() {
+    let mut directory = Directory::default();
+    directory.apply(EntryChange::Set(report(1_000, 7, true)), 0);
+    assert!(!directory.apply(EntryChange::Set(report(1_000, 6, false)), 1));
+    assert!(directory.entries().all(|e| e.is_draining));
+    // A number alone changes nothing for anybody.
+    assert!(!directory.apply(EntryChange::Set(report(1_000, 8, true)), 2));
+    assert!(!directory.apply(EntryChange::Set(report(1_000, 7, false)), 3));
+}
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -191,15 +191,15 @@
                 Ok(entry) => EntryChange::Set(entry),
                 Err(error) => {
                     log::warn!("event=entry_unreadable replica={name} cause=\"{error}\"");
-                    return false;
+                    EntryChange::Gone(name.as_str().into())
                 }
             },
             Effect::Gone(name) => EntryChange::Gone(name.as_str().into()),
         };
         let text = match &change {
             EntryChange::Set(e) => format!(
-                "replica={} service={} addr={} zone={} draining={} cold_left_ms={}",
-                e.id, e.service, e.addr, e.zone, e.is_draining, e.cold_left_ms
+                "replica={} service={} addr={} zone={} draining={} cold_left_ms={} report={}",
+                e.id, e.service, e.addr, e.zone, e.is_draining, e.cold_left_ms, e.report.number
             ),
             EntryChange::Gone(id) => format!("replica={id} gone=true"),
         };
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::RepeatLimits;
-use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::directory::{ReplicaEntry, Report};
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
 use eelgrasspier_router::{Attempt, Backend, BackendFuture, Outcome, Reply, Request, Router};
 use eelgrasspier_router::{Shared, View};
@@ -217,6 +217,8 @@
         let entries = [("a", "z1"), ("b", "z2")].map(|(name, zone)| {
             Arc::new(ReplicaEntry {
                 id: format!("{service}/{name}").into(),
+                name: format!("{service}/{name}").into(),
+                report: Report::default(),
                 service: Arc::clone(&service),
                 addr: ([127, 0, 0, 1], 1).into(),
                 zone: zone.into(),
