Go by the shards' queues: leave out what would be late, refuse what can't be served

Latencies were compared with a usual one that rose with the queues. Change: a standing tells wait (reported and own load by its work) and speed apart; a request is planned before anything is sent: shards expected beyond three quarters of the time left are left out as far as the answer may, with more it is refused as not run. Hedges only where a slot is free. A caller who comes back late is served like a new one.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission/gate.rs
@@ -1,4 +1,4 @@
-//! Admission of requests: who runs now, who waits, who is refused at once.
+//! A bound on the requests in progress, which follows what is answered in time.
 //!
 //! One gate stands before each service in each traffic thread. It bounds the
 //! requests in progress by a limit that follows what the backend servers can
--- a/crates/decide/src/patience.rs
+++ b/crates/decide/src/patience.rs
@@ -27,6 +27,21 @@
     (WAY_MS + work_ms).min(target_latency_ms / MOST_MARGIN_DIVISOR)
 }
 
+/// Part of the target latency that must be left to a caller who comes again for his answer to
+/// be in time still, as a divisor.
+const LEAST_LEFT_DIVISOR: u64 = 2;
+
+/// Time in which an answer is wanted by a caller who has spent `spent_ms` on earlier attempts.
+///
+/// Once too little of the target latency is left, the answer is late for his first attempt
+/// whatever happens, and he is served like one who has just come: an answer with what is there
+/// at that moment would miss more shards and be no less late.
+#[must_use]
+pub fn time_ms(target_latency_ms: u64, spent_ms: u64) -> u64 {
+    let left_ms = target_latency_ms.saturating_sub(spent_ms);
+    if left_ms < target_latency_ms / LEAST_LEFT_DIVISOR { target_latency_ms } else { left_ms }
+}
+
 /// State of one answer that is being gathered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gathering {
--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -27,6 +27,17 @@
 /// is tried again after about a second and a half, at the price of a hedge.
 const RATIO_HALF_LIFE_MS: f64 = 800.0;
 
+/// Weight of a new request in the running mean of the work of one, as a divisor.
+const WORK_BLEND: f64 = 8.0;
+
+/// An own request in progress.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Sent {
+    at_ms: u64,
+    /// Time that it was expected to take, in milliseconds, its wait included.
+    expected_ms: f64,
+}
+
 /// Conduct of one replica.
 #[derive(Debug, Clone)]
 pub struct Standing {
@@ -36,10 +47,12 @@
     /// Ratio of the last answer that counts by itself, and when it came.
     last_ratio: f64,
     last_ms: u64,
-    /// When each own request in progress was sent, with its usual latency.
-    in_progress: Vec<(u64, f64)>,
-    reported: u32,
-    reported_ms: u64,
+    in_progress: Vec<Sent>,
+    /// Work of one request in milliseconds, as a running mean of those sent.
+    work_ms: f64,
+    /// Requests of others that the replica held, and when it said so.
+    others: f64,
+    others_ms: u64,
     failures_in_a_row: u32,
     penalty: f64,
     penalty_ms: u64,
@@ -54,8 +67,9 @@
             last_ratio: 1.0,
             last_ms: 0,
             in_progress: Vec::new(),
-            reported: 0,
-            reported_ms: 0,
+            work_ms: 0.0,
+            others: 0.0,
+            others_ms: 0,
             failures_in_a_row: 0,
             penalty: 0.0,
             penalty_ms: 0,
@@ -65,21 +79,32 @@
 }
 
 impl Standing {
-    /// Notes that a request was sent whose usual latency is `usual_ms`.
-    pub fn sent(&mut self, now_ms: u64, usual_ms: f64) {
-        self.in_progress.push((now_ms, usual_ms));
+    /// Notes that a request was sent that is expected to take `expected_ms`.
+    pub fn sent(&mut self, now_ms: u64, expected_ms: f64) {
+        self.in_progress.push(Sent { at_ms: now_ms, expected_ms });
+    }
+
+    /// Notes that a request is sent that takes `work_ms` where nothing is ahead of it.
+    ///
+    /// Returns how long it is expected to take at a usual replica with this one's queue.
+    pub fn sent_work(&mut self, work_ms: f64, slots: u32, now_ms: u64) -> f64 {
+        let expected_ms = work_ms + self.wait_ms(slots, now_ms);
+        self.sent(now_ms, expected_ms);
+        let known_ms = if self.work_ms > 0.0 { self.work_ms } else { work_ms };
+        self.work_ms = known_ms + (work_ms - known_ms) / WORK_BLEND;
+        expected_ms
     }
 
     /// Notes that the request sent at `sent_ms` has ended, however it did.
     pub fn ended(&mut self, sent_ms: u64) {
-        if let Some(i) = self.in_progress.iter().position(|(sent, _)| *sent == sent_ms) {
+        if let Some(i) = self.in_progress.iter().position(|s| s.at_ms == sent_ms) {
             self.in_progress.swap_remove(i);
         }
     }
 
-    /// Notes an answer that took `took_ms`, where `usual_ms` is usual.
-    pub fn answered(&mut self, took_ms: f64, usual_ms: f64, now_ms: u64) {
-        let ratio = (took_ms / usual_ms.max(0.1)).min(MOST_RATIO);
+    /// Notes an answer that took `took_ms`, where `expected_ms` was expected.
+    pub fn answered(&mut self, took_ms: f64, expected_ms: f64, now_ms: u64) {
+        let ratio = (took_ms / expected_ms.max(0.1)).min(MOST_RATIO);
         let known = self.ratio(now_ms);
         let confirmed = self.confirm(ratio, took_ms, now_ms);
         self.ratio = known + (confirmed - known) / BLEND;
@@ -110,8 +135,8 @@
 
     /// Notes the requests that the replica says it runs or holds.
     pub fn reported(&mut self, load: u32, now_ms: u64) {
-        self.reported = load;
-        self.reported_ms = now_ms;
+        self.others = (f64::from(load) - self.own()).max(0.0);
+        self.others_ms = now_ms;
     }
 
     /// Notes a failure, a refusal or a silence.
@@ -155,19 +180,48 @@
     pub fn is_overdue(&self, now_ms: u64) -> bool {
         self.in_progress
             .iter()
-            .any(|(sent, usual)| elapsed_ms(*sent, now_ms) > usual * OVERDUE_RATIO + 2.0)
+            .any(|s| elapsed_ms(s.at_ms, now_ms) > s.expected_ms * OVERDUE_RATIO + 2.0)
     }
 
-    /// Expected latency of one more request, in multiples of the usual one.
+    fn own(&self) -> f64 {
+        f64::from(u32::try_from(self.in_progress.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Requests that the replica is believed to run or hold.
     #[must_use]
-    pub fn cost(&self, slots: u32, now_ms: u64) -> f64 {
+    pub fn load(&self, now_ms: u64) -> f64 {
+        let fresh = (1.0 - elapsed_ms(self.others_ms, now_ms) / REPORT_LIFE_MS).max(0.0);
+        self.own() + self.others * fresh
+    }
+
+    /// Time until one more request would run at a usual replica with this one's queue, in
+    /// milliseconds.
+    #[must_use]
+    pub fn wait_ms(&self, slots: u32, now_ms: u64) -> f64 {
         let slots = f64::from(slots.max(1));
-        let own = f64::from(u32::try_from(self.in_progress.len()).unwrap_or(u32::MAX));
-        let fresh = (1.0 - elapsed_ms(self.reported_ms, now_ms) / REPORT_LIFE_MS).max(0.0);
-        let others = (f64::from(self.reported) - own).max(0.0) * fresh;
-        let queue = (own + others) / slots;
+        let ahead = (self.load(now_ms) + 1.0 - slots).max(0.0);
+        ahead / slots * self.work_ms
+    }
+
+    /// Time after which the replica is expected to answer one more request of `work_ms`, in
+    /// milliseconds: its queue and its speed, whatever failures there were.
+    #[must_use]
+    pub fn answer_ms(&self, work_ms: f64, slots: u32, now_ms: u64) -> f64 {
+        self.ratio(now_ms) * (work_ms + self.wait_ms(slots, now_ms))
+    }
+
+    /// What speaks against the replica besides its queue, in multiples of a usual answer.
+    #[must_use]
+    pub fn doubt(&self, now_ms: u64) -> f64 {
         let overdue = if self.is_overdue(now_ms) { OVERDUE_COST } else { 0.0 };
-        self.ratio(now_ms) * (1.0 + queue) + overdue + self.penalty(now_ms)
+        overdue + self.penalty(now_ms)
+    }
+
+    /// Expected latency of one more request, in multiples of the usual one.
+    #[must_use]
+    pub fn cost(&self, slots: u32, now_ms: u64) -> f64 {
+        let queue = self.load(now_ms) / f64::from(slots.max(1));
+        self.ratio(now_ms) * (1.0 + queue) + self.doubt(now_ms)
     }
 
     fn penalty(&self, now_ms: u64) -> f64 {
--- a/crates/decide/tests/standing.rs
+++ b/crates/decide/tests/standing.rs
@@ -68,3 +68,32 @@
     paused.ended(1_000);
     assert!(!paused.is_overdue(1_040));
 }
+
+/// Symptom: a replica with a queue was taken for a slow one, and its queue for nothing.
+/// Sequence: latencies were compared with the usual latency, which rose with all queues; a
+/// short request behind long ones counted them as short as itself.
+/// Cause: wait and work were not told apart.
+#[test]
+fn what_is_expected_is_the_queue_by_its_work_and_the_replicas_speed() {
+    let mut busy = Standing::default();
+    for _ in 0..4 {
+        busy.sent_work(30.0, SLOTS, 1_000);
+    }
+    // Two run, two wait: the next one waits for three to end, two at a time.
+    assert!((busy.wait_ms(SLOTS, 1_000) - 45.0).abs() < 0.1);
+    assert!((busy.answer_ms(10.0, SLOTS, 1_000) - 55.0).abs() < 0.1);
+    // An answer that took as long as its queue says nothing against the replica.
+    busy.answered(75.0, 75.0, 1_075);
+    busy.answered(75.0, 75.0, 1_175);
+    assert!((busy.answer_ms(10.0, SLOTS, 1_176) - 55.0).abs() < 0.1);
+}
+
+#[test]
+fn what_others_have_sent_counts_while_the_report_is_fresh() {
+    let mut shared = Standing::default();
+    shared.sent_work(30.0, SLOTS, 1_000);
+    shared.reported(5, 1_000);
+    assert!((shared.load(1_000) - 5.0).abs() < 0.1);
+    assert!((shared.load(1_125) - 3.0).abs() < 0.1);
+    assert!((shared.load(1_500) - 1.0).abs() < 0.1);
+}
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -40,6 +40,7 @@
     event(732, "entry_unreadable"),
     event(733, "lapsed_entries_dropped"),
     event(734, "not_warmed"),
+    event(735, "object_unreadable"),
     event(741, "instance_joined"),
     event(742, "instance_state"),
     event(743, "instance_suspected"),
@@ -61,6 +62,7 @@
     event(761, "replica_replaced"),
     event(762, "sent_again"),
     event(763, "relay_replaced"),
+    event(764, "overloaded"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- /dev/null
+++ b/crates/router/src/gather/admit.rs
@@ -0,0 +1,44 @@
+//! Whether a request is begun, and which of its shards are left out.
+
+use eelgrasspier_decide::admission::{Plan, plan};
+
+use super::Gather;
+use super::shard::ShardState;
+
+impl Gather<'_> {
+    /// Leaves out shards that would be late; false if the request is refused instead.
+    pub(super) fn admit(&mut self) -> bool {
+        let now_ms = self.router.shared.now_ms();
+        let left_ms = self.times.target_at_ms.saturating_sub(now_ms);
+        let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
+        let answer_ms: Vec<f64> = (0..self.shards.len()).map(|i| self.answer_ms(i)).collect();
+        let may_miss = self.shards.len() - self.least;
+        let (id, route) = (self.request.id_text(), &self.route.name);
+        match plan(&answer_ms, may_miss, left_ms, rand::random()) {
+            Plan::Begin { left_out } => {
+                for &index in &left_out {
+                    self.shards[index].state = ShardState::LeftOut;
+                }
+                let count = u64::try_from(left_out.len()).unwrap_or(u64::MAX);
+                metrics::counter!("eelgrasspier_left_out_total").increment(count);
+                true
+            }
+            Plan::Refuse { late, retry_after_ms } => {
+                log::info!(
+                    "event=overloaded id={id} route={route} late={late} may_miss={may_miss} \
+                     left_ms={left_ms} retry_after_ms={retry_after_ms}"
+                );
+                self.gathered.refused_ms = Some(retry_after_ms);
+                false
+            }
+        }
+    }
+
+    /// Time after which a shard is expected to answer, in milliseconds, by its best replica.
+    fn answer_ms(&self, index: usize) -> f64 {
+        let service = &self.shards[index].service;
+        let expected = self.replicas(service).map(|r| self.router.expect(r, &self.pace));
+        let best = expected.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        best.map_or(0.0, |best| best.answer_ms)
+    }
+}
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -1,5 +1,6 @@
 //! Gathers the answers of the shards of one request: first sends, second sends, the end.
 
+mod admit;
 mod ends;
 mod relay;
 mod relay_ends;
@@ -155,7 +156,7 @@
     /// Gathers until there is enough, or enough is out of reach.
     pub(crate) async fn run(mut self, whom: For) -> Gathered {
         match whom {
-            For::Caller if !self.is_within_reach() => return self.gathered,
+            For::Caller if !self.is_within_reach() || !self.admit() => return self.gathered,
             For::Caller => self.ask_all(),
             For::Peer { is_repeat } => {
                 self.least = 0;
@@ -181,6 +182,7 @@
         self.flights.let_go();
         self.gathered.missing = self.services(|state| state != ShardState::Covered);
         self.gathered.failed = self.services(|state| state == ShardState::Failed);
+        self.gathered.left_out = self.services(|state| state == ShardState::LeftOut);
         self.gathered.drop_doubles();
         self.gathered
     }
@@ -224,7 +226,7 @@
             total: self.shards.len(),
             least: self.least,
             covered: count(ShardState::Covered),
-            failed: count(ShardState::Failed),
+            failed: count(ShardState::Failed) + count(ShardState::LeftOut),
             target_at_ms: self.times.target_at_ms,
             limit_at_ms: self.times.limit_at_ms,
         }
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -12,6 +12,7 @@
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire::{self, Body};
 
+use super::shard::ShardState;
 use super::{Gather, Landed};
 use crate::view::Peer;
 
@@ -43,7 +44,8 @@
     /// Sends all shards: some directly, some by way of other instances.
     pub(super) fn ask_all(&mut self) {
         let groups = self.groups();
-        let mut is_asked = vec![false; self.shards.len()];
+        let mut is_asked: Vec<bool> =
+            self.shards.iter().map(|s| s.state == ShardState::LeftOut).collect();
         for (peer, shards) in groups {
             for &shard in &shards {
                 is_asked[shard] = true;
@@ -61,7 +63,8 @@
             return Vec::new();
         }
         let peers = self.router.sound_peers(self.view);
-        self.assign(0..self.shards.len(), &self.router.zone, &peers)
+        let open = (0..self.shards.len()).filter(|&i| self.shards[i].state == ShardState::Open);
+        self.assign(open, &self.router.zone, &peers)
     }
 
     /// Some shards with the instances to ask for them, those in the zone `first` first.
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -55,7 +55,7 @@
             self.settle(index);
             return false;
         };
-        let hedge_ms = self.router.hedge_after_ms(self.view, &self.pace, &replica.service);
+        let hedge_ms = self.router.hedge_after_ms(self.view, &self.pace, &replica);
         let shard = &mut self.shards[index];
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
@@ -110,7 +110,10 @@
     /// Sends a shard's request once more, if the budget allows it.
     pub(super) fn send_again(&mut self, index: usize, cause: &'static str) -> bool {
         let shard = &self.shards[index];
-        if self.pick(shard).is_none() {
+        let Some(replica) = self.pick(shard) else { return false };
+        // Where all slots are in use, a second send only makes the queue longer.
+        if cause == "hedge" && self.router.expect(replica, &self.pace).wait_ms > 0.0 {
+            metrics::counter!("eelgrasspier_hedges_without_slot_total").increment(1);
             return false;
         }
         let is_paid = self.router.take_repeat(&shard.service, self.view);
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -12,6 +12,8 @@
     Open,
     Covered,
     Failed,
+    /// Not asked, since it would be late.
+    LeftOut,
 }
 
 /// One shard of a request.
@@ -75,6 +77,8 @@
     pub(crate) merged: Vec<MergedParts>,
     /// The last failure that a replica itself gave.
     pub(crate) failure: Option<Reply>,
+    /// When to come back, where it was refused before anything was sent.
+    pub(crate) refused_ms: Option<u64>,
     /// Whether a replica may have run any of it.
     pub(crate) may_have_run: bool,
     /// Whether the time was over.
@@ -90,11 +94,16 @@
     pub(crate) missing: Vec<Arc<str>>,
     /// Those of them that had failed, and were not just late.
     pub(crate) failed: Vec<Arc<str>>,
+    /// Those that were not asked, since they would have been late.
+    pub(crate) left_out: Vec<Arc<str>>,
 }
 
 impl Gathered {
     /// The refusal where this does not make a success.
     pub(crate) fn refusal(&self, retry_after_ms: u64) -> Refusal {
+        if let Some(retry_after_ms) = self.refused_ms {
+            return Refusal::not_run(RefusalReason::Overloaded, Some(retry_after_ms));
+        }
         let reason = match (self.is_timed_out, self.may_have_run) {
             (true, _) => RefusalReason::TooLate,
             (false, true) => RefusalReason::AnswerLost,
@@ -106,11 +115,12 @@
 
     /// What it took, for the log.
     pub(crate) fn effort(&self) -> String {
-        let Self { repeats, unpaid, far, relays, missing, failed, .. } = self;
-        let (missing, failed) = (missing.join(","), failed.join(","));
+        let Self { repeats, unpaid, far, relays, .. } = self;
+        let [missing, failed, left_out] =
+            [&self.missing, &self.failed, &self.left_out].map(|shards| shards.join(","));
         format!(
             "repeats={repeats} unpaid={unpaid} far={far} relays={relays} missing=[{missing}] \
-             failed=[{failed}]"
+             failed=[{failed}] left_out=[{left_out}]"
         )
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
@@ -166,8 +167,8 @@
             Target::Service(_) | Target::Split(_) => limit_ms,
             Target::Shards(_) => {
                 let target_ms = route.target_latency_ms;
-                target_ms
-                    .saturating_sub(patience::margin_ms(target_ms, view.capacity_milli) + spent_ms)
+                let margin_ms = patience::margin_ms(target_ms, view.capacity_milli);
+                patience::time_ms(target_ms, spent_ms).saturating_sub(margin_ms)
             }
         };
         Times {
@@ -202,13 +203,16 @@
         allowances.entry(Arc::clone(service)).or_default().note_request(&self.limits.get(), now_ms);
     }
 
-    /// Time after which a second send to `service` may go out, in milliseconds.
-    pub(crate) fn hedge_after_ms(&self, view: &View, pace: &Pace, service: &Arc<str>) -> u64 {
+    /// Time after which a second send may follow one to `replica`, in milliseconds.
+    pub(crate) fn hedge_after_ms(&self, view: &View, pace: &Pace, replica: &ReplicaEntry) -> u64 {
+        let wait_ms = Duration::from_secs_f64(self.expect(replica, pace).wait_ms / 1000.0);
+        let wait_ms = u64::try_from(wait_ms.as_millis()).unwrap_or(u64::MAX);
+        let service = &replica.service;
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
         let is_scarce = allowance.is_scarce(&self.limits.get(), sharers_of_slack(view), now_ms);
-        if is_scarce { pace.scarce_hedge_ms } else { pace.hedge_ms }
+        wait_ms + if is_scarce { pace.scarce_hedge_ms } else { pace.hedge_ms }
     }
 
     /// Takes one second send to `service` from the budget, if there is one.
@@ -222,10 +226,21 @@
 
     /// Expected latency of one more request in milliseconds, with what crossing zones costs.
     pub(crate) fn cost_ms(&self, replica: &ReplicaEntry, pace: &Pace) -> f64 {
-        let now_ms = self.shared.now_ms();
-        let cost = self.standing(&replica.id).borrow().cost(replica.slots, now_ms);
         let far_ms = if replica.zone == self.zone { 0.0 } else { pace.target_ms / FAR_DIVISOR };
-        pace.usual_ms * cost + far_ms
+        self.expect(replica, pace).cost_ms + far_ms
+    }
+
+    /// What is expected of one more request to a replica.
+    pub(crate) fn expect(&self, replica: &ReplicaEntry, pace: &Pace) -> Expected {
+        let now_ms = self.shared.now_ms();
+        let standing = self.standing(&replica.id);
+        let standing = standing.borrow();
+        let answer_ms = standing.answer_ms(pace.usual_ms, replica.slots, now_ms);
+        Expected {
+            answer_ms,
+            cost_ms: answer_ms + pace.usual_ms * standing.doubt(now_ms),
+            wait_ms: standing.wait_ms(replica.slots, now_ms),
+        }
     }
 
     /// Sends one attempt and learns from how it ends.
@@ -233,12 +248,14 @@
         self: Rc<Self>,
         attempt: Attempt,
         state: Rc<RouteState>,
-        usual_ms: f64,
+        work_ms: f64,
     ) -> Result<Reply, PartFailure> {
         let replica = Arc::clone(&attempt.replica);
         let standing = self.standing(&replica.id);
         let started = Instant::now();
-        let in_progress = InProgress::start(&standing, self.shared.now_ms(), usual_ms);
+        let sent_ms = self.shared.now_ms();
+        let expected_ms = standing.borrow_mut().sent_work(work_ms, replica.slots, sent_ms);
+        let in_progress = InProgress { standing: Rc::clone(&standing), sent_ms };
         let result = self.backend.send(attempt).await;
         drop(in_progress);
         let took = started.elapsed();
@@ -250,9 +267,11 @@
                 if reply.status.is_server_error() {
                     standing.failed(now_ms);
                 } else {
-                    standing.answered(took.as_secs_f64() * 1000.0, usual_ms, now_ms);
-                    let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-                    state.latency.borrow_mut().record(took_us);
+                    standing.answered(took.as_secs_f64() * 1000.0, expected_ms, now_ms);
+                    // Without the part of it that the queue accounts for.
+                    let worked = took.mul_f64(work_ms / expected_ms.max(work_ms));
+                    let worked_us = u64::try_from(worked.as_micros()).unwrap_or(u64::MAX);
+                    state.latency.borrow_mut().record(worked_us);
                 }
             }
             Err(PartFailure::Shed(report)) => {
@@ -276,6 +295,17 @@
     format!("instance {name}").into()
 }
 
+/// What is expected of one more request to a replica, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Expected {
+    /// Time to its answer, by the replica's queue and speed.
+    pub(crate) answer_ms: f64,
+    /// The same, with a charge for failures and silence.
+    pub(crate) cost_ms: f64,
+    /// Time that it waits for a slot.
+    pub(crate) wait_ms: f64,
+}
+
 /// A request in progress at a replica, until dropped.
 pub(crate) struct InProgress {
     standing: Rc<RefCell<Standing>>,
