Count refusals as a share, and tell the asking instance which replicas are busy

Cause: a replica that refuses some requests was shunned like a lost one; instances that ask others for shards knew nothing of their replicas' queues. Change: refusals are a share with a half-life; answers between instances name busy and slow replicas and the shards that were left out; the asked instance plans its shards too.

--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -27,6 +27,14 @@
 /// is tried again after about a second and a half, at the price of a hedge.
 const RATIO_HALF_LIFE_MS: f64 = 800.0;
 
+/// Weight of one answer or refusal in the share of refusals, as a divisor: ten of them tell.
+const SHED_BLEND: f64 = 8.0;
+/// Cost of a refused request in multiples of the usual latency: the way there and back is
+/// short, but each one is paid from the budget for repeats.
+const SHED_COST: f64 = 4.0;
+/// Time in which the share of refusals halves where nothing is sent, in milliseconds.
+const SHED_HALF_LIFE_MS: f64 = 1_000.0;
+
 /// Weight of a new request in the running mean of the work of one, as a divisor.
 const WORK_BLEND: f64 = 8.0;
 
@@ -53,6 +61,9 @@
     /// Requests of others that the replica held, and when it said so.
     others: f64,
     others_ms: u64,
+    /// Share of requests that it refused of late, and as of when.
+    shed: f64,
+    shed_ms: u64,
     failures_in_a_row: u32,
     penalty: f64,
     penalty_ms: u64,
@@ -70,6 +81,8 @@
             work_ms: 0.0,
             others: 0.0,
             others_ms: 0,
+            shed: 0.0,
+            shed_ms: 0,
             failures_in_a_row: 0,
             penalty: 0.0,
             penalty_ms: 0,
@@ -88,7 +101,7 @@
     ///
     /// Returns how long it is expected to take at a usual replica with this one's queue.
     pub fn sent_work(&mut self, work_ms: f64, slots: u32, now_ms: u64) -> f64 {
-        let expected_ms = work_ms + self.wait_ms(slots, now_ms);
+        let expected_ms = work_ms + self.wait_ms(work_ms, slots, now_ms);
         self.sent(now_ms, expected_ms);
         let known_ms = if self.work_ms > 0.0 { self.work_ms } else { work_ms };
         self.work_ms = known_ms + (work_ms - known_ms) / WORK_BLEND;
@@ -110,6 +123,25 @@
         self.ratio = known + (confirmed - known) / BLEND;
         self.ratio_ms = now_ms;
         self.failures_in_a_row = 0;
+        self.note_shed(0.0, now_ms);
+    }
+
+    /// Notes that the replica refused a request without running it.
+    ///
+    /// That costs little time, and one that refuses some requests runs the others: it is made
+    /// use of where the others have queues, and not shunned like one that is lost.
+    pub fn shed(&mut self, now_ms: u64) {
+        self.note_shed(1.0, now_ms);
+    }
+
+    fn note_shed(&mut self, share: f64, now_ms: u64) {
+        let known = self.shed_share(now_ms);
+        self.shed = known + (share - known) / SHED_BLEND;
+        self.shed_ms = now_ms;
+    }
+
+    fn shed_share(&self, now_ms: u64) -> f64 {
+        self.shed * 0.5_f64.powf(elapsed_ms(self.shed_ms, now_ms) / SHED_HALF_LIFE_MS)
     }
 
     /// As much of a ratio as an earlier answer confirms.
@@ -128,7 +160,8 @@
     }
 
     /// The ratio, as far as it still holds.
-    fn ratio(&self, now_ms: u64) -> f64 {
+    #[must_use]
+    pub fn ratio(&self, now_ms: u64) -> f64 {
         let kept = 0.5_f64.powf(elapsed_ms(self.ratio_ms, now_ms) / RATIO_HALF_LIFE_MS);
         1.0 + (self.ratio - 1.0) * kept
     }
@@ -139,7 +172,18 @@
         self.others_ms = now_ms;
     }
 
-    /// Notes a failure, a refusal or a silence.
+    /// Notes what another instance knows of the replica: its load and its ratio.
+    ///
+    /// An instance that asks others for a shard sends its replicas nothing itself.
+    pub fn told(&mut self, load: u32, ratio: f64, now_ms: u64) {
+        self.reported(load, now_ms);
+        if ratio > self.ratio(now_ms) {
+            self.ratio = ratio.min(MOST_RATIO);
+            self.ratio_ms = now_ms;
+        }
+    }
+
+    /// Notes a failure or a silence.
     pub fn failed(&mut self, now_ms: u64) {
         let step = self.failures_in_a_row.min(MOST_DOUBLINGS);
         self.failures_in_a_row += 1;
@@ -195,26 +239,27 @@
     }
 
     /// Time until one more request would run at a usual replica with this one's queue, in
-    /// milliseconds.
+    /// milliseconds; `usual_ms` is the work of one where none was sent from here.
     #[must_use]
-    pub fn wait_ms(&self, slots: u32, now_ms: u64) -> f64 {
+    pub fn wait_ms(&self, usual_ms: f64, slots: u32, now_ms: u64) -> f64 {
         let slots = f64::from(slots.max(1));
         let ahead = (self.load(now_ms) + 1.0 - slots).max(0.0);
-        ahead / slots * self.work_ms
+        let work_ms = if self.work_ms > 0.0 { self.work_ms } else { usual_ms };
+        ahead / slots * work_ms
     }
 
     /// Time after which the replica is expected to answer one more request of `work_ms`, in
     /// milliseconds: its queue and its speed, whatever failures there were.
     #[must_use]
     pub fn answer_ms(&self, work_ms: f64, slots: u32, now_ms: u64) -> f64 {
-        self.ratio(now_ms) * (work_ms + self.wait_ms(slots, now_ms))
+        self.ratio(now_ms) * (work_ms + self.wait_ms(work_ms, slots, now_ms))
     }
 
     /// What speaks against the replica besides its queue, in multiples of a usual answer.
     #[must_use]
     pub fn doubt(&self, now_ms: u64) -> f64 {
         let overdue = if self.is_overdue(now_ms) { OVERDUE_COST } else { 0.0 };
-        overdue + self.penalty(now_ms)
+        overdue + self.penalty(now_ms) + SHED_COST * self.shed_share(now_ms)
     }
 
     /// Expected latency of one more request, in multiples of the usual one.
--- a/crates/decide/tests/standing.rs
+++ b/crates/decide/tests/standing.rs
@@ -80,7 +80,7 @@
         busy.sent_work(30.0, SLOTS, 1_000);
     }
     // Two run, two wait: the next one waits for three to end, two at a time.
-    assert!((busy.wait_ms(SLOTS, 1_000) - 45.0).abs() < 0.1);
+    assert!((busy.wait_ms(10.0, SLOTS, 1_000) - 45.0).abs() < 0.1);
     assert!((busy.answer_ms(10.0, SLOTS, 1_000) - 55.0).abs() < 0.1);
     // An answer that took as long as its queue says nothing against the replica.
     busy.answered(75.0, 75.0, 1_075);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -152,6 +152,23 @@
     /// Whether another instance may have sent them before, so that they count as repeats.
     #[prost(bool, tag = "15")]
     pub is_repeat: bool,
+    /// Shards that may be left out since they would be late.
+    #[prost(uint32, tag = "16")]
+    pub may_miss: u32,
+}
+
+/// What an instance knows of a replica that is busy or slow.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Busy {
+    /// The replica's mark.
+    #[prost(fixed32, tag = "1")]
+    pub mark: u32,
+    /// Requests that it runs or holds.
+    #[prost(uint32, tag = "2")]
+    pub load: u32,
+    /// Its latency relative to the usual one, in tenths.
+    #[prost(uint32, tag = "3")]
+    pub ratio_tenths: u32,
 }
 
 /// One part that is in a merged answer.
@@ -180,6 +197,12 @@
     /// Marks of replicas of the shards that are slow, paused or failing.
     #[prost(fixed32, repeated, tag = "4")]
     pub slow: Vec<u32>,
+    /// Replicas of the shards that are busy or slow.
+    #[prost(message, repeated, tag = "5")]
+    pub busy: Vec<Busy>,
+    /// Positions of the shards that were not sent, since they would have been late.
+    #[prost(uint32, repeated, tag = "6")]
+    pub left_out: Vec<u32>,
 }
 
 /// Nothing.
--- a/crates/router/src/gather/admit.rs
+++ b/crates/router/src/gather/admit.rs
@@ -3,16 +3,34 @@
 use eelgrasspier_decide::admission::{Plan, plan};
 
 use super::Gather;
-use super::shard::ShardState;
+use super::shard::{Shard, ShardState};
 
 impl Gather<'_> {
     /// Leaves out shards that would be late; false if the request is refused instead.
     pub(super) fn admit(&mut self) -> bool {
+        let may_miss = self.shards.len() - self.least;
+        let Some(retry_after_ms) = self.plan(may_miss) else { return true };
+        self.gathered.refused_ms = Some(retry_after_ms);
+        false
+    }
+
+    /// The same for shards that another instance asks for; false if none of them is sent.
+    ///
+    /// The asking instance goes by what it was told with earlier answers, and that is older.
+    pub(super) fn admit_for_peer(&mut self, may_miss: usize) -> bool {
+        let is_begun = self.plan(may_miss).is_none();
+        if !is_begun {
+            self.gathered.left_out = self.services(|_| true);
+        }
+        is_begun
+    }
+
+    /// When to come back, if more shards would be late than may be left out.
+    fn plan(&mut self, may_miss: usize) -> Option<u64> {
         let now_ms = self.router.shared.now_ms();
         let left_ms = self.times.target_at_ms.saturating_sub(now_ms);
         let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
         let answer_ms: Vec<f64> = (0..self.shards.len()).map(|i| self.answer_ms(i)).collect();
-        let may_miss = self.shards.len() - self.least;
         let (id, route) = (self.request.id_text(), &self.route.name);
         match plan(&answer_ms, may_miss, left_ms, rand::random()) {
             Plan::Begin { left_out } => {
@@ -21,19 +39,25 @@
                 }
                 let count = u64::try_from(left_out.len()).unwrap_or(u64::MAX);
                 metrics::counter!("eelgrasspier_left_out_total").increment(count);
-                true
+                None
             }
             Plan::Refuse { late, retry_after_ms } => {
                 log::info!(
                     "event=overloaded id={id} route={route} late={late} may_miss={may_miss} \
                      left_ms={left_ms} retry_after_ms={retry_after_ms}"
                 );
-                self.gathered.refused_ms = Some(retry_after_ms);
-                false
+                Some(retry_after_ms)
             }
         }
     }
 
+    /// Shards that may still be left out.
+    pub(super) fn may_miss(&self) -> usize {
+        let is_lost = |s: &&Shard| matches!(s.state, ShardState::Failed | ShardState::LeftOut);
+        let lost = self.shards.iter().filter(is_lost).count();
+        (self.shards.len() - lost).saturating_sub(self.least)
+    }
+
     /// Time after which a shard is expected to answer, in milliseconds, by its best replica.
     fn answer_ms(&self, index: usize) -> f64 {
         let service = &self.shards[index].service;
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -52,6 +52,8 @@
     Peer {
         /// Whether a third one may have sent them before.
         is_repeat: bool,
+        /// Shards that may be left out since they would be late.
+        may_miss: usize,
     },
 }
 
@@ -158,9 +160,12 @@
         match whom {
             For::Caller if !self.is_within_reach() || !self.admit() => return self.gathered,
             For::Caller => self.ask_all(),
-            For::Peer { is_repeat } => {
+            For::Peer { is_repeat, may_miss } => {
                 self.least = 0;
-                (0..self.shards.len()).for_each(|shard| self.send_for_peer(shard, is_repeat));
+                if !self.admit_for_peer(may_miss) {
+                    return self.gathered;
+                }
+                self.send_all_for_peer(is_repeat);
             }
         }
         loop {
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -206,6 +206,7 @@
             answer_within_ms,
             target_latency_ms: self.route.target_latency_ms,
             is_repeat,
+            may_miss: number(self.may_miss()),
         })
     }
 }
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -105,8 +105,11 @@
     }
 
     fn take_merged(&mut self, shards: &[usize], answer: wire::Gathered) {
-        let wire::Gathered { records, parts, may_have_run, slow } = answer;
+        let wire::Gathered { records, parts, may_have_run, slow, busy, left_out } = answer;
         self.router.note_slow(&slow);
+        let services = shards.iter().map(|&i| &self.shards[i].service);
+        self.router.note_busy(self.view, services, &busy);
+        self.take_left_out(shards, &left_out);
         self.gathered.may_have_run |= may_have_run || !parts.is_empty();
         let position = |part: wire::Signed| {
             let shard = shards.get(usize::try_from(part.shard).ok()?)?;
@@ -127,6 +130,16 @@
         }
     }
 
+    /// Takes note of shards that the other instance did not send, since they would be late.
+    fn take_left_out(&mut self, shards: &[usize], left_out: &[u32]) {
+        let positions = left_out.iter().filter_map(|&i| shards.get(usize::try_from(i).ok()?));
+        for &index in positions {
+            if self.shards[index].state == ShardState::Open {
+                self.shards[index].state = ShardState::LeftOut;
+            }
+        }
+    }
+
     /// Asks a replica directly for a shard that the other instance did not bring.
     fn recover_relayed(&mut self, index: usize, was_sent: bool) {
         let shard = &mut self.shards[index];
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -36,7 +36,15 @@
         self.send(index);
     }
 
-    pub(super) fn send_for_peer(&mut self, index: usize, is_repeat: bool) {
+    pub(super) fn send_all_for_peer(&mut self, is_repeat: bool) {
+        for index in 0..self.shards.len() {
+            if self.shards[index].state == ShardState::Open {
+                self.send_for_peer(index, is_repeat);
+            }
+        }
+    }
+
+    fn send_for_peer(&mut self, index: usize, is_repeat: bool) {
         if !is_repeat {
             self.send_first(index);
         } else if !self.send_again(index, "relay_lost") {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -31,6 +31,19 @@
 /// milliseconds: each shard is asked for some tens of times a second, and a pause lasts 100.
 const SLOW_LIFE_MS: u64 = 300;
 
+/// Ratio from which a replica's is told to others; less is within what answers vary by.
+const LEAST_TOLD_RATIO: f64 = 1.5;
+
+/// A small figure, rounded.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast to an integer keeps to its range, and none of these is negative"
+)]
+fn whole(figure: f64) -> u32 {
+    figure.round() as u32
+}
+
 impl Router {
     /// Whether this instance holds connections to its zone's replicas of a shard.
     pub(crate) fn gathers(&self, view: &View, service: &str) -> bool {
@@ -131,7 +144,10 @@
         let route = Arc::new(to_route(&question, &services));
         let top_k = route.top_k;
         let allowed = question.allowed.chunks(route.attempts.max(1)).map(<[u32]>::to_vec).collect();
-        let is_repeat = question.is_repeat;
+        let whom = For::Peer {
+            is_repeat: question.is_repeat,
+            may_miss: usize::try_from(question.may_miss).unwrap_or(0),
+        };
         let Some(request) = to_request(question) else {
             log::warn!("event=relay_unreadable");
             return wire::Gathered::default();
@@ -141,7 +157,7 @@
         let request = Rc::new(request);
         let mut gather = Gather::new(self, &view, &route, state, &request, services.clone(), times);
         gather.allow(allowed);
-        let gathered = gather.run(For::Peer { is_repeat }).await;
+        let gathered = gather.run(whom).await;
         metrics::counter!("eelgrasspier_relayed_total").increment(1);
         log::info!(
             "event=gathered_for_peer id={} route={} parts={} {} took_ms={}",
@@ -151,7 +167,51 @@
             gathered.effort(),
             request.arrived.elapsed().as_millis()
         );
-        wire::Gathered { slow: self.slow_replicas(&view, &services), ..to_wire(gathered, top_k) }
+        let position = |name: &Arc<str>| services.iter().position(|s| s == name);
+        let left_out = gathered.left_out.iter().filter_map(position);
+        wire::Gathered {
+            left_out: left_out.filter_map(|i| u32::try_from(i).ok()).collect(),
+            slow: self.slow_replicas(&view, &services),
+            busy: self.busy_replicas(&view, &services),
+            ..to_wire(gathered, top_k)
+        }
+    }
+
+    /// What is known of the replicas of some services that are busy or slow.
+    fn busy_replicas(&self, view: &View, services: &[Arc<str>]) -> Vec<wire::Busy> {
+        let now_ms = self.shared.now_ms();
+        let standings = self.standings.borrow();
+        let busy = |replica: &Arc<ReplicaEntry>| {
+            let standing = standings.get(&replica.id)?.borrow();
+            let (load, ratio) = (standing.load(now_ms), standing.ratio(now_ms));
+            let is_busy = load >= f64::from(replica.slots) || ratio >= LEAST_TOLD_RATIO;
+            is_busy.then_some(wire::Busy {
+                mark: relays::mark(&replica.id),
+                load: whole(load),
+                ratio_tenths: whole(ratio * 10.0),
+            })
+        };
+        let listed = services.iter().filter_map(|s| view.replicas.get(s)).flatten();
+        listed.filter_map(busy).collect()
+    }
+
+    /// Notes what another instance knows of the replicas of some services.
+    pub(crate) fn note_busy<'s>(
+        &self,
+        view: &View,
+        services: impl Iterator<Item = &'s Arc<str>>,
+        busy: &[wire::Busy],
+    ) {
+        if busy.is_empty() {
+            return;
+        }
+        let now_ms = self.shared.now_ms();
+        for replica in services.filter_map(|s| view.replicas.get(s)).flatten() {
+            let mark = relays::mark(&replica.id);
+            let Some(told) = busy.iter().find(|b| b.mark == mark) else { continue };
+            let ratio = f64::from(told.ratio_tenths) / 10.0;
+            self.standing(&replica.id).borrow_mut().told(told.load, ratio, now_ms);
+        }
     }
 
     /// Marks of the replicas of some services that are slow, paused or failing.
@@ -226,5 +286,10 @@
         parts.push(wire::Signed { shard: u32::try_from(shard).unwrap_or(u32::MAX), signature });
     }
     let records = greatest.into_bytes().into();
-    wire::Gathered { records, parts, may_have_run: gathered.may_have_run, slow: Vec::new() }
+    wire::Gathered {
+        records,
+        parts,
+        may_have_run: gathered.may_have_run,
+        ..wire::Gathered::default()
+    }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -239,7 +239,7 @@
         Expected {
             answer_ms,
             cost_ms: answer_ms + pace.usual_ms * standing.doubt(now_ms),
-            wait_ms: standing.wait_ms(replica.slots, now_ms),
+            wait_ms: standing.wait_ms(pace.usual_ms, replica.slots, now_ms),
         }
     }
 
@@ -276,7 +276,7 @@
             }
             Err(PartFailure::Shed(report)) => {
                 standing.reported(report.load.unwrap_or(replica.slots), now_ms);
-                standing.failed(now_ms);
+                standing.shed(now_ms);
             }
             // The own limit says nothing of the replica.
             Err(PartFailure::Crowded) => {}
