Let refusals cost more as the budget is spent, and cancel what is given up

Cause: first sends went to refusing replicas faster than the budget could make them good; sends of given up requests went on. Change: the charge for refusals grows from 4 to 32 usual answers with the spent part of the budget; flights of a request that is given up are aborted.

--- a/crates/decide/src/allowance.rs
+++ b/crates/decide/src/allowance.rs
@@ -66,6 +66,13 @@
         2 * repeats_milli > most_milli
     }
 
+    /// Part of what may be sent now that has been sent, from 0 to 1.
+    pub fn spent(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> f64 {
+        let (repeats_milli, most_milli) = self.balance(limits, instances, now_ms);
+        let figure = |n: u64| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+        (figure(repeats_milli) / figure(most_milli).max(1.0)).min(1.0)
+    }
+
     /// Second sends in the window and the most there may be, both in thousandths.
     fn balance(&mut self, limits: &RepeatLimits, instances: u64, now_ms: u64) -> (u64, u64) {
         self.span(limits, now_ms);
--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -32,6 +32,8 @@
 /// Cost of a refused request in multiples of the usual latency: the way there and back is
 /// short, but each one is paid from the budget for repeats.
 const SHED_COST: f64 = 4.0;
+/// The same once the budget is spent: the request is lost with what the others did for it.
+const UNPAID_SHED_COST: f64 = 32.0;
 /// Time in which the share of refusals halves where nothing is sent, in milliseconds.
 const SHED_HALF_LIFE_MS: f64 = 1_000.0;
 
@@ -256,17 +258,20 @@
     }
 
     /// What speaks against the replica besides its queue, in multiples of a usual answer.
+    ///
+    /// `spent` is the part of the budget for repeats that is spent, from 0 to 1.
     #[must_use]
-    pub fn doubt(&self, now_ms: u64) -> f64 {
+    pub fn doubt(&self, spent: f64, now_ms: u64) -> f64 {
         let overdue = if self.is_overdue(now_ms) { OVERDUE_COST } else { 0.0 };
-        overdue + self.penalty(now_ms) + SHED_COST * self.shed_share(now_ms)
+        let shed_cost = SHED_COST + (UNPAID_SHED_COST - SHED_COST) * spent;
+        overdue + self.penalty(now_ms) + shed_cost * self.shed_share(now_ms)
     }
 
     /// Expected latency of one more request, in multiples of the usual one.
     #[must_use]
     pub fn cost(&self, slots: u32, now_ms: u64) -> f64 {
         let queue = self.load(now_ms) / f64::from(slots.max(1));
-        self.ratio(now_ms) * (1.0 + queue) + self.doubt(now_ms)
+        self.ratio(now_ms) * (1.0 + queue) + self.doubt(0.0, now_ms)
     }
 
     fn penalty(&self, now_ms: u64) -> f64 {
--- a/crates/router/src/gather/admit.rs
+++ b/crates/router/src/gather/admit.rs
@@ -61,7 +61,8 @@
     /// Time after which a shard is expected to answer, in milliseconds, by its best replica.
     fn answer_ms(&self, index: usize) -> f64 {
         let service = &self.shards[index].service;
-        let expected = self.replicas(service).map(|r| self.router.expect(r, &self.pace));
+        let spent = self.router.spent(service, self.view);
+        let expected = self.replicas(service).map(|r| self.router.expect(r, &self.pace, spent));
         let best = expected.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
         best.map_or(0.0, |best| best.answer_ms)
     }
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -168,23 +168,25 @@
                 self.send_all_for_peer(is_repeat);
             }
         }
-        loop {
+        let is_given_up = loop {
             let now_ms = self.router.shared.now_ms();
             let wait_until_ms = match self.progress().next(now_ms) {
-                Next::Answer => break,
+                Next::Answer => break false,
                 Next::GiveUp => {
                     self.gathered.is_timed_out = now_ms >= self.times.limit_at_ms;
-                    break;
+                    break true;
                 }
                 Next::WaitUntil(at_ms) => at_ms,
             };
             self.hedge_due(now_ms);
             self.check_due(now_ms);
             self.take_next(now_ms, wait_until_ms).await;
-        }
+        };
         // What is still on its way may run; to say that it did not would be a lie.
         self.gathered.may_have_run |= self.shards.iter().any(|s| s.in_flight > 0);
-        self.flights.let_go();
+        if !is_given_up {
+            self.flights.let_go();
+        }
         self.gathered.missing = self.services(|state| state != ShardState::Covered);
         self.gathered.failed = self.services(|state| state == ShardState::Failed);
         self.gathered.left_out = self.services(|state| state == ShardState::LeftOut);
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -27,7 +27,8 @@
             let most = self.view.most_connections(&r.zone, shard.accepted_connections);
             self.router.backend.has_room(&r.id, most)
         });
-        let cost_ms = |r: &'a Arc<ReplicaEntry>| (self.router.cost_ms(r, &self.pace), r);
+        let spent = self.router.spent(&shard.service, self.view);
+        let cost_ms = |r: &'a Arc<ReplicaEntry>| (self.router.cost_ms(r, &self.pace, spent), r);
         free.map(cost_ms).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, replica)| replica)
     }
 
@@ -120,7 +121,7 @@
         let shard = &self.shards[index];
         let Some(replica) = self.pick(shard) else { return false };
         // Where all slots are in use, a second send only makes the queue longer.
-        if cause == "hedge" && self.router.expect(replica, &self.pace).wait_ms > 0.0 {
+        if cause == "hedge" && self.router.expect(replica, &self.pace, 0.0).wait_ms > 0.0 {
             metrics::counter!("eelgrasspier_hedges_without_slot_total").increment(1);
             return false;
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -205,7 +205,7 @@
 
     /// Time after which a second send may follow one to `replica`, in milliseconds.
     pub(crate) fn hedge_after_ms(&self, view: &View, pace: &Pace, replica: &ReplicaEntry) -> u64 {
-        let wait_ms = Duration::from_secs_f64(self.expect(replica, pace).wait_ms / 1000.0);
+        let wait_ms = Duration::from_secs_f64(self.expect(replica, pace, 0.0).wait_ms / 1000.0);
         let wait_ms = u64::try_from(wait_ms.as_millis()).unwrap_or(u64::MAX);
         let service = &replica.service;
         let now_ms = self.shared.now_ms();
@@ -225,20 +225,28 @@
     }
 
     /// Expected latency of one more request in milliseconds, with what crossing zones costs.
-    pub(crate) fn cost_ms(&self, replica: &ReplicaEntry, pace: &Pace) -> f64 {
+    pub(crate) fn cost_ms(&self, replica: &ReplicaEntry, pace: &Pace, spent: f64) -> f64 {
         let far_ms = if replica.zone == self.zone { 0.0 } else { pace.target_ms / FAR_DIVISOR };
-        self.expect(replica, pace).cost_ms + far_ms
+        self.expect(replica, pace, spent).cost_ms + far_ms
+    }
+
+    /// Part of the budget for repeats of a service that is spent, from 0 to 1.
+    pub(crate) fn spent(&self, service: &Arc<str>, view: &View) -> f64 {
+        let now_ms = self.shared.now_ms();
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances.entry(Arc::clone(service)).or_default();
+        allowance.spent(&self.limits.get(), sharers_of_slack(view), now_ms)
     }
 
     /// What is expected of one more request to a replica.
-    pub(crate) fn expect(&self, replica: &ReplicaEntry, pace: &Pace) -> Expected {
+    pub(crate) fn expect(&self, replica: &ReplicaEntry, pace: &Pace, spent: f64) -> Expected {
         let now_ms = self.shared.now_ms();
         let standing = self.standing(&replica.id);
         let standing = standing.borrow();
         let answer_ms = standing.answer_ms(pace.usual_ms, replica.slots, now_ms);
         Expected {
             answer_ms,
-            cost_ms: answer_ms + pace.usual_ms * standing.doubt(now_ms),
+            cost_ms: answer_ms + pace.usual_ms * standing.doubt(spent, now_ms),
             wait_ms: standing.wait_ms(pace.usual_ms, replica.slots, now_ms),
         }
     }
