Send again only where in time; take the answered request out of the reported load

Cause: second sends went out a millisecond before the target; a replica counts the request that it is answering (no answer told a load of 0), so that queues looked one longer than they were. Change: a second send needs an expected answer in time; one is taken off the reported load; parts must be expected within 60 hundredths of the time left.

--- a/crates/decide/src/admission/plan.rs
+++ b/crates/decide/src/admission/plan.rs
@@ -9,7 +9,7 @@
 ///
 /// What is expected is a mean: the work of one part varies by a third, so that of a queue of
 /// seven by an eighth, and the time left covers it with two deviations to spare.
-const FIT_PERCENT: f64 = 75.0;
+const FIT_PERCENT: f64 = 60.0;
 
 /// What becomes of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -116,13 +116,29 @@
         }
     }
 
-    /// Sends a shard's request once more, if the budget allows it.
+    /// Whether a second send to a replica would help.
+    ///
+    /// One that would be late is worth something only if there is no answer without it, and
+    /// where all slots are in use a hedge makes the queue longer for others.
+    fn is_worth_it(&self, replica: &ReplicaEntry, cause: &'static str) -> bool {
+        let expected = self.router.expect(replica, &self.pace, 0.0);
+        let is_idle = expected.wait_ms == 0.0;
+        if cause == "hedge" && !is_idle {
+            return false;
+        }
+        let now_ms = self.router.shared.now_ms();
+        let left_ms = self.times.target_at_ms.saturating_sub(now_ms);
+        let is_in_time =
+            expected.answer_ms <= f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
+        is_in_time || (is_idle && self.may_miss() == 0)
+    }
+
+    /// Sends a shard's request once more, if the budget allows it and it helps.
     pub(super) fn send_again(&mut self, index: usize, cause: &'static str) -> bool {
         let shard = &self.shards[index];
         let Some(replica) = self.pick(shard) else { return false };
-        // Where all slots are in use, a second send only makes the queue longer.
-        if cause == "hedge" && self.router.expect(replica, &self.pace, 0.0).wait_ms > 0.0 {
-            metrics::counter!("eelgrasspier_hedges_without_slot_total").increment(1);
+        if !self.is_worth_it(replica, cause) {
+            metrics::counter!("eelgrasspier_repeats_saved_total", "cause" => cause).increment(1);
             return false;
         }
         let is_paid = self.router.take_repeat(&shard.service, self.view);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -271,7 +271,8 @@
         let mut standing = standing.borrow_mut();
         match &result {
             Ok(reply) => {
-                standing.reported(reply.load.unwrap_or(0), now_ms);
+                // A replica counts the request that it is answering.
+                standing.reported(reply.load.unwrap_or(0).saturating_sub(1), now_ms);
                 if reply.status.is_server_error() {
                     standing.failed(now_ms);
                 } else {
