--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -105,26 +105,18 @@
         split.into_iter().map(|(owner, shards)| ((*near[owner]).clone(), shards)).collect()
     }
 
-    /// Zones in which an instance could ask a replica of `service`; none if one in the own
-    /// zone is asked directly.
-    ///
-    /// A zone whose replica is expected to answer much later than another's is none to ask in:
-    /// from there it would be sent across zones over the one connection that is kept for that.
-    fn relay_zones<'p>(&self, service: &Arc<str>, peers: &[&'p Peer]) -> Vec<&'p str> {
-        let spent = self.router.spent(service, self.view);
-        let far_ms = self.pace.far_ms();
-        let costs: Vec<(&Arc<str>, f64)> = self
-            .replicas(service)
-            .map(|r| (&r.zone, self.router.expect(r, &self.pace, spent).cost_ms))
-            .collect();
-        let least_ms = costs.iter().map(|(_, cost_ms)| *cost_ms).fold(f64::INFINITY, f64::min);
-        let is_good = |zone: &str| {
-            costs.iter().any(|(at, cost_ms)| ***at == *zone && *cost_ms <= least_ms + far_ms)
-        };
-        if self.router.gathers(self.view, service) && is_good(&self.router.zone) {
+    /// Zones in which an instance could ask a replica of `service`; none if the own zone
+    /// has one.
+    fn relay_zones<'p>(&self, service: &str, peers: &[&'p Peer]) -> Vec<&'p str> {
+        let replicas = self.replicas(service);
+        if self.router.gathers(self.view, service)
+            && replicas.clone().any(|r| r.zone == self.router.zone)
+        {
             return Vec::new();
         }
-        let mut zones: Vec<&str> = peers.iter().map(|p| &*p.zone).filter(|z| is_good(z)).collect();
+        let has_replica = |zone: &Arc<str>| replicas.clone().any(|r| r.zone == *zone);
+        let mut zones: Vec<&str> =
+            peers.iter().filter(|p| has_replica(&p.zone)).map(|p| &*p.zone).collect();
         zones.sort_unstable();
         zones.dedup();
         zones
