--- a/crates/router/src/route_state.rs
+++ b/crates/router/src/route_state.rs
@@ -30,14 +30,6 @@
 /// Share of the target latency after which that happens at the latest.
 const RELAY_TARGET_DIVISOR: u64 = 3;
 
-/// Share of the target latency by which a replica in another zone must be expected to
-/// answer sooner.
-///
-/// An answer that is in time anyway gains nothing by coming sooner, and bytes between zones
-/// are dear: with a fixed 1.5 times the usual latency in its place a quarter of all first
-/// sends crossed zones, mostly around a queue of one.
-const FAR_DIVISOR: f64 = 4.0;
-
 /// What a request's sends go by, as of its start.
 ///
 /// Reading the quantiles anew for each send took some 4 % of the daemon's instructions at 40
@@ -55,11 +47,6 @@
 }
 
 impl Pace {
-    /// Time by which a replica in another zone must be expected to answer sooner.
-    pub(crate) fn far_ms(&self) -> f64 {
-        self.target_ms / FAR_DIVISOR
-    }
-
     pub(crate) fn new(state: &RouteState, target_ms: u64) -> Self {
         Self {
             usual_ms: state.usual_ms(),
