--- a/crates/router/tests/relays.rs
+++ b/crates/router/tests/relays.rs
@@ -93,7 +93,9 @@
 #[test]
 fn a_shard_waits_for_a_connection_rather_than_go_to_a_slow_replica() {
     in_virtual_time(async {
-        let world = World::new(route(1), 1);
+        let mut short = route(1);
+        short.target_latency_ms = 50;
+        let world = World::new(short, 1);
         world.script.set("s0/b", Conduct::Answers(300));
         let fill = || world.script.full.borrow_mut().insert("s0/a".to_owned());
         fill();
