--- a/crates/router/tests/relays.rs
+++ b/crates/router/tests/relays.rs
@@ -100,7 +100,7 @@
         let fill = || world.script.full.borrow_mut().insert("s0/a".to_owned());
         fill();
         // What is learnt of the slow one.
-        for id in ["r1", "r2", "r3", "r4"] {
+        for id in ["r1", "r2"] {
             world.serve(id, 400).await;
         }
         let before = world.script.arrivals_at("s0/b");
@@ -109,7 +109,7 @@
             tokio::time::sleep(std::time::Duration::from_millis(15)).await;
             script.full.borrow_mut().clear();
         });
-        assert!(matches!(world.serve("r5", 400).await, Outcome::Merged(_)));
+        assert!(matches!(world.serve("r3", 400).await, Outcome::Merged(_)));
         assert_eq!(world.script.arrivals_at("s0/b"), before);
         assert_eq!(world.script.arrivals_at("s0/a"), 1);
     });
