--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -1,4 +1,4 @@
-//! What one traffic thread has learnt of a replica from its own requests.
+//! What one traffic thread knows of a replica: from its own requests, and told by others.
 
 /// Weight of a new latency in the running mean, as a divisor; each was confirmed by another,
 /// so that few make a replica slow.
@@ -15,8 +15,8 @@
 /// Multiples of the expected latency after which a request without answer says "paused".
 ///
 /// What is expected includes the queue, so that little more is no longer chance: at 2.5 in its
-/// place a pause of a quarter of a second was noticed when a third of it was over, and a
-/// fiftieth less of all requests was in time.
+/// place a pause of a quarter of a second was noticed when a third of it was over, and half a
+/// hundredth less of the credit was earned where shards are over full.
 const OVERDUE_RATIO: f64 = 1.8;
 /// Cost of an overdue request in multiples of the usual latency.
 const OVERDUE_COST: f64 = 6.0;
@@ -30,17 +30,17 @@
 /// any more: it would be shunned for good. At this half-life one that is five times slower
 /// is tried again after about a second and a half, at the price of a hedge.
 const RATIO_HALF_LIFE_MS: f64 = 800.0;
-
 /// Weight of one answer or refusal in the share of refusals, as a divisor: ten of them tell.
 const SHED_BLEND: f64 = 8.0;
 /// Cost of a refused request in multiples of the usual latency: the way there and back is
 /// short, but each one is paid from the budget for repeats.
 const SHED_COST: f64 = 4.0;
-/// The same once the budget is spent: the request is lost with what the others did for it.
+/// The same once the budget is spent: the request is lost with what the others did for it, so
+/// that a queue as long as a target latency is better.
 const UNPAID_SHED_COST: f64 = 32.0;
-/// Time in which the share of refusals halves where nothing is sent, in milliseconds.
+/// Time in which the share of refusals halves where nothing is sent, in milliseconds: one that
+/// refuses no more is found within a few seconds, as a lost one is.
 const SHED_HALF_LIFE_MS: f64 = 1_000.0;
-
 /// Weight of a new request in the running mean of the work of one, as a divisor.
 const WORK_BLEND: f64 = 8.0;
 
