Work out of each view once what each send asks of it

Cause: the traffic thread asked of each shard what depends on all instances: how many share the slack for repeats, whether a zone is sliced, who gathers. And at each new view it compared each known standing with each instance, building a name each time: with 195 instances some 38,000 names for each change of a member, of which a start of all brings hundreds.

Ruled out: a faster comparison; what depends on the view only belongs to the view.

Change: the view holds the gatherers, the sliced zones and the sharers of the slack; standings are compared with a set. The division of the slack is decide's, with a test.

Conclusion: nothing that a request does per shard grows with the fleet any more.

--- a/crates/decide/src/allowance.rs
+++ b/crates/decide/src/allowance.rs
@@ -17,6 +17,23 @@
 /// different moments by those who check.
 const RATIO_USED_MILLI: u64 = 850;
 const MILLI: u64 = 1000;
+/// Part of the slack of the instances that gather, in hundredths, where others do not: nearly
+/// all repeats are sent by those who gather.
+const GATHERERS_PERCENT: u64 = 80;
+
+/// Number of instances by which the slack is divided for one of them.
+///
+/// `other_gatherers` of the other instances gather; `is_gatherer` if this one does.
+#[must_use]
+pub fn sharers_of_slack(instances: u64, other_gatherers: u64, is_gatherer: bool) -> u64 {
+    let gatherers = other_gatherers + u64::from(is_gatherer);
+    let rest = instances.saturating_sub(gatherers);
+    match (rest, is_gatherer) {
+        (0, _) => instances,
+        (_, true) => (gatherers * 100).div_ceil(GATHERERS_PERCENT),
+        (_, false) => (rest * 100).div_ceil(100 - GATHERERS_PERCENT),
+    }
+}
 
 /// What all instances together may add.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/decide/tests/allowance.rs
+++ b/crates/decide/tests/allowance.rs
@@ -58,3 +58,15 @@
     assert!(!allowance.take(&LIMITS, 1, 5_000));
     assert!(allowance.take(&LIMITS, 1, 12_000));
 }
+
+/// The pattern: 18 of 195 instances gather and send nearly all repeats.
+#[test]
+fn those_who_gather_share_most_of_the_slack_and_all_parts_together_are_no_more() {
+    use eelgrasspier_decide::allowance::sharers_of_slack;
+    let (gathering, other) = (sharers_of_slack(195, 17, true), sharers_of_slack(195, 18, false));
+    assert!(gathering < 25, "{gathering}");
+    let parts = 18.0 / gathering as f64 + 177.0 / other as f64;
+    assert!(parts <= 1.0, "{parts}");
+    // Where all gather, all have the same part.
+    assert_eq!(sharers_of_slack(7, 6, true), 7);
+}
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -18,8 +18,8 @@
             let entries = || view.replicas.values().flatten();
             let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
             self.backend.retain(&ids);
-            let is_peer = |id: &Arc<str>| view.peers.iter().any(|p| peer_key(&p.name) == *id);
-            self.standings.borrow_mut().retain(|id, _| ids.contains(id) || is_peer(id));
+            let peers: HashSet<Arc<str>> = view.peers.iter().map(|p| peer_key(&p.name)).collect();
+            self.standings.borrow_mut().retain(|id, _| ids.contains(id) || peers.contains(id));
             if view.configuration.is_some() {
                 // Far replicas are asked by way of others, but for a hedge now and then.
                 let is_own =
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -75,7 +75,7 @@
         peers: &[&Peer],
     ) -> Vec<(Peer, Vec<usize>)> {
         let router = self.router;
-        let is_sliced = |zone: &str| self.view.is_sliced(zone, &router.zone);
+        let is_sliced = |zone: &str| self.view.is_sliced(zone);
         let zones = |index: usize| self.relay_zones(&self.shards[index].service, peers);
         let places = shards.into_iter().map(|index| (index, zones(index)));
         let places = places.filter(|(_, zones)| !zones.is_empty()).collect();
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -62,7 +62,7 @@
     ) -> Vec<usize> {
         let is_open = |i: &&usize| self.shards[**i].state == ShardState::Open;
         let open: Vec<usize> = shards.iter().filter(is_open).copied().collect();
-        if !self.view.is_sliced(zone, &self.router.zone) {
+        if !self.view.is_sliced(zone) {
             return open;
         }
         let mut peers = self.router.sound_peers(self.view);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -47,10 +47,10 @@
 impl Router {
     /// Whether this instance holds connections to its zone's replicas of a shard.
     pub(crate) fn gathers(&self, view: &View, service: &str) -> bool {
-        if !view.is_gatherer || !view.is_sliced(&self.zone, &self.zone) {
+        if !view.is_gatherer || !view.is_sliced(&self.zone) {
             return view.is_gatherer;
         }
-        let near = view.peers.iter().filter(|p| p.is_gatherer && p.zone == self.zone);
+        let near = view.gatherers.iter().filter(|p| p.zone == self.zone);
         let own = Candidate { key: self.key, capacity_milli: view.capacity_milli };
         let all: Vec<Candidate> = std::iter::once(own).chain(near.map(Peer::candidate)).collect();
         gatherers::owner(service, &all) == Some(0)
@@ -63,7 +63,7 @@
             let standing = self.standing(&peer_key(&p.name));
             standing.borrow().cost(PEER_SLOTS, now_ms) < UNSOUND_PEER_COST
         };
-        view.peers.iter().filter(|p| p.is_gatherer).filter(is_sound).collect()
+        view.gatherers.iter().filter(is_sound).collect()
     }
 
     /// The instance of a zone that is expected to answer first; `turn` breaks ties.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -29,9 +29,6 @@
 const LEAST_NOT_READY_RETRY_MS: u64 = 40;
 /// The same, at most: it learns a configuration within a second of the store's return.
 const MOST_NOT_READY_RETRY_MS: u64 = 1_000;
-/// Part of the slack for repeats of the instances that gather, in hundredths, where others
-/// do not: nearly all repeats are sent by those who gather.
-const GATHERERS_PERCENT: u64 = 80;
 /// Kept of the caller's deadline for the way to and from the caller and for merging.
 const DEADLINE_MARGIN_MS: u64 = 10;
 /// Cost, in multiples of the usual latency, from which another instance is not asked.
@@ -211,17 +208,16 @@
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
-        let is_scarce = allowance.is_scarce(&self.limits.get(), sharers_of_slack(view), now_ms);
+        let is_scarce = allowance.is_scarce(&self.limits.get(), view.slack_sharers, now_ms);
         wait_ms + if is_scarce { pace.scarce_hedge_ms } else { pace.hedge_ms }
     }
 
     /// Takes one second send to `service` from the budget, if there is one.
     pub(crate) fn take_repeat(&self, service: &Arc<str>, view: &View) -> bool {
-        let instances = sharers_of_slack(view);
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
-        allowance.take(&self.limits.get(), instances, now_ms)
+        allowance.take(&self.limits.get(), view.slack_sharers, now_ms)
     }
 
     /// Expected latency of one more request in milliseconds, with what crossing zones costs.
@@ -235,7 +231,7 @@
         let now_ms = self.shared.now_ms();
         let mut allowances = self.allowances.borrow_mut();
         let allowance = allowances.entry(Arc::clone(service)).or_default();
-        allowance.spent(&self.limits.get(), sharers_of_slack(view), now_ms)
+        allowance.spent(&self.limits.get(), view.slack_sharers, now_ms)
     }
 
     /// What is expected of one more request to a replica.
@@ -334,15 +330,3 @@
         self.standing.borrow_mut().ended(self.sent_ms);
     }
 }
-
-/// Number of instances by which the slack is divided for this one.
-fn sharers_of_slack(view: &View) -> u64 {
-    let others = view.peers.iter().filter(|p| p.is_gatherer).count();
-    let gatherers = u64::try_from(others).unwrap_or(u64::MAX) + u64::from(view.is_gatherer);
-    let rest = view.instances.saturating_sub(gatherers);
-    match (rest, view.is_gatherer) {
-        (0, _) => view.instances,
-        (_, true) => (gatherers * 100).div_ceil(GATHERERS_PERCENT),
-        (_, false) => (rest * 100).div_ceil(100 - GATHERERS_PERCENT),
-    }
-}
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,11 +1,12 @@
 //! The immutable view of control state that the traffic thread works from.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::Instant;
 
 use arc_swap::ArcSwap;
+use eelgrasspier_decide::allowance;
 use eelgrasspier_decide::connections::{LEAST_CONNECTIONS, Part, Place};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::Candidate;
@@ -58,22 +59,37 @@
     pub peers: Arc<Vec<Peer>>,
     /// This instance's part of the connections to the replicas of each zone.
     pub parts: Vec<(Arc<str>, Part)>,
+    /// The other instances that gather.
+    pub gatherers: Vec<Peer>,
+    /// Zones in which some gather for others, who don't themselves.
+    pub sliced_zones: HashSet<Arc<str>>,
+    /// Number of instances by which the slack for repeats is divided for this one.
+    pub slack_sharers: u64,
 }
 
 impl View {
     /// Whether some instances of the zone gather for others, who don't themselves.
     #[must_use]
-    pub fn is_sliced(&self, zone: &str, own_zone: &str) -> bool {
-        let is_idle = |p: &Peer| &*p.zone == zone && !p.is_gatherer;
-        self.peers.iter().any(is_idle) || (zone == own_zone && !self.is_gatherer)
+    pub fn is_sliced(&self, zone: &str) -> bool {
+        self.sliced_zones.contains(zone)
     }
 
-    /// Works out the parts of connections, for an instance in `own_zone`.
+    /// Works out what each send goes by, for an instance in `own_zone`.
     ///
-    /// Once for each view: done for each send, it took a twentieth of the traffic thread's
-    /// instructions at 40 shards.
+    /// Once for each view: parts of connections took a twentieth of the traffic thread's
+    /// instructions at 40 shards when they were worked out for each send, and what counts all
+    /// instances for each shard grows with the fleet times the shards.
     #[must_use]
     pub fn share_out(mut self, own_zone: &str) -> Self {
+        self.gatherers = self.peers.iter().filter(|p| p.is_gatherer).cloned().collect();
+        let idle = self.peers.iter().filter(|p| !p.is_gatherer).map(|p| Arc::clone(&p.zone));
+        self.sliced_zones = idle.collect();
+        if !self.is_gatherer {
+            self.sliced_zones.insert(own_zone.into());
+        }
+        let gatherers = u64::try_from(self.gatherers.len()).unwrap_or(u64::MAX);
+        self.slack_sharers =
+            allowance::sharers_of_slack(self.instances, gatherers, self.is_gatherer);
         let mut zones: Vec<&Arc<str>> = self.replicas.values().flatten().map(|r| &r.zone).collect();
         zones.sort_unstable();
         zones.dedup();
@@ -84,14 +100,13 @@
 
     fn place(&self, zone: &str, own_zone: &str) -> Place {
         let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let gatherers = || self.peers.iter().filter(|p| p.is_gatherer);
-        let near_peers = number(gatherers().filter(|p| &*p.zone == zone).count());
+        let near_peers = number(self.gatherers.iter().filter(|p| &*p.zone == zone).count());
         let known = number(self.peers.len()) + 1;
         Place {
             is_near: zone == own_zone && self.is_gatherer,
-            is_sliced: self.is_sliced(zone, own_zone),
+            is_sliced: self.is_sliced(zone),
             near_peers,
-            far_peers: number(gatherers().count()) - near_peers,
+            far_peers: number(self.gatherers.len()) - near_peers,
             unknown: u32::try_from(self.instances).unwrap_or(u32::MAX).saturating_sub(known),
         }
     }
