Say "not run" of what no connection has carried

Cause: whatever was on its way when a request was given up counted as sent, also where the connection to the replica or to another instance was still being set up, and the end of the time while connecting was taken for a server's silence. Callers can't try an unsafe request again then.

Change: a send notes when the request is given to a connection; the verdict goes by that. The clients of replicas and of other instances report "not reached" as long as nothing went out.

Tests: a server whose queue of connections is full; replicas that no connection reaches.

Conclusion: what was written to a connection that is cut stays "may have run", as it must.

--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -56,6 +56,34 @@
     pub time_left: Duration,
     /// Largest body of an answer in bytes.
     pub max_bytes: usize,
+    /// Set once the request is given to a connection.
+    pub offered: Offered,
+}
+
+/// Whether a request was given to a connection, for those who wait for its answer.
+///
+/// Who gives up waiting must say whether the request may have run, and a connection that is
+/// still being set up has carried nothing: to say "may have run" there keeps a caller from
+/// trying again what must not run twice.
+#[derive(Debug, Clone, Default)]
+pub struct Offered(Rc<Cell<bool>>);
+
+impl Offered {
+    /// Notes that the request may go out from now on.
+    pub fn mark(&self) {
+        self.0.set(true);
+    }
+
+    /// Notes that it surely did not, or was not run.
+    pub fn clear(&self) {
+        self.0.set(false);
+    }
+
+    /// Whether a server may have the request.
+    #[must_use]
+    pub fn is_marked(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// A complete answer.
@@ -113,8 +141,12 @@
     /// the request went out.
     pub async fn exchange(&self, send: Send) -> Result<WireAnswer, PartFailure> {
         let time_left = send.time_left;
+        let offered = send.offered.clone();
         let waited = actix_rt::time::timeout(time_left, self.exchange_untimed(send)).await;
-        waited.unwrap_or(Err(PartFailure::TimedOut))
+        waited.unwrap_or_else(|_| {
+            let is_connecting = !offered.is_marked();
+            Err(if is_connecting { not_connected() } else { PartFailure::TimedOut })
+        })
     }
 
     async fn exchange_untimed(&self, send: Send) -> Result<WireAnswer, PartFailure> {
@@ -122,16 +154,21 @@
         let mut request = send.request;
         for _ in 0..MOST_STALE {
             let Some(mut connection) = lane.take_idle(send.is_repeatable) else { break };
+            send.offered.mark();
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return read(&lane, connection, answer, send.max_bytes).await,
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written.
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        send.offered.clear();
+                        request = unsent;
+                    }
                     None => return Err(PartFailure::Lost(error.into_error().to_string())),
                 },
             }
         }
         let mut connection = lane.connect(send.addr, send.most_connections).await?;
+        send.offered.mark();
         match connection.sender.try_send_request(request).await {
             Ok(answer) => read(&lane, connection, answer, send.max_bytes).await,
             Err(mut error) => match error.take_message() {
@@ -212,7 +249,7 @@
         let stream = match connected {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(unreached(error.to_string())),
-            Err(_) => return Err(unreached("connect timed out".to_owned())),
+            Err(_) => return Err(not_connected()),
         };
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("no-delay not set on a connection to {addr}: {error}");
@@ -235,6 +272,10 @@
     }
 }
 
+fn not_connected() -> PartFailure {
+    PartFailure::NotReached("connect timed out".to_owned())
+}
+
 /// A place among the open connections; given back unless it is kept.
 struct Slot(Option<Rc<Cell<u32>>>);
 
--- a/crates/backend/tests/lanes.rs
+++ b/crates/backend/tests/lanes.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasspier_backend::{Lanes, PartFailure, Send, WireAnswer};
+use eelgrasspier_backend::{Lanes, Offered, PartFailure, Send, WireAnswer};
 use eelgrasspier_decide::verdict::Verdict;
 use http::Request;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// A server that reads a request and writes the next of the given bytes.
 ///
@@ -64,6 +64,7 @@
         is_repeatable: true,
         time_left: Duration::from_secs(5),
         max_bytes: 1 << 16,
+        offered: Offered::default(),
     };
     let result = lanes.exchange(send).await;
     // The connection goes back once its driver has seen the end of the answer.
@@ -130,3 +131,37 @@
     let failure = get(&Lanes::default(), addr).await.unwrap_err();
     assert_eq!(failure.verdict(), Verdict::NotRun, "{failure}");
 }
+
+/// Symptom: callers were told "may have run" of requests that had reached no server, and could
+/// not try them again.
+/// Sequence: a server was cut off; the request's time was over while a connection to it was
+/// still being set up.
+/// Cause: the end of the time was taken for the silence of a server.
+#[actix_rt::test]
+async fn a_request_whose_connection_is_not_set_up_in_time_has_not_run() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let addr = listener.local_addr().unwrap();
+    // Nobody accepts, and once the queue is full the opening packet is dropped.
+    let mut queued = Vec::new();
+    let once = Duration::from_millis(50);
+    while let Ok(Ok(stream)) = tokio::time::timeout(once, TcpStream::connect(addr)).await {
+        queued.push(stream);
+    }
+    let lanes = Lanes::default();
+    let offered = Offered::default();
+    let send = Send {
+        server: "i-1".into(),
+        addr,
+        request: Request::builder().uri("/x").body(Full::default()).unwrap(),
+        most_connections: 2,
+        is_repeatable: true,
+        time_left: once,
+        max_bytes: 1 << 16,
+        offered: offered.clone(),
+    };
+    let failure = lanes.exchange(send).await.unwrap_err();
+    assert_eq!(failure.verdict(), Verdict::NotRun, "{failure}");
+    assert!(!offered.is_marked());
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -88,15 +88,40 @@
         body: Body,
         timeout: Duration,
     ) -> Result<Body, PeerError> {
-        let waited = tokio::time::timeout(timeout, self.ask_untimed(addr, body)).await;
+        self.ask_noting(addr, body, timeout, || ()).await
+    }
+
+    /// The same; `note_sent` is called once the question goes out.
+    ///
+    /// # Errors
+    /// Fails with [`PeerError::NotReached`] as long as it did not, also where time is over.
+    pub async fn ask_noting(
+        &self,
+        addr: SocketAddr,
+        body: Body,
+        timeout: Duration,
+        note_sent: impl Fn(),
+    ) -> Result<Body, PeerError> {
+        let is_sent = Cell::new(false);
+        let asking = self.ask_untimed(addr, body, || {
+            is_sent.set(true);
+            note_sent();
+        });
+        let waited = tokio::time::timeout(timeout, asking).await;
         waited.unwrap_or_else(|_| {
             self.links.borrow_mut().remove(&addr);
-            Err(PeerError::TimedOut)
+            Err(if is_sent.get() { PeerError::TimedOut } else { not_connected() })
         })
     }
 
-    async fn ask_untimed(&self, addr: SocketAddr, body: Body) -> Result<Body, PeerError> {
+    async fn ask_untimed(
+        &self,
+        addr: SocketAddr,
+        body: Body,
+        note_sent: impl Fn(),
+    ) -> Result<Body, PeerError> {
         let link = self.link(addr).await?;
+        note_sent();
         let id = link.next_id.get();
         link.next_id.set(id + 1);
         let (done, answer) = oneshot::channel();
@@ -118,7 +143,7 @@
         let stream = match connecting {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(PeerError::NotReached(error.to_string())),
-            Err(_) => return Err(PeerError::NotReached("connect timed out".to_owned())),
+            Err(_) => return Err(not_connected()),
         };
         drop(stream.set_nodelay(true));
         let link = start(stream);
@@ -130,6 +155,10 @@
     }
 }
 
+fn not_connected() -> PeerError {
+    PeerError::NotReached("connect timed out".to_owned())
+}
+
 fn start(stream: TcpStream) -> Rc<Link> {
     let (mut sink, frames) = Framed::new(stream, wire::codec()).split::<Bytes>();
     let (questions, mut queued) = mpsc::channel::<Frame>(MAX_QUEUED);
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasspier_backend::PartFailure;
+use eelgrasspier_backend::{Offered, PartFailure};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use http::{HeaderMap, StatusCode};
 
@@ -26,6 +26,8 @@
     pub most_connections: u32,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Set once the request is given to a connection.
+    pub offered: Offered,
 }
 
 /// A replica's complete answer to this request.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use eelgrasspier_backend::PartFailure;
+use eelgrasspier_backend::{Offered, PartFailure};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::patience::{Gathering, Next};
 use eelgrasspier_decide::route::Route;
@@ -107,6 +107,8 @@
     times: Times,
     pace: Pace,
     flights: Flights,
+    /// Requests and questions on their way, as far as they may have gone out.
+    offers: Vec<Offered>,
     landed: mpsc::UnboundedReceiver<Landed>,
     land: mpsc::UnboundedSender<Landed>,
     /// Instances that are asked whether they answer, once that is due.
@@ -141,6 +143,7 @@
             shards: services.into_iter().map(shard).collect(),
             times,
             flights: Flights::default(),
+            offers: Vec::new(),
             landed,
             land,
             checks: Vec::new(),
@@ -183,7 +186,7 @@
             self.take_next(now_ms, wait_until_ms).await;
         };
         // What is still on its way may run; to say that it did not would be a lie.
-        self.gathered.may_have_run |= self.shards.iter().any(|s| s.in_flight > 0);
+        self.gathered.may_have_run |= self.offers.iter().any(Offered::is_marked);
         if !is_given_up {
             self.flights.let_go();
         }
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_backend::Offered;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_decide::relays::{self, Group, LEAST_GROUP, Place};
@@ -138,17 +139,24 @@
         self.checks.push(Check { peer: peer.clone(), shards: shards.clone(), at_ms });
         let question = self.question(&shards, now_ms, is_repeat);
         let time_left = Duration::from_millis(self.times.limit_at_ms.saturating_sub(now_ms));
+        let offered = Offered::default();
+        self.offers.push(offered.clone());
         let asking = Rc::clone(self.router).ask_peer(
             peer.clone(),
             question,
             time_left,
             Rc::clone(&self.route_state),
+            offered.clone(),
         );
         let land = self.land.clone();
         let (peer, zone) = (Arc::clone(&peer.name), Arc::clone(&peer.zone));
         self.gathered.relays += 1;
         self.flights.0.push(actix_rt::spawn(async move {
-            let end = RelayEnd { peer, zone, shards, result: asking.await };
+            let result = asking.await;
+            if has_not_run(&result) {
+                offered.clear();
+            }
+            let end = RelayEnd { peer, zone, shards, result };
             // Nobody listens once the answer has gone out.
             let _is_late = land.send(Landed::Relay(end)).is_err();
         }));
@@ -210,3 +218,11 @@
         })
     }
 }
+
+/// Whether nothing of a question can have reached a replica.
+fn has_not_run(result: &Result<wire::Gathered, PeerError>) -> bool {
+    match result {
+        Ok(answer) => !answer.may_have_run && answer.parts.is_empty(),
+        Err(error) => matches!(error, PeerError::NotReached(_)),
+    }
+}
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_backend::Offered;
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::prelude::Verdict;
 use eelgrasspier_decide::relays;
 
 use super::shard::{Shard, ShardState};
@@ -85,7 +87,10 @@
         shard.hedge_at_ms = can_hedge.then_some(now_ms + hedge_ms);
         self.gathered.far += u32::from(replica.zone != self.router.zone);
         let left_ms = self.times.limit_at_ms.saturating_sub(now_ms);
+        let offered = Offered::default();
+        self.offers.push(offered.clone());
         let attempt = Attempt {
+            offered: offered.clone(),
             most_connections: self.view.most_connections(&replica.zone, shard.accepted_connections),
             replica: Arc::clone(&replica),
             request: Rc::clone(self.request),
@@ -97,6 +102,9 @@
         let sending = Rc::clone(self.router).send(attempt, state, self.pace.usual_ms);
         self.flights.0.push(actix_rt::spawn(async move {
             let result = sending.await;
+            if result.as_ref().is_err_and(|failure| failure.verdict() == Verdict::NotRun) {
+                offered.clear();
+            }
             let replica = Arc::clone(&replica.id);
             // Nobody listens once the answer has gone out.
             let _is_late = land.send(Landed::Send { shard: index, replica, result }).is_err();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_backend::Offered;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_decide::merge::Greatest;
@@ -91,12 +92,13 @@
         question: Body,
         time_left: Duration,
         state: Rc<RouteState>,
+        offered: Offered,
     ) -> Result<wire::Gathered, PeerError> {
         let standing = self.standing(&peer_key(&peer.name));
         let usual_ms = state.usual_relay_ms();
         let started = Instant::now();
         let in_progress = InProgress::start(&standing, self.shared.now_ms(), usual_ms);
-        let result = self.links.ask(peer.addr, question, time_left).await;
+        let result = self.links.ask_noting(peer.addr, question, time_left, || offered.mark()).await;
         drop(in_progress);
         let took = started.elapsed();
         metrics::histogram!("eelgrasspier_relay_seconds").record(took.as_secs_f64());
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -33,6 +33,8 @@
     Silent,
     /// Another replica has its address and says so.
     Replaced,
+    /// No connection to it is ever set up.
+    Unreached,
 }
 
 /// One send that reached a replica.
@@ -118,6 +120,9 @@
 
 async fn act(conduct: Conduct, replica: &str, attempt: &Attempt) -> Result<Reply, PartFailure> {
     let pause = |ms| tokio::time::sleep(Duration::from_millis(ms));
+    if conduct != Conduct::Unreached {
+        attempt.offered.mark();
+    }
     match conduct {
         Conduct::Answers(ms) => pause(ms).await,
         Conduct::Fails(ms) => {
@@ -134,6 +139,10 @@
             tokio::time::sleep(attempt.time_left).await;
             return Err(PartFailure::TimedOut);
         }
+        Conduct::Unreached => {
+            tokio::time::sleep(attempt.time_left).await;
+            return Err(PartFailure::NotReached("connect timed out".to_owned()));
+        }
     }
     Ok(reply(StatusCode::OK, replica))
 }
--- a/crates/router/tests/sends.rs
+++ b/crates/router/tests/sends.rs
@@ -194,3 +194,41 @@
         }
     });
 }
+
+/// Symptom: a caller of a request that must not run twice could not try it again, though no
+/// replica had it.
+/// Sequence: its replicas were cut off; its time was over while the connections to them were
+/// still being set up.
+/// Cause: whatever was on its way at the end counted as sent.
+#[test]
+fn what_no_connection_has_carried_has_not_run() {
+    in_virtual_time(async {
+        for is_idempotent in [true, false] {
+            let mut once = route(1);
+            once.is_idempotent = is_idempotent;
+            let world = World::new(once, 1);
+            for replica in ["s0/a", "s0/b"] {
+                world.script.set(replica, Conduct::Unreached);
+            }
+            let Outcome::Refused(refusal) = world.serve("r1", 200).await else { panic!("served") };
+            assert_eq!(refusal.verdict, Verdict::NotRun);
+            assert!(refusal.retry_after_ms.is_some());
+        }
+    });
+}
+
+#[test]
+fn what_a_replica_has_and_does_not_answer_may_have_run() {
+    in_virtual_time(async {
+        for is_idempotent in [true, false] {
+            let mut once = route(1);
+            once.is_idempotent = is_idempotent;
+            let world = World::new(once, 1);
+            for replica in ["s0/a", "s0/b"] {
+                world.script.set(replica, Conduct::Silent);
+            }
+            let Outcome::Refused(refusal) = world.serve("r1", 200).await else { panic!("served") };
+            assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+        }
+    });
+}
