--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -200,7 +200,7 @@
     /// Takes in a datagram; returns the answers to it.
     pub fn receive(&mut self, now_ms: u64, from: SocketAddr, datagram: &Datagram) -> Vec<Send> {
         for member in &datagram.members {
-            self.learn(member, now_ms);
+            self.learn(member, now_ms, true);
         }
         for &server in &datagram.leaving {
             self.changes.push(Change::ServerLeaving(server));
@@ -215,7 +215,33 @@
         sends
     }
 
-    fn learn(&mut self, member: &Member, now_ms: u64) {
+    /// Records of all instances that are alive, this one included.
+    #[must_use]
+    pub fn table(&self) -> Vec<Member> {
+        std::iter::once(&self.own).chain(self.alive()).cloned().collect()
+    }
+
+    /// Takes in another instance's table.
+    ///
+    /// It is old news, which gossip has carried or does: nothing of it is spread from here.
+    pub fn learn_table(&mut self, table: &[Member], now_ms: u64) {
+        for member in table {
+            self.learn(member, now_ms, false);
+        }
+    }
+
+    /// The address of a listed instance that is alive, if there is one, of the own zone first.
+    #[must_use]
+    pub fn listed_alive(&self, random: u64) -> Option<SocketAddr> {
+        let listed = self.others.values().filter(|k| k.is_listed && !k.is_over());
+        let place = |k: &&Known| {
+            let is_far = k.member.zone != self.own.zone;
+            (is_far, rendezvous::weight(random, k.member.key()))
+        };
+        listed.min_by_key(place).map(|k| k.addr)
+    }
+
+    fn learn(&mut self, member: &Member, now_ms: u64, is_news: bool) {
         if member.name == self.own.name {
             return self.hear_of_self(member);
         }
@@ -224,18 +250,21 @@
         if known.is_some_and(|k| k.member.rank() >= member.rank()) {
             return;
         }
+        let is_new = known.is_none();
         let was_over = known.is_none_or(Known::is_over);
         let is_same_state = known.is_some_and(|k| k.member.state == member.state);
         let is_listed = self.listed.contains_key(&member.name);
         let known = Known { member: member.clone(), addr, since_ms: now_ms, is_listed };
-        if !is_same_state {
+        if !is_same_state && !is_new {
             self.changes.push(Change::State(member.name.clone()));
         }
         self.epoch += 1;
         self.note_change(&known, was_over);
         self.others.insert(member.name.clone(), known);
-        let sends = self.sends();
-        self.enqueue(Update::Member(member.name.clone()), sends);
+        if is_news {
+            let sends = self.sends();
+            self.enqueue(Update::Member(member.name.clone()), sends);
+        }
     }
 
     fn note_change(&mut self, known: &Known, was_over: bool) {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -18,7 +18,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -80,6 +80,20 @@
     /// Answers [`Body::ChangesAbove`] with compressed changes.
     #[prost(bytes = "bytes", tag = "20")]
     PackedChanges(bytes::Bytes),
+    /// Asks for the records of all instances that the receiver knows.
+    #[prost(message, tag = "21")]
+    MembersAsk(Nothing),
+    /// Answers [`Body::MembersAsk`].
+    #[prost(message, tag = "22")]
+    Members(Members),
+}
+
+/// Records of instances.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Members {
+    /// The records, one for each instance.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<eelgrasspier_decide::membership::Member>,
 }
 
 /// Which changes are asked for.
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -28,6 +28,9 @@
 /// instances, and how long one that won't watch waits for those who do.
 pub(super) const JOIN_TIME: Duration = Duration::from_millis(600);
 const FIRST_LIST_TIME: Duration = Duration::from_secs(3);
+/// Age of the process from which it may watch, in milliseconds: by then it has asked another
+/// for the records of all, and a change must be in force within three seconds.
+const JOINED_AFTER_MS: u64 = 1_300;
 /// Time over which those that hear of the store's return spread their calls.
 const RETURN_SPREAD_MS: u64 = 200;
 /// Time without an answer after which the store counts as lost, in milliseconds.
@@ -49,10 +52,14 @@
             self.ask_seeds(kind).await;
         }
         let mut since = None;
+        let mut is_history_gone = false;
         let mut next_poll = self.next_poll();
         loop {
             // What others have brought meanwhile spares the list.
-            since = since.or_else(|| self.filled_up_to(kind));
+            since = since.or_else(|| self.filled_up_to(kind)).filter(|_| !is_history_gone);
+            if since.is_some() {
+                self.wait_until_joined().await;
+            }
             let called = Instant::now();
             let result = match since {
                 None => self.store.list(kind, false).await,
@@ -73,6 +80,7 @@
             match result {
                 Ok(changes) => {
                     pauses.reset();
+                    is_history_gone = false;
                     self.store_answered();
                     // A stale answer must not set the watch back.
                     since = Some(changes.as_of.max(since.unwrap_or(0)));
@@ -86,7 +94,7 @@
                     );
                     if error == CollectionError::HistoryGone {
                         self.store_answered();
-                        since = None;
+                        is_history_gone = true;
                     } else {
                         self.store_failed(&error);
                         self.pause(pauses.next_pause()).await;
@@ -131,6 +139,14 @@
         let _ = tokio::time::timeout(SEED_TIME, asking).await;
     }
 
+    /// Waits until this process knows enough of the others to say who watches.
+    ///
+    /// One that knows nobody is a watcher: where all had lost power, 195 of them were.
+    async fn wait_until_joined(&self) {
+        let left_ms = JOINED_AFTER_MS.saturating_sub(self.shared.now_ms());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
+    }
+
     /// Change up to which the copy is complete, once it is filled.
     fn filled_up_to(&self, kind: Kind) -> Option<u64> {
         let mirrors = self.mirrors.borrow();
--- a/crates/router/src/control/instances.rs
+++ b/crates/router/src/control/instances.rs
@@ -22,6 +22,9 @@
 /// Age of the process from which it may have an entry: by then gossip has told it enough of
 /// the others to say which few have one.
 const ANNOUNCE_AFTER_MS: u64 = 5_000;
+/// The same for one that has found nobody: a seed that lives has answered by then, also where
+/// all have lost power and start together.
+const ALONE_AFTER_MS: u64 = 2_000;
 
 /// What this instance has done about the entries.
 #[derive(Debug, Default)]
@@ -80,8 +83,8 @@
     }
 
     fn may_announce(&self) -> bool {
-        let has_joined = self.shared.now_ms() >= ANNOUNCE_AFTER_MS;
-        (has_joined || self.is_alone()) && self.is_contact()
+        let after_ms = if self.is_alone() { ALONE_AFTER_MS } else { ANNOUNCE_AFTER_MS };
+        self.shared.now_ms() >= after_ms && self.is_contact()
     }
 
     fn announcement(&self, instances: u64) -> Announcement {
@@ -98,7 +101,6 @@
         let changes = self.store.list(Kind::Instances, true).await;
         let changes =
             changes.inspect_err(|e| log::info!("event=instances_not_listed cause=\"{e}\""))?;
-        entries.listed_at = Some(Instant::now());
         let read = changes.objects.iter().filter_map(|o| {
             let read = self.decode.instance(&o.name, &o.content);
             read.inspect_err(|e| log::warn!("event=instance_unreadable cause=\"{e}\"")).ok()
@@ -108,6 +110,10 @@
         let fleet = read.iter().map(|a| a.instances).fold(named, u64::max);
         let listed: Vec<Listed> = read.into_iter().map(to_listed).collect();
         self.membership.borrow_mut().set_listed(&listed);
+        if entries.listed_at.replace(Instant::now()).is_none() {
+            let others = listed.iter().filter(|l| l.name != self.identity.name);
+            self.greet(others.map(|l| l.peer_addr));
+        }
         if self.listed_fleet.replace(Some(fleet)) != Some(fleet) {
             self.publish();
         }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -60,19 +60,25 @@
         let now_ms = self.shared.now_ms();
         let sends = self.membership.borrow_mut().tick(now_ms, rand::random());
         self.send(sends);
-        self.greet_seeds();
+        self.greet_seeds_while_alone();
         self.refresh();
     }
 
-    fn greet_seeds(&self) {
-        let mut membership = self.membership.borrow_mut();
-        let is_alone = membership.alive_count() == 1;
-        if !is_alone || !rand::random::<u64>().is_multiple_of(GREET_ONE_IN) {
-            return;
+    fn greet_seeds_while_alone(&self) {
+        let is_alone = self.membership.borrow().alive_count() == 1;
+        if is_alone && rand::random::<u64>().is_multiple_of(GREET_ONE_IN) {
+            self.greet_seeds();
         }
-        let sends: Vec<Send> = self.other_seeds().map(|addr| membership.greet(addr)).collect();
-        drop(membership);
-        self.send(sends);
+    }
+
+    pub(super) fn greet_seeds(&self) {
+        self.greet(self.other_seeds());
+    }
+
+    /// Makes this instance known to those at the given addresses.
+    pub(super) fn greet(&self, addrs: impl Iterator<Item = SocketAddr>) {
+        let greetings = addrs.map(|addr| self.membership.borrow_mut().greet(addr));
+        self.send(greetings.collect());
     }
 
     /// Where some other instances are, or were.
@@ -102,7 +108,7 @@
     }
 
     /// Draws the conclusions from what has changed among the members.
-    fn refresh(self: &Rc<Self>) {
+    pub(super) fn refresh(self: &Rc<Self>) {
         let changes = self.membership.borrow_mut().take_changes();
         let has_changes = !changes.is_empty();
         for change in changes {
@@ -316,7 +322,10 @@
         let mut membership = self.membership.borrow_mut();
         if is_ready && membership.own().state() == State::Starting {
             membership.update_own(|m| m.state = State::Ready as i32);
+            drop(membership);
             log::info!("event=ready");
+            // Others ask it for parts only once they know.
+            self.spread_at_once();
         }
     }
 
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod follow;
 mod instances;
+mod join;
 mod members;
 
 use std::cell::{Cell, RefCell};
@@ -31,6 +32,8 @@
 pub(crate) enum Ask {
     /// Another instance wants changes of a kind above a revision.
     Changes { kind: Kind, revision: u64, done: oneshot::Sender<Changes> },
+    /// Another instance wants the records of all instances.
+    Members { done: oneshot::Sender<Vec<Member>> },
     /// A planned stop begins.
     Stop,
 }
@@ -135,6 +138,7 @@
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Configuration));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
         actix_rt::spawn(Rc::clone(&control).follow_instances());
+        actix_rt::spawn(Rc::clone(&control).join());
         actix_rt::spawn(Rc::clone(&control).tick());
         actix_rt::spawn(control.answer_asks(asks));
         Ok(())
@@ -149,6 +153,9 @@
                     // The asker's connection may have gone meanwhile.
                     let _gone = done.send(changes.unwrap_or_default()).is_err();
                 }
+                Ask::Members { done } => {
+                    let _gone = done.send(self.membership.borrow().table()).is_err();
+                }
                 Ask::Stop => self.leave(),
             }
         }
@@ -181,9 +188,18 @@
         // Told even where nothing changes here, such as an entry that is kept for a while:
         // the others would hear of it only by their next poll.
         let has_news = has_changed || !effects.is_empty();
+        if has_changed {
+            // One line in place of one for each: a fleet that starts wrote most of its lines here.
+            log::info!(
+                "event=listed kind={kind:?} entries={} as_of={} source={source}",
+                changes.objects.len(),
+                changes.as_of
+            );
+        }
+        let is_first = has_changed;
         for effect in effects {
             has_changed |= match kind {
-                Kind::Replicas => self.take_replica(effect, changes.as_of, source),
+                Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
                 Kind::Configuration => self.take_configuration(effect, source),
                 Kind::Instances => false,
             };
@@ -197,7 +213,8 @@
         }
     }
 
-    fn take_replica(&self, effect: Effect, as_of: u64, source: &str) -> bool {
+    /// Takes one entry; `is_quiet` if its line is left out.
+    fn take_replica(&self, effect: Effect, as_of: u64, source: &str, is_quiet: bool) -> bool {
         let change = match effect {
             Effect::Set(name, content) => match self.decode.replica(&name, &content) {
                 Ok(entry) => EntryChange::Set(entry),
@@ -217,7 +234,9 @@
         };
         let now_ms = self.shared.now_ms();
         let has_changed = self.directory.borrow_mut().apply(change, now_ms);
-        log::info!(
+        let level = if is_quiet { log::Level::Debug } else { log::Level::Info };
+        log::log!(
+            level,
             "event=replica_entry {text} as_of={as_of} source={source} applied={has_changed}"
         );
         has_changed
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use eelgrasspier_decide::mirror::Changes;
-use eelgrasspier_peer::wire::{Body, ChangesAbove};
+use eelgrasspier_peer::wire::{Body, ChangesAbove, Members};
 use eelgrasspier_peer::{AnswerFuture, PeerService, packed};
 use eelgrasspier_store::Kind;
 use tokio::sync::{mpsc, oneshot};
@@ -50,6 +50,18 @@
         }
     }
 
+    /// Records of all instances that this one knows.
+    async fn members(&self) -> Body {
+        let (done, members) = oneshot::channel();
+        if self.control.send(Ask::Members { done }).is_err() {
+            return Body::Refused("control has ended".to_owned());
+        }
+        match members.await {
+            Ok(members) => Body::Members(Members { members }),
+            Err(_) => Body::Refused("control has ended".to_owned()),
+        }
+    }
+
     fn pack(&self, kind: Kind, asked: u64, changes: Changes) -> Body {
         let as_of = changes.as_of;
         let mut known = self.packed.borrow_mut();
@@ -70,6 +82,7 @@
         Box::pin(async move {
             match question {
                 Body::ChangesAbove(question) => self.changes(question).await,
+                Body::MembersAsk(_) => self.members().await,
                 Body::Gather(question) => {
                     Body::Gathered(self.router.gather_for_peer(question).await)
                 }
