--- a/crates/router/src/control/join.rs
+++ b/crates/router/src/control/join.rs
@@ -14,6 +14,7 @@
 use eelgrasspier_peer::wire::{Body, Nothing};
 
 use super::Control;
+use crate::zone_bytes::Cause;
 
 /// Ages of the process at which it asks, in milliseconds: the first when all that have started
 /// with it have greeted somebody, the others in case that they started later.
@@ -54,7 +55,9 @@
     }
 
     async fn records_from(&self, addr: SocketAddr) -> Result<Vec<Member>, PeerError> {
-        match self.links.ask(addr, Body::MembersAsk(Nothing {}), ANSWER_TIME).await? {
+        let answer = self.links.ask(addr, Body::MembersAsk(Nothing {}), ANSWER_TIME).await?;
+        self.count_bytes(Cause::Members, addr, answer.encoded_len());
+        match answer {
             Body::Members(answer) => Ok(answer.members),
             _ => Ok(Vec::new()),
         }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -17,9 +17,11 @@
 use eelgrasspier_peer::{PeerError, packed};
 use eelgrasspier_store::Kind;
 use futures_util::{Stream, StreamExt};
+use prost::Message;
 
 use super::Control;
 use crate::view::Peer;
+use crate::zone_bytes::{self, Cause};
 
 /// Instances that are told of news at once, those of the own zone first; gossip tells the
 /// rest. With 300 instances, 75 in a zone, 16 let a configuration be in force after 4.9 s,
@@ -97,11 +99,19 @@
     ) -> Result<Option<Changes>, PeerError> {
         let is_replicas = kind == Kind::Replicas;
         let question = Body::ChangesAbove(ChangesAbove { is_replicas, revision });
-        self.links.ask(addr, question, timeout).await.map(packed::unpack)
+        let answer = self.links.ask(addr, question, timeout).await?;
+        self.count_bytes(Cause::Changes, addr, answer.encoded_len());
+        Ok(packed::unpack(answer))
+    }
+
+    /// Counts bytes to or from the instance at `addr`.
+    pub(super) fn count_bytes(&self, cause: Cause, addr: SocketAddr, bytes: usize) {
+        zone_bytes::count(cause, self.far_addrs.borrow().contains(&addr), bytes);
     }
 
     fn send(&self, sends: Vec<Send>) {
         for send in sends {
+            self.count_bytes(Cause::Gossip, send.to, send.datagram.encoded_len());
             // The sender's task lives as long as this thread.
             let _gone = self.outbox.send(send).is_err();
         }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -6,7 +6,7 @@
 mod members;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -62,6 +62,8 @@
     directory: RefCell<Directory>,
     /// Replicas of the directory that take new work, by service.
     replicas: RefCell<Arc<Replicas>>,
+    /// Addresses of instances in other zones, as of the last view.
+    far_addrs: RefCell<HashSet<SocketAddr>>,
     /// Whether members have changed since the last view.
     has_member_news: Cell<bool>,
     configuration: RefCell<Option<Arc<Configuration>>>,
@@ -117,6 +119,7 @@
             mirrors: RefCell::default(),
             directory: RefCell::default(),
             replicas: RefCell::default(),
+            far_addrs: RefCell::default(),
             has_member_news: Cell::new(false),
             configuration: RefCell::default(),
             table: RefCell::default(),
@@ -283,6 +286,9 @@
 
     fn publish(&self) {
         self.has_member_news.set(false);
+        let peers = self.peers();
+        let far = peers.iter().filter(|p| *p.zone != *self.identity.zone).map(|p| p.addr);
+        *self.far_addrs.borrow_mut() = far.collect();
         let has_replicas =
             self.mirrors.borrow().get(&Kind::Replicas).is_some_and(Mirror::is_filled);
         let view = View {
@@ -293,7 +299,7 @@
             instances: self.instances(),
             is_gatherer: self.is_gatherer(),
             capacity_milli: self.identity.capacity_milli,
-            peers: Arc::new(self.peers()),
+            peers: Arc::new(peers),
             ..View::default()
         };
         self.set_ready(view.is_ready());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 mod router;
 mod setup;
 mod view;
+mod zone_bytes;
 
 pub use backend::{Attempt, Backend, BackendFuture, Reply};
 pub use daemon::{Adapters, RunError, run};
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -15,6 +15,7 @@
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire::{self, Body};
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use prost::Message;
 use tokio::time::Instant;
 
 use crate::gather::{For, Gather, Gathered, Times};
@@ -22,6 +23,7 @@
 use crate::route_state::RouteState;
 use crate::router::{InProgress, PEER_SLOTS, Router, UNSOUND_PEER_COST, peer_key};
 use crate::view::{Peer, View};
+use crate::zone_bytes::{self, Cause};
 
 /// Time after which a link without an answer is closed; a frozen instance is back within
 /// seconds, but a connection that has gone silent stays so.
@@ -99,12 +101,15 @@
         let usual_ms = state.usual_relay_ms();
         let started = Instant::now();
         let in_progress = InProgress::start(&standing, self.shared.now_ms(), usual_ms);
+        let is_far = peer.zone != self.zone;
+        zone_bytes::count(Cause::Gather, is_far, question.encoded_len());
         let result = self.links.ask_noting(peer.addr, question, time_left, || offered.mark()).await;
         drop(in_progress);
         let took = started.elapsed();
         metrics::histogram!("eelgrasspier_relay_seconds").record(took.as_secs_f64());
         match result {
             Ok(Body::Gathered(answer)) => {
+                zone_bytes::count(Cause::Gather, is_far, answer.encoded_len());
                 let took_ms = took.as_secs_f64() * 1000.0;
                 standing.borrow_mut().answered(took_ms, usual_ms, self.shared.now_ms());
                 state.note_relay(took);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -23,6 +23,7 @@
 use crate::outcome::{hand_on, merge, note_outcome};
 use crate::route_state::{Pace, RouteState};
 use crate::view::{Shared, View};
+use crate::zone_bytes::{self, Cause};
 
 /// When to come back to an instance that knows no configuration yet, at first: one that
 /// finds the store up has read it within 30 ms.
@@ -260,6 +261,8 @@
         let sent_ms = self.shared.now_ms();
         let expected_ms = standing.borrow_mut().sent_work(work_ms, replica.slots, sent_ms);
         let in_progress = InProgress { standing: Rc::clone(&standing), sent_ms };
+        let is_far = replica.zone != self.zone;
+        zone_bytes::count(Cause::Replica, is_far, attempt.request.body.len());
         let result = self.backend.send(attempt).await;
         drop(in_progress);
         let took = started.elapsed();
@@ -268,6 +271,7 @@
         let mut standing = standing.borrow_mut();
         match &result {
             Ok(reply) => {
+                zone_bytes::count(Cause::Replica, is_far, reply.body.len());
                 // A replica counts the request that it is answering.
                 standing.reported(reply.load.unwrap_or(0).saturating_sub(1), now_ms);
                 if reply.status.is_server_error() {
