Close connections that small instances use once in ten seconds

The other services' connections are held by 18 instances.

Change: where some instances gather for others, these close a connection after its answer. Asked once in ten seconds it would time out anyway.

Ruled out: fewer connections each; one each is more than the cap. Handing such requests over needs answers that are handed on whole, headers included, and is left.

Test: three requests on three connections, none open after each.

--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -52,6 +52,8 @@
     pub most_connections: u32,
     /// Whether a lost answer can be made good by another send.
     pub is_repeatable: bool,
+    /// Whether the connection is kept open for the next request.
+    pub is_kept: bool,
     /// Time for the whole exchange.
     pub time_left: Duration,
     /// Largest body of an answer in bytes.
@@ -151,12 +153,13 @@
 
     async fn exchange_untimed(&self, send: Send) -> Result<WireAnswer, PartFailure> {
         let lane = self.lane(&send.server);
+        let bounds = Bounds { is_kept: send.is_kept, max_bytes: send.max_bytes };
         let mut request = send.request;
         for _ in 0..MOST_STALE {
             let Some(mut connection) = lane.take_idle(send.is_repeatable) else { break };
             send.offered.mark();
             match connection.sender.try_send_request(request).await {
-                Ok(answer) => return read(&lane, connection, answer, send.max_bytes).await,
+                Ok(answer) => return read(lane, connection, answer, bounds).await,
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => {
@@ -170,7 +173,7 @@
         let mut connection = lane.connect(send.addr, send.most_connections).await?;
         send.offered.mark();
         match connection.sender.try_send_request(request).await {
-            Ok(answer) => read(&lane, connection, answer, send.max_bytes).await,
+            Ok(answer) => read(lane, connection, answer, bounds).await,
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(PartFailure::NotReached(error.into_error().to_string())),
                 None => Err(PartFailure::Lost(error.into_error().to_string())),
@@ -298,11 +301,18 @@
     }
 }
 
+/// Bounds on an answer and what becomes of its connection.
+#[derive(Debug, Clone, Copy)]
+struct Bounds {
+    is_kept: bool,
+    max_bytes: usize,
+}
+
 async fn read(
-    lane: &Rc<Lane>,
+    lane: Rc<Lane>,
     connection: Connection,
     answer: Response<Incoming>,
-    max_bytes: usize,
+    Bounds { is_kept, max_bytes }: Bounds,
 ) -> Result<WireAnswer, PartFailure> {
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, max_bytes).collect().await.map_err(|error| match error
@@ -311,8 +321,8 @@
         Some(_) => PartFailure::TooLarge(max_bytes),
         None => PartFailure::Lost(error.to_string()),
     })?;
-    if !says_close(&head.headers) {
-        release(Rc::clone(lane), connection, stated_keep(&head.headers));
+    if is_kept && !says_close(&head.headers) {
+        release(lane, connection, stated_keep(&head.headers));
     }
     Ok(WireAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
 }
--- a/crates/backend/tests/lanes.rs
+++ b/crates/backend/tests/lanes.rs
@@ -52,7 +52,11 @@
 }
 
 async fn get(lanes: &Lanes, addr: SocketAddr) -> Result<WireAnswer, PartFailure> {
-    let send = Send {
+    exchange(lanes, send(addr)).await
+}
+
+fn send(addr: SocketAddr) -> Send {
+    Send {
         server: "i-1".into(),
         addr,
         request: Request::builder()
@@ -64,8 +68,12 @@
         is_repeatable: true,
         time_left: Duration::from_secs(5),
         max_bytes: 1 << 16,
+        is_kept: true,
         offered: Offered::default(),
-    };
+    }
+}
+
+async fn exchange(lanes: &Lanes, send: Send) -> Result<WireAnswer, PartFailure> {
     let result = lanes.exchange(send).await;
     // The connection goes back once its driver has seen the end of the answer.
     tokio::time::sleep(Duration::from_millis(20)).await;
@@ -84,6 +92,22 @@
     assert_eq!((*connections.borrow(), lanes.open("i-1")), (1, 1));
 }
 
+/// Symptom: after a loss of power a service of two replicas reset a thousand connections.
+/// Sequence: each of 195 instances asked it now and then and kept its connection; a replica
+/// accepts 120 of all together.
+/// Cause: each instance may hold one whatever the others do, and an idle one counts as well.
+#[actix_rt::test]
+async fn a_connection_that_is_not_kept_is_closed_after_the_answer() {
+    let (addr, connections) = server(&[WHOLE, WHOLE, WHOLE]).await;
+    let lanes = Lanes::default();
+    for _ in 0..3 {
+        let once = Send { is_kept: false, ..send(addr) };
+        assert_eq!(&exchange(&lanes, once).await.unwrap().body[..], b"whole");
+        assert_eq!(lanes.open("i-1"), 0);
+    }
+    assert_eq!(*connections.borrow(), 3);
+}
+
 /// Symptom: a caller got half of an answer as a whole one.
 /// Sequence: a replica broke off in the middle of a chunked body; the connection ended.
 /// Cause it guards against: a client that takes the end of the connection for the end of
@@ -159,6 +183,7 @@
         is_repeatable: true,
         time_left: once,
         max_bytes: 1 << 16,
+        is_kept: true,
         offered: offered.clone(),
     };
     let failure = lanes.exchange(send).await.unwrap_err();
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -24,6 +24,8 @@
     pub time_left: Duration,
     /// Connections that may be open to the replica.
     pub most_connections: u32,
+    /// Whether the connection is kept open for the next request.
+    pub is_connection_kept: bool,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
     /// Set once the request is given to a connection.
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -94,6 +94,7 @@
             replica: Arc::clone(&replica),
             request: Rc::clone(self.request),
             time_left: Duration::from_millis(left_ms),
+            is_connection_kept: self.view.keeps_connections(),
             is_idempotent: self.route.is_idempotent,
         };
         let land = self.land.clone();
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -121,6 +121,17 @@
         part.map_or(LEAST_CONNECTIONS, |(_, part)| part.of(all))
     }
 
+    /// Whether connections to replicas are kept open after an answer.
+    ///
+    /// Where some gather for others, these send a replica little, such as requests to one replica
+    /// of a service: one in ten seconds each. Kept, their idle connections were more than it
+    /// accepts: 195 of 120, so that it reset 1,195 in the seconds after a loss of power, when those
+    /// of the dead still counted.
+    #[must_use]
+    pub fn keeps_connections(&self) -> bool {
+        self.is_gatherer
+    }
+
     /// Connections that each replica of a service accepts, from everybody.
     #[must_use]
     pub fn accepted_connections(&self, service: &str) -> u32 {
