Read the new code as a newcomer would

The beginning of a gathering is two functions of its own in place of a match of twenty lines; comments say what their change bought, in which unit, measured how; the tests over real connections share their runner. No behaviour changes; the router's and decide's tests pass.

--- a/crates/decide/src/membership/spread.rs
+++ b/crates/decide/src/membership/spread.rs
@@ -98,7 +98,7 @@
     ///
     /// In proportion to the instances there while the own zone has few. In a large zone it goes
     /// there seldom: news spreads within the zone just as fast, each of its instances brings some
-    /// of it across, and most bytes between zones were gossip.
+    /// of it across. Of 72 MB between zones in 48 calm seconds of 195 instances 42 were such gossip.
     pub(super) fn draws_far(&self, random: u64) -> bool {
         let alive = || self.others.values().filter(|k| !k.is_over());
         let far = alive().filter(|k| self.is_far(&k.member)).count() as u64;
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -39,8 +39,8 @@
 /// Replicas renew their entries about every second and drop out after three misses, so a
 /// shorter silence can't have made entries lapse.
 const OUTAGE_MS: u64 = 1000;
-/// Time that a seed has to bring what it knows to an instance that starts: some ways there and
-/// back within a region. The store takes about as long.
+/// Time that all seeds together have to bring what they know to an instance that starts: some ways
+/// there and back within a region. Callers wait for it where the seeds are cut off.
 const SEED_TIME: Duration = Duration::from_millis(100);
 
 impl Control {
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -167,29 +167,8 @@
 
     /// Gathers until there is enough, or enough is out of reach.
     pub(crate) async fn run(mut self, whom: For) -> Gathered {
-        match whom {
-            For::Caller if !self.is_within_reach() => return self.gathered,
-            For::Caller => {
-                if let Some(peer) = self.delegate().cloned() {
-                    // That one knows more of the replicas, and plans for this one too.
-                    self.hand_over(&peer);
-                } else if self.admit() {
-                    self.ask_all(false);
-                } else {
-                    return self.gathered;
-                }
-            }
-            For::Peer { is_repeat, may_miss, may_leave_out, is_whole } => {
-                self.least = if is_whole { self.shards.len().saturating_sub(may_miss) } else { 0 };
-                if !self.admit_for_peer(may_miss, may_leave_out) {
-                    return self.gathered;
-                }
-                if is_whole {
-                    self.ask_all(is_repeat);
-                } else {
-                    self.send_all_for_peer(is_repeat);
-                }
-            }
+        if !self.begin(whom) {
+            return self.gathered;
         }
         let is_given_up = loop {
             let now_ms = self.router.shared.now_ms();
@@ -218,6 +197,40 @@
         self.gathered
     }
 
+    /// Sends or asks for all shards; false if none of them is.
+    fn begin(&mut self, whom: For) -> bool {
+        match whom {
+            For::Caller => self.begin_for_caller(),
+            For::Peer { is_repeat, may_miss, may_leave_out, is_whole } => {
+                // The asking instance takes any number of some shards.
+                self.least = if is_whole { self.shards.len().saturating_sub(may_miss) } else { 0 };
+                let is_begun = self.admit_for_peer(may_miss, may_leave_out);
+                match (is_begun, is_whole) {
+                    (false, _) => {}
+                    (true, true) => self.ask_all(is_repeat),
+                    (true, false) => self.send_all_for_peer(is_repeat),
+                }
+                is_begun
+            }
+        }
+    }
+
+    fn begin_for_caller(&mut self) -> bool {
+        if !self.is_within_reach() {
+            return false;
+        }
+        if let Some(peer) = self.delegate().cloned() {
+            // That one knows more of the replicas, and plans for this one too.
+            self.hand_over(&peer);
+            return true;
+        }
+        let is_begun = self.admit();
+        if is_begun {
+            self.ask_all(false);
+        }
+        is_begun
+    }
+
     /// Services of the shards in a certain state.
     fn services(&self, is_wanted: impl Fn(ShardState) -> bool) -> Vec<Arc<str>> {
         let wanted = self.shards.iter().filter(|s| is_wanted(s.state));
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -260,3 +260,9 @@
         .unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
+
+/// Runs a test over real connections on one thread.
+pub fn in_real_time(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/router/tests/delegates.rs
+++ b/crates/router/tests/delegates.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use common::{Conduct, World, route, view};
+use common::{Conduct, World, in_real_time, route, view};
 use eelgrasspier_decide::prelude::{RefusalReason, Verdict};
 use eelgrasspier_decide::route::Route;
 use eelgrasspier_peer::wire::Body;
@@ -83,11 +83,6 @@
     world
 }
 
-fn in_real_time(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// Symptom: of 300 instances served 0.90 of what 100 did, and the kind with 50 ms 0.61 of it.
 /// Sequence: each small instance split each request between the gatherers of all zones, ten
 /// questions and answers of a millisecond each at an eighth of a core.
--- a/crates/router/tests/lost_relays.rs
+++ b/crates/router/tests/lost_relays.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use common::{World, route, view};
+use common::{World, in_real_time, route, view};
 use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_peer::wire::Body;
 use eelgrasspier_peer::{AnswerFuture, PeerService, serve};
@@ -78,11 +78,6 @@
     world
 }
 
-fn in_real_time(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
-}
-
 /// Symptom: with many instances killed at once, answers lacked a third of their shards.
 /// Sequence: one of a zone's two gathering instances froze or ended; those that had asked it
 /// had no budget to send its shards themselves.
