Withdraw questions that are not needed, and take off the time that they were held up

Cause: (1) what an answer outran was let go, questions to other instances like sends to replicas; (2) a question says how much time is left, and nothing told how long it had been on its way. Both are older; handing over whole requests made more of them.

Change: questions are withdrawn when their gathering ends, so that one that wakes finds the question and its withdrawal together. A question says when it was sent by the sender's clock; the reader takes off what it was held up beyond the shortest way of its connection, and sends nothing where the time is over (E765). The first question of a connection has nothing to compare with.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod snapshot;
 pub mod standing;
 pub mod text;
+pub mod transit;
 pub mod verdict;
 pub mod watchers;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -4,8 +4,10 @@
 use std::collections::HashMap;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
+use eelgrasspier_decide::transit::Transit;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
@@ -81,12 +83,16 @@
         }
     });
     let in_progress = Rc::new(InProgress::default());
+    let opened = Instant::now();
+    let mut transit = Transit::default();
     while let Some(Ok(bytes)) = frames.next().await {
         let Ok(frame) = Frame::decode(bytes) else { break };
         service.observe(frame.stamp);
         match frame.body {
             Some(Body::Cancel(id)) => in_progress.cancel(id),
-            Some(question) => {
+            Some(mut question) => {
+                let now_ms = u64::try_from(opened.elapsed().as_millis()).unwrap_or(u64::MAX);
+                take_off_delay(&mut question, &mut transit, now_ms);
                 start(frame.id, question, &service, &in_progress, answers.clone());
             }
             None => {}
@@ -97,6 +103,16 @@
     writer.abort();
 }
 
+/// Takes the time that a question was held up on its way off the time that it leaves.
+fn take_off_delay(question: &mut Body, transit: &mut Transit, now_ms: u64) {
+    let Body::Gather(gather) = question else { return };
+    if gather.sent_ms > 0 {
+        let late_ms = transit.late_ms(gather.sent_ms, now_ms);
+        gather.time_left_ms = gather.time_left_ms.saturating_sub(late_ms);
+        gather.answer_within_ms = gather.answer_within_ms.saturating_sub(late_ms);
+    }
+}
+
 fn start(
     id: u64,
     question: Body,
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -176,6 +176,9 @@
     /// Whether these are all shards of the request, to be asked for wherever that is best.
     #[prost(bool, tag = "18")]
     pub is_whole: bool,
+    /// When it was sent, in milliseconds of the sender's clock; 0 where it does not say.
+    #[prost(uint64, tag = "19")]
+    pub sent_ms: u64,
 }
 
 /// What an instance knows of a replica that is busy or slow.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -66,6 +66,7 @@
     event(762, "sent_again"),
     event(763, "relay_replaced"),
     event(764, "overloaded"),
+    event(765, "question_too_late"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -77,23 +77,30 @@
     },
 }
 
-/// Sends in progress; dropped, they are cancelled, unless they were let go.
+/// What is in progress; dropped, it is cancelled, but for sends that were let go.
 #[derive(Default)]
-struct Flights(Vec<JoinHandle<()>>);
+struct Flights {
+    /// Requests to replicas.
+    sends: Vec<JoinHandle<()>>,
+    /// Questions to other instances.
+    questions: Vec<JoinHandle<()>>,
+}
 
 impl Flights {
     /// Lets the sends end by themselves.
     ///
     /// A replica that was outrun answers a little later: its connection is kept and its
-    /// latency learnt. To cut it would cost a new connection, which holds a slot.
-    fn let_go(&mut self) {
-        self.0.clear();
+    /// latency learnt. To cut it would cost a new connection, which holds a slot. An instance
+    /// that was outrun is told to stop: one that was frozen began to gather for callers who had
+    /// long been answered when it woke.
+    fn let_go_sends(&mut self) {
+        self.sends.clear();
     }
 }
 
 impl Drop for Flights {
     fn drop(&mut self) {
-        for flight in &self.0 {
+        for flight in self.sends.iter().chain(&self.questions) {
             flight.abort();
         }
     }
@@ -188,7 +195,7 @@
         // What is still on its way may run; to say that it did not would be a lie.
         self.gathered.may_have_run |= self.offers.iter().any(Offered::is_marked);
         if !is_given_up {
-            self.flights.let_go();
+            self.flights.let_go_sends();
         }
         self.gathered.missing = self.services(|state| state != ShardState::Covered);
         self.gathered.failed = self.services(|state| state == ShardState::Failed);
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -204,7 +204,7 @@
         let land = self.land.clone();
         let (peer, zone) = (Arc::clone(&peer.name), Arc::clone(&peer.zone));
         self.gathered.relays += 1;
-        self.flights.0.push(actix_rt::spawn(async move {
+        self.flights.questions.push(actix_rt::spawn(async move {
             let result = asking.await;
             if has_not_run(&result) {
                 offered.clear();
@@ -271,6 +271,8 @@
             may_miss: number(self.may_miss()),
             misses_of_others: number(self.may_miss().saturating_sub(may_leave_out)),
             is_whole,
+            // Zero stands for "does not say".
+            sent_ms: now_ms.max(1),
         })
     }
 }
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -26,7 +26,7 @@
             }
             let router = Rc::clone(self.router);
             let land = self.land.clone();
-            self.flights.0.push(actix_rt::spawn(async move {
+            self.flights.questions.push(actix_rt::spawn(async move {
                 let is_alive = router.is_alive(&peer, ALIVE_TIMEOUT).await;
                 // Nobody listens once the answer has gone out.
                 let _is_late = land.send(Landed::Checked { peer, shards, is_alive }).is_err();
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -100,7 +100,7 @@
         let land = self.land.clone();
         let state = Rc::clone(&self.route_state);
         let sending = Rc::clone(self.router).send(attempt, state, self.pace.usual_ms);
-        self.flights.0.push(actix_rt::spawn(async move {
+        self.flights.sends.push(actix_rt::spawn(async move {
             let result = sending.await;
             if result.as_ref().is_err_and(|failure| failure.verdict() == Verdict::NotRun) {
                 offered.clear();
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -121,6 +121,11 @@
 
     /// Gathers shards for another instance and merges them.
     pub async fn gather_for_peer(self: &Rc<Self>, question: wire::Gather) -> wire::Gathered {
+        if question.time_left_ms == 0 {
+            // It was held up on its way until the caller's time was over.
+            log::info!("event=question_too_late route={}", question.route);
+            return wire::Gathered::default();
+        }
         let now_ms = self.shared.now_ms();
         let times = Times {
             target_at_ms: now_ms + question.answer_within_ms,
--- a/crates/router/tests/delegates.rs
+++ b/crates/router/tests/delegates.rs
@@ -193,3 +193,58 @@
         assert!(arrivals.iter().all(|a| a.replica.starts_with("s3/")), "{arrivals:?}");
     });
 }
+
+/// An instance that takes questions, says nothing, and counts those that are withdrawn.
+struct Frozen(Rc<Cell<u32>>);
+
+/// Counts when it is dropped.
+struct Withdrawn(Rc<Cell<u32>>);
+
+impl Drop for Withdrawn {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
+impl PeerService for Frozen {
+    fn answer(&self, question: Body) -> AnswerFuture<'_> {
+        let guard = matches!(question, Body::Gather(_)).then(|| Withdrawn(Rc::clone(&self.0)));
+        Box::pin(async move {
+            let _guard = guard;
+            std::future::pending().await
+        })
+    }
+
+    fn stamp(&self) -> u64 {
+        0
+    }
+
+    fn observe(&self, _stamp: u64) {}
+}
+
+/// Symptom: replicas worked for callers who had been answered a second and a half before.
+/// Sequence: the instance that a request was handed to was frozen; others were asked in its place
+/// and the caller answered; when it woke it gathered all the same.
+/// Cause: what was outrun by an answer was let go, questions like sends.
+#[test]
+fn a_question_that_is_not_needed_any_more_is_withdrawn() {
+    in_real_time(async {
+        let sound = large("sound", "z1").await;
+        let withdrawn = Rc::new(Cell::new(0));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        tokio::task::spawn_local(serve(listener, Rc::new(Frozen(Rc::clone(&withdrawn)))));
+        let frozen = Peer { name: "frozen".into(), addr, ..sound.peer.clone() };
+        let world = small(vec![frozen, sound.peer.clone()]);
+        // It is drawn at random which of the two is asked first.
+        for _ in 0..100 {
+            if withdrawn.get() > 0 {
+                return;
+            }
+            let Outcome::Merged(merged) = world.serve("r", DEADLINE_MS).await else { panic!() };
+            assert_eq!((merged.signatures.len(), merged.missing), (SHARDS, 0));
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        panic!("no question was withdrawn");
+    });
+}
