Ask replicas that were not heard of yet, rather than miss their shards

Not load alone: it is a fault that load shows.

Cause, by the code: an instance serves as soon as its share of connections is agreed on; the first report of a replica in its slice comes a moment later, on a busy machine after others ask it for that replica's parts. It knew of no version there and named the shard as missed.

Change: a replica that was never heard of counts as one that may hold the version. The part is pinned to the version, and a replica that does not hold it says so and runs nothing.

--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -207,7 +207,7 @@
         })
     }
 
-    /// Replicas that hold the snapshot, take new work and are not down.
+    /// Replicas that may hold the snapshot, take new work and are not down.
     ///
     /// A shard whose replicas are all down is missed at once. To try one all the same
     /// would hold up every query until its cut-off; the probes find the replica back
@@ -218,7 +218,7 @@
         let replicas = self.context.service.shards.get(self.shard as usize);
         replicas.into_iter().flatten().filter(move |r| {
             let is_reached = r.limit(Lane::Query) > 0 && !r.is_down();
-            is_reached && self.context.traffic.is_open(r) && r.holds(held)
+            is_reached && self.context.traffic.is_open(r) && r.may_hold(held)
         })
     }
 
--- a/crates/eelgrasspier/src/replica.rs
+++ b/crates/eelgrasspier/src/replica.rs
@@ -154,6 +154,15 @@
         self.report.borrow().held.contains(&held)
     }
 
+    /// Whether it holds this version, or was never heard of: it says so itself if it does not.
+    ///
+    /// An instance serves as soon as its share of connections is agreed on, and on a busy machine
+    /// the first report of a replica comes a moment later. Other instances ask it for parts from
+    /// that replica already, and answers lacked these shards.
+    pub(crate) fn may_hold(&self, held: Held) -> bool {
+        self.heard_ms().is_none() || self.holds(held)
+    }
+
     /// The versions that it says it holds.
     pub(crate) fn held(&self) -> Vec<Held> {
         self.report.borrow().held.clone()
--- a/crates/standin/tests/slices.rs
+++ b/crates/standin/tests/slices.rs
@@ -9,6 +9,9 @@
 /// Sequence: seven instances, three connections a replica, so that no instance holds
 /// one to every shard; queries come to all of them.
 /// Cause: the other shards have to be asked through instances that do.
+///
+/// On a busy machine one answer in 120 lacked shards, in one run of 27 ("no replica holds the index
+/// version"): an instance was asked for parts from a replica whose first report it had not heard.
 #[actix_web::test]
 async fn queries_reach_the_shards_in_other_slices() {
     let mut plan = common::plan(7, 8);
