Let the test of withdrawn questions start with a fresh instance each time

Symptom: it failed once, in the checks beside a soak and a build: no question was withdrawn in a hundred requests. Cause, in the test: which of two instances a request is handed to is drawn at random only as long as nothing is known of either; where the sound one came first and answered sooner than expected, it had the lower cost for the rest of the run and the frozen one was never asked. The product code is unchanged.

--- a/crates/router/tests/delegates.rs
+++ b/crates/router/tests/delegates.rs
@@ -235,12 +235,13 @@
         let addr = listener.local_addr().unwrap();
         tokio::task::spawn_local(serve(listener, Rc::new(Frozen(Rc::clone(&withdrawn)))));
         let frozen = Peer { name: "frozen".into(), addr, ..sound.peer.clone() };
-        let world = small(vec![frozen, sound.peer.clone()]);
-        // It is drawn at random which of the two is asked first.
+        // It is drawn at random which of the two a fresh instance asks first; one that has asked
+        // the sound one goes on with it.
         for _ in 0..100 {
             if withdrawn.get() > 0 {
                 return;
             }
+            let world = small(vec![frozen.clone(), sound.peer.clone()]);
             let Outcome::Merged(merged) = world.serve("r", DEADLINE_MS).await else { panic!() };
             assert_eq!((merged.signatures.len(), merged.missing), (SHARDS, 0));
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
