Say which request was lost with which replica, and whether that has ended

What the lines could not tell apart: one request that comes again, or many; a replica that has ended, or a connection that was reset. E753 and E756 have the request's fingerprint (method, host, path, body: what a replica is given); failed sends are counted by kind; a replica that loses a request which nobody has answered is looked at once (E766: listens=yes, no, unknown), with the connection that replaces the lost one. A refused connection is a failure of its own kind now, still 'not run'.

--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -11,6 +11,8 @@
 pub enum PartFailure {
     /// the backend server could not be reached: {0}
     NotReached(String),
+    /// nothing listens at the backend server's address
+    NotListening,
     /// the backend server shed the request
     Shed(Box<Report>),
     /// the backend server does not hold the index version
@@ -37,6 +39,7 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::NotReached(_)
+            | Self::NotListening
             | Self::Shed(_)
             | Self::WrongVersion(_)
             | Self::Crowded
@@ -49,6 +52,24 @@
         }
     }
 
+    /// What kind of failure it is, as a label.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::NotReached(_) => "not_reached",
+            Self::NotListening => "not_listening",
+            Self::Shed(_) => "shed",
+            Self::WrongVersion(_) => "wrong_version",
+            Self::Lost(_) => "lost",
+            Self::TimedOut => "timed_out",
+            Self::Status(_) => "status",
+            Self::TooLarge(_) => "too_large",
+            Self::Crowded => "crowded",
+            Self::Misdirected => "misdirected",
+            Self::Unusable(_) => "unusable",
+        }
+    }
+
     /// Whether another replica may do better.
     #[must_use]
     pub fn is_retryable(&self) -> bool {
--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -8,6 +8,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -200,6 +201,28 @@
         Ok(())
     }
 
+    /// Finds out whether a server still takes connections, by opening one more.
+    ///
+    /// It is kept for the next request, in place of the lost one that gave rise to the question.
+    ///
+    /// # Errors
+    /// Fails with [`PartFailure::NotListening`] where its process has ended.
+    pub async fn reach(
+        &self,
+        server: &Arc<str>,
+        addr: SocketAddr,
+        most_connections: u32,
+    ) -> Result<(), PartFailure> {
+        let lane = self.lane(server);
+        match lane.connect(addr, most_connections).await {
+            Ok(connection) => lane.idle.borrow_mut().push(connection),
+            // All that may be open are, or are being opened: one that is closed again at once.
+            Err(PartFailure::Crowded) => drop(connect(addr).await?),
+            Err(failure) => return Err(failure),
+        }
+        Ok(())
+    }
+
     /// Whether a connection is idle, or another may be opened.
     #[must_use]
     pub fn has_room(&self, server: &str, most_connections: u32) -> bool {
@@ -246,20 +269,14 @@
             return Err(PartFailure::Crowded);
         }
         let slot = Slot::take(&self.open);
-        let unreached = |detail: String| PartFailure::NotReached(detail);
-        let connecting = TcpStream::connect(addr);
-        let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let stream = match connected {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(unreached(error.to_string())),
-            Err(_) => return Err(not_connected()),
-        };
+        let stream = connect(addr).await?;
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("no-delay not set on a connection to {addr}: {error}");
         }
         metrics::counter!("eelgrasspier_backend_connections_total").increment(1);
         let shaken = handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|e| unreached(e.to_string()))?;
+        let unreached = |e: hyper::Error| PartFailure::NotReached(e.to_string());
+        let (sender, connection) = shaken.map_err(unreached)?;
         let driver = actix_rt::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {addr} ended: {error}");
@@ -275,6 +292,17 @@
     }
 }
 
+async fn connect(addr: SocketAddr) -> Result<TcpStream, PartFailure> {
+    let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(|error| {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => PartFailure::NotListening,
+            io::ErrorKind::TimedOut => not_connected(),
+            _ => PartFailure::NotReached(error.to_string()),
+        }
+    })
+}
+
 fn not_connected() -> PartFailure {
     PartFailure::NotReached("connect timed out".to_owned())
 }
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -61,6 +61,11 @@
     /// Opens a connection to a replica before it is needed.
     fn warm(&self, replica: Arc<ReplicaEntry>, most_connections: u32) -> BackendFuture<()>;
 
+    /// Finds out whether a replica still takes connections.
+    ///
+    /// Fails with [`PartFailure::NotListening`] where its process has ended.
+    fn reach(&self, replica: Arc<ReplicaEntry>, most_connections: u32) -> BackendFuture<()>;
+
     /// Forgets replicas that are gone.
     fn retain(&self, ids: &HashSet<Arc<str>>);
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -67,6 +67,7 @@
     event(763, "relay_replaced"),
     event(764, "overloaded"),
     event(765, "question_too_late"),
+    event(766, "loss_checked"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/gather/ends.rs
+++ b/crates/router/src/gather/ends.rs
@@ -40,7 +40,7 @@
 
     /// A replica's own failure: it ran the request.
     fn take_failure(&mut self, index: usize, replica: &str, reply: Reply) {
-        self.note_failure(replica, index, reply.status.as_str());
+        self.note_failure(replica, index, "status", reply.status.as_str());
         self.gathered.may_have_run = true;
         let is_final = reply.status.is_client_error() || !self.route.is_idempotent;
         self.gathered.failure = Some(reply);
@@ -56,14 +56,17 @@
         if *failure == PartFailure::Crowded {
             return self.wait_for_room(index, replica);
         }
-        self.note_failure(replica, index, &failure.to_string());
+        self.note_failure(replica, index, failure.kind(), &failure.to_string());
         let may_have_run = failure.verdict() == Verdict::MayHaveRun;
         self.gathered.may_have_run |= may_have_run;
         if !may_have_run {
             self.shards[index].not_run += 1;
         }
         // A misdirected one reached another service.
-        let is_arrival = !matches!(failure, PartFailure::NotReached(_) | PartFailure::Misdirected);
+        let is_arrival = !matches!(
+            failure,
+            PartFailure::NotReached(_) | PartFailure::NotListening | PartFailure::Misdirected
+        );
         if may_have_run && !self.route.is_idempotent {
             self.fail(index);
         } else {
@@ -151,12 +154,14 @@
         }
     }
 
-    fn note_failure(&self, replica: &str, shard: usize, cause: &str) {
+    fn note_failure(&self, replica: &str, shard: usize, kind: &'static str, cause: &str) {
         let id = self.request.id_text();
         let service = &self.shards[shard].service;
-        metrics::counter!("eelgrasspier_failed_sends_total").increment(1);
+        let fingerprint = self.request.fingerprint();
+        metrics::counter!("eelgrasspier_failed_sends_total", "kind" => kind).increment(1);
         log::info!(
-            "event=send_failed id={id} service={service} replica={replica} cause=\"{cause}\""
+            "event=send_failed id={id} fingerprint={fingerprint} service={service} \
+             replica={replica} cause=\"{cause}\""
         );
     }
 }
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -116,6 +116,9 @@
         self.router.note_busy(self.view, services, &busy);
         self.take_left_out(shards, &left_out);
         self.gathered.may_have_run |= may_have_run || !parts.is_empty();
+        if !parts.is_empty() {
+            self.request.learnt.is_answered.set(true);
+        }
         let position = |part: wire::Signed| {
             let shard = shards.get(usize::try_from(part.shard).ok()?)?;
             Some((*shard, part.signature))
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 pub mod events;
 mod gather;
+mod losses;
 mod model;
 mod outcome;
 mod output;
@@ -25,7 +26,7 @@
 
 pub use backend::{Attempt, Backend, BackendFuture, Reply};
 pub use daemon::{Adapters, RunError, run};
-pub use model::{Merged, Outcome, Request};
+pub use model::{Learnt, Merged, Outcome, Request};
 pub use output::{finish_log, log_to_stdout};
 pub use reload::SettingsFile;
 pub use router::Router;
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -1,6 +1,9 @@
 //! A caller's request and its outcome, in no particular protocol's terms.
 
+use std::cell::{Cell, OnceCell};
+
 use bytes::Bytes;
+use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::prelude::Refusal;
 use http::header::HeaderValue;
 use http::uri::PathAndQuery;
@@ -28,6 +31,16 @@
     pub arrived: Instant,
     /// Time that the caller waits, in milliseconds; `None` if it does not say.
     pub deadline_ms: Option<u64>,
+    /// What shows while it is served.
+    pub learnt: Learnt,
+}
+
+/// What shows of a request while it is served.
+#[derive(Debug, Default)]
+pub struct Learnt {
+    fingerprint: OnceCell<Fingerprint>,
+    /// Whether a replica has answered it, in whatever way: it does not end those that run it.
+    pub(crate) is_answered: Cell<bool>,
 }
 
 impl Request {
@@ -36,6 +49,18 @@
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
     }
+
+    /// By what it is known when its caller sends it again.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let parts: [&[u8]; 4] = [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.path.as_str().as_bytes(),
+            &self.body,
+        ];
+        *self.learnt.fingerprint.get_or_init(|| Fingerprint::of(&parts))
+    }
 }
 
 /// An answer that was merged from the parts of several shards.
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -74,7 +74,12 @@
             let wait = refusal.retry_after_ms.unwrap_or(0);
             let Refusal { verdict, reason, .. } = refusal;
             metrics::counter!("eelgrasspier_refused_total", "cause" => cause(reason)).increment(1);
-            ("refused", format!("verdict={verdict} reason=\"{reason}\" retry_after_ms={wait}"))
+            let fingerprint = request.fingerprint();
+            let detail = format!(
+                "fingerprint={fingerprint} verdict={verdict} reason=\"{reason}\" \
+                 retry_after_ms={wait}"
+            );
+            ("refused", detail)
         }
     };
     metrics::counter!("eelgrasspier_requests_total", "outcome" => name).increment(1);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::gather::{For, Gather, Gathered, Times};
-use crate::model::Request;
+use crate::model::{Learnt, Request};
 use crate::route_state::RouteState;
 use crate::router::{InProgress, PEER_SLOTS, Router, UNSOUND_PEER_COST, peer_key};
 use crate::view::{Peer, View};
@@ -206,6 +206,7 @@
         body: question.body,
         arrived: Instant::now(),
         deadline_ms: Some(question.time_left_ms),
+        learnt: Learnt::default(),
     })
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,6 +19,7 @@
 
 use crate::backend::{Attempt, Backend, Reply};
 use crate::gather::{For, Gather, Times};
+use crate::losses::Losses;
 use crate::model::{Outcome, Request};
 use crate::outcome::{hand_on, merge, note_outcome};
 use crate::route_state::{Pace, RouteState};
@@ -62,6 +63,7 @@
     pub(crate) slow_until_ms: RefCell<HashMap<u32, u64>>,
     allowances: RefCell<ByName<Allowance>>,
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
+    pub(crate) losses: RefCell<Losses>,
 }
 
 impl std::fmt::Debug for Router {
@@ -92,6 +94,7 @@
             slow_until_ms: RefCell::default(),
             allowances: RefCell::default(),
             routes: RefCell::default(),
+            losses: RefCell::default(),
         })
     }
 
@@ -256,6 +259,7 @@
         work_ms: f64,
     ) -> Result<Reply, PartFailure> {
         let replica = Arc::clone(&attempt.replica);
+        let request = Rc::clone(&attempt.request);
         let standing = self.standing(&replica.id);
         let started = Instant::now();
         let sent_ms = self.shared.now_ms();
@@ -271,6 +275,7 @@
         let mut standing = standing.borrow_mut();
         match &result {
             Ok(reply) => {
+                request.learnt.is_answered.set(true);
                 zone_bytes::count(Cause::Replica, is_far, reply.body.len());
                 // A replica counts the request that it is answering.
                 standing.reported(reply.load.unwrap_or(0).saturating_sub(1), now_ms);
@@ -293,7 +298,12 @@
                 log::info!("event=replica_replaced replica={} addr={}", replica.id, replica.addr);
                 standing.replaced();
             }
-            Err(_) => standing.failed(now_ms),
+            Err(failure) => {
+                standing.failed(now_ms);
+                if matches!(failure, PartFailure::Lost(_)) {
+                    self.note_lost(&request, &replica);
+                }
+            }
         }
         result
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -13,8 +13,8 @@
 use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_decide::directory::{ReplicaEntry, Report};
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
-use eelgrasspier_router::{Attempt, Backend, BackendFuture, Outcome, Reply, Request, Router};
-use eelgrasspier_router::{Shared, View};
+use eelgrasspier_router::{Attempt, Backend, BackendFuture, Learnt, Outcome, Reply, Request};
+use eelgrasspier_router::{Router, Shared, View};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use tokio::time::Instant;
 
@@ -52,6 +52,8 @@
     pub conduct: RefCell<HashMap<String, Conduct>>,
     /// Replicas all of whose connections are in use.
     pub full: RefCell<HashSet<String>>,
+    /// Replicas whose process has ended.
+    pub ended: RefCell<HashSet<String>>,
     pub arrivals: RefCell<Vec<Arrival>>,
     pub cancelled: Rc<RefCell<u32>>,
     started: RefCell<Option<Instant>>,
@@ -115,6 +117,15 @@
         Box::pin(std::future::ready(Ok(())))
     }
 
+    fn reach(&self, replica: Arc<ReplicaEntry>, _: u32) -> BackendFuture<()> {
+        let has_ended = self.0.ended.borrow().contains(&*replica.id);
+        let result = if has_ended { Err(PartFailure::NotListening) } else { Ok(()) };
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            result
+        })
+    }
+
     fn retain(&self, _: &HashSet<Arc<str>>) {}
 }
 
@@ -212,6 +223,7 @@
         body: Bytes::new(),
         arrived: Instant::now(),
         deadline_ms: Some(deadline_ms),
+        learnt: Learnt::default(),
     }
 }
 
