Refuse a request that ends the replicas which run it

Cause: whether a replica had ended under a request was never asked, and what had happened to one attempt was forgotten with it. Each attempt, at whatever instance, was sent to all shards, and each shard whose replica had ended to the other one at once. Ruled out: our own repeats alone (a request lasts 0.6 s, the waves are seconds apart); replicas that end by themselves (E766 names the same fingerprint at all of them).

Change: decide::quarantine. A request that nobody has answered and under which two replicas have ended is tried on one replica at a time; the first answer, of whatever kind, clears it, everywhere. If two trials end their replicas, with nothing else unanswered on them, it is refused for five minutes: 503, not run, with when to come back; one more trial after that, then ten minutes and so on. A lost connection is no end: only a replica that does not listen any more has ended. Found out by one, told by all: at once to a hundred others, by gossip to the rest, by a digest on each probe to those that were away, with the records that a starting instance asks for, with each question and answer between instances, and by the store, which alone remembers after a loss of all. Bounded: 256 requests, 16 marks each, five minutes.

--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -70,6 +70,7 @@
         R::KeyExpired => (StatusCode::CONFLICT, "key-expired"),
         R::AnswerLost => (StatusCode::BAD_GATEWAY, "answer-lost"),
         R::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no-replica"),
+        R::EndsReplicas => (StatusCode::SERVICE_UNAVAILABLE, "ends-replicas"),
         R::BackendRefused(_) => (StatusCode::BAD_GATEWAY, "backend-refused"),
         R::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
     }
--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::quarantine::Report;
 use crate::rendezvous;
 
 /// What an instance says about itself.
@@ -131,6 +132,12 @@
     /// Number of buckets that the sender splits its records into.
     #[prost(uint64, tag = "9")]
     pub buckets: u64,
+    /// What is known of requests that end replicas.
+    #[prost(message, repeated, tag = "10")]
+    pub reports: Vec<Report>,
+    /// Digest of all such requests that the sender does not treat as usual.
+    #[prost(fixed64, tag = "11")]
+    pub reports_digest: u64,
 }
 
 /// What a datagram is for.
@@ -184,4 +191,6 @@
     Refuted,
     /// A leaving backend server was learnt from a peer.
     ServerLeaving(LeavingServer),
+    /// More was learnt of a request that ends replicas.
+    Reported(Report),
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod prelude;
 pub mod problem;
 pub mod pulls;
+pub mod quarantine;
 pub mod relays;
 pub mod rendezvous;
 pub mod replica;
--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -11,14 +11,17 @@
 //! datagram carried is repaired without ever sending the whole table.
 
 mod probe;
+mod reports;
 mod spread;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use crate::fingerprint::Fingerprint;
 pub use crate::gossip::{
     Change, Datagram, LeavingServer, Listed, Liveness, Member, Purpose, Send, State,
 };
+use crate::quarantine::Quarantine;
 use crate::rendezvous;
 
 pub use probe::ROUND_MS;
@@ -64,6 +67,8 @@
 enum Update {
     Member(String),
     Leaving(LeavingServer),
+    /// What is known of a request that ends replicas.
+    Report(Fingerprint),
 }
 
 /// One instance's view of all instances.
@@ -89,6 +94,8 @@
     allowance_ms: u64,
     /// Moves whenever a record or the platform's list changes.
     epoch: u64,
+    /// What instances tell each other of requests that end replicas.
+    quarantine: Quarantine,
 }
 
 impl Membership {
@@ -112,6 +119,7 @@
             allowance_bytes: 0,
             allowance_ms: 0,
             epoch: 0,
+            quarantine: Quarantine::default(),
         };
         membership.announce_own();
         membership
@@ -205,9 +213,10 @@
         for &server in &datagram.leaving {
             self.changes.push(Change::ServerLeaving(server));
         }
+        self.learn_reports(&datagram.reports, now_ms);
         let sends = match datagram.purpose() {
             Purpose::Probe => self.answer(from, datagram),
-            Purpose::Answer => self.answered(datagram),
+            Purpose::Answer => self.answered(from, datagram),
             Purpose::ProbeFor => self.run_errand(now_ms, from, datagram),
             Purpose::Records => Vec::new(),
         };
--- a/crates/decide/src/membership/probe.rs
+++ b/crates/decide/src/membership/probe.rs
@@ -159,15 +159,16 @@
         let mut sends =
             vec![Send { to: from, datagram: self.datagram(Purpose::Answer, probe.probe) }];
         sends.extend(self.repair(from, probe));
+        sends.extend(self.repair_reports(from, probe));
         sends
     }
 
-    pub(super) fn answered(&mut self, answer: &Datagram) -> Vec<Send> {
+    pub(super) fn answered(&mut self, from: SocketAddr, answer: &Datagram) -> Vec<Send> {
         if self.probe.as_ref().is_some_and(|p| p.number == answer.probe) {
             self.probe = None;
         }
         let Some(at) = self.errands.iter().position(|e| e.own_number == answer.probe) else {
-            return Vec::new();
+            return self.repair_reports(from, answer);
         };
         let errand = self.errands.swap_remove(at);
         let datagram = self.datagram(Purpose::Answer, errand.their_number);
--- a/crates/decide/src/membership/spread.rs
+++ b/crates/decide/src/membership/spread.rs
@@ -11,7 +11,7 @@
 use crate::watchers;
 
 /// Updates on one datagram.
-const MAX_UPDATES: usize = 12;
+pub(super) const MAX_UPDATES: usize = 12;
 /// Records in one bucket, which are compared and repaired together.
 const RECORDS_PER_BUCKET: usize = 8;
 /// Time between datagrams that only bring news, while there is any; with datagrams
@@ -61,6 +61,24 @@
     ///
     /// Of the others those first that fetch for their zone: they tell it what they have heard.
     pub fn farewell(&mut self, most: usize, most_far: usize, random: u64) -> Vec<Send> {
+        let records = |to| Send {
+            to,
+            datagram: Datagram {
+                purpose: Purpose::Records as i32,
+                members: vec![self.own.clone()],
+                ..Datagram::default()
+            },
+        };
+        self.told_at_once(most, most_far, random).into_iter().map(records).collect()
+    }
+
+    /// Whom to tell at once, of up to `most` others, `most_far` of other zones at the most.
+    pub(super) fn told_at_once(
+        &self,
+        most: usize,
+        most_far: usize,
+        random: u64,
+    ) -> Vec<SocketAddr> {
         let alive: Vec<&Known> = self.others.values().filter(|k| !k.is_over()).collect();
         let mut highest: BTreeMap<&str, u64> = BTreeMap::new();
         for known in &alive {
@@ -78,15 +96,7 @@
         places.sort_unstable();
         let (far, near): (Vec<_>, Vec<_>) = places.into_iter().partition(|(is_far, ..)| *is_far);
         let told = near.into_iter().chain(far.into_iter().take(most_far)).take(most);
-        let records = |to| Send {
-            to,
-            datagram: Datagram {
-                purpose: Purpose::Records as i32,
-                members: vec![self.own.clone()],
-                ..Datagram::default()
-            },
-        };
-        told.map(|(.., to)| records(to)).collect()
+        told.map(|(.., to)| to).collect()
     }
 
     /// Whether an instance is in another zone.
@@ -178,7 +188,8 @@
     /// A datagram with the own record, the next updates and one bucket's digest.
     pub(super) fn datagram(&mut self, purpose: Purpose, probe: u64) -> Datagram {
         let mut members = vec![self.own.clone()];
-        let mut leaving = Vec::new();
+        let (mut leaving, mut reports) = (Vec::new(), Vec::new());
+        let now_ms = self.allowance_ms;
         for _ in 0..MAX_UPDATES.min(self.queue.len()) {
             let Some((update, left)) = self.queue.pop_front() else { break };
             match &update {
@@ -186,6 +197,7 @@
                     members.extend(self.others.get(name).map(|k| k.member.clone()));
                 }
                 Update::Leaving(server) => leaving.push(*server),
+                Update::Report(request) => reports.extend(self.quarantine.report(*request, now_ms)),
             }
             if left > 1 {
                 self.queue.push_back((update, left - 1));
@@ -201,6 +213,8 @@
             bucket: self.next_bucket,
             buckets,
             bucket_digest: self.bucket_digest(self.next_bucket, buckets),
+            reports,
+            reports_digest: self.quarantine.digest(now_ms),
             ..Datagram::default()
         }
     }
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -51,6 +51,8 @@
     AnswerLost,
     /// no backend server took the request
     NoReplica,
+    /// backend servers ended while they ran this request
+    EndsReplicas,
     /// the backend server refused: {0}
     BackendRefused(String),
     /// the instance is stopping
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -88,12 +88,15 @@
     Members(Members),
 }
 
-/// Records of instances.
+/// Records of instances, and what those that start need to know besides.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct Members {
     /// The records, one for each instance.
     #[prost(message, repeated, tag = "1")]
     pub members: Vec<eelgrasspier_decide::membership::Member>,
+    /// What the sender knows of requests that end replicas.
+    #[prost(message, repeated, tag = "2")]
+    pub reports: Vec<eelgrasspier_decide::quarantine::Report>,
 }
 
 /// Which changes are asked for.
@@ -179,6 +182,9 @@
     /// When it was sent, in milliseconds of the sender's clock; 0 where it does not say.
     #[prost(uint64, tag = "19")]
     pub sent_ms: u64,
+    /// What the sender knows of replicas that have ended under the request.
+    #[prost(message, optional, tag = "20")]
+    pub report: Option<eelgrasspier_decide::quarantine::Report>,
 }
 
 /// What an instance knows of a replica that is busy or slow.
@@ -230,6 +236,9 @@
     /// When to come back, in milliseconds, where nothing was begun; 0 where it was.
     #[prost(uint64, tag = "7")]
     pub refused_ms: u64,
+    /// What the sender knows of replicas that have ended under the request.
+    #[prost(message, optional, tag = "8")]
+    pub report: Option<eelgrasspier_decide::quarantine::Report>,
 }
 
 /// Nothing.
--- a/crates/router/src/control/join.rs
+++ b/crates/router/src/control/join.rs
@@ -9,9 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eelgrasspier_decide::membership::Member;
 use eelgrasspier_peer::PeerError;
-use eelgrasspier_peer::wire::{Body, Nothing};
+use eelgrasspier_peer::wire::{Body, Members, Nothing};
 
 use super::Control;
 use crate::zone_bytes::Cause;
@@ -33,10 +32,11 @@
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let Some(addr) = self.whom_to_ask() else { continue };
             match self.records_from(addr).await {
-                Ok(members) => {
+                Ok(Members { members, reports }) => {
                     let now_ms = self.shared.now_ms();
                     let (told, known) = (members.len(), self.membership.borrow().alive_count());
                     self.membership.borrow_mut().learn_table(&members, now_ms);
+                    self.membership.borrow_mut().learn_reports(&reports, now_ms);
                     let after = self.membership.borrow().alive_count();
                     log::info!(
                         "event=members_fetched from={addr} told={told} known={known} after={after}"
@@ -57,12 +57,12 @@
         listed.or_else(|| self.other_seeds().min_by_key(|_| rand::random::<u32>()))
     }
 
-    async fn records_from(&self, addr: SocketAddr) -> Result<Vec<Member>, PeerError> {
+    async fn records_from(&self, addr: SocketAddr) -> Result<Members, PeerError> {
         let answer = self.links.ask(addr, Body::MembersAsk(Nothing {}), ANSWER_TIME).await?;
         self.count_bytes(Cause::Members, addr, answer.encoded_len());
         match answer {
-            Body::Members(answer) => Ok(answer.members),
-            _ => Ok(Vec::new()),
+            Body::Members(answer) => Ok(answer),
+            _ => Ok(Members::default()),
         }
     }
 }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -16,11 +16,11 @@
 /// Instances that are told of news at once, those of the own zone first; gossip tells the
 /// rest. With 300 instances, 75 in a zone, 16 let a configuration be in force after 4.9 s,
 /// just within its bound; a datagram has some 150 bytes.
-const TOLD_AT_ONCE: usize = 100;
+pub(super) const TOLD_AT_ONCE: usize = 100;
 /// Of them, instances of other zones at the most: one that fetches for each zone, and some more
 /// in case that one of these is lost. With 68 of them in place of 16 the datagrams that tell of
 /// a change cost more bytes between zones than the change.
-const FAR_AT_ONCE: usize = 16;
+pub(super) const FAR_AT_ONCE: usize = 16;
 /// Time between two records of an instance that does not watch, in milliseconds.
 const TELL_EVERY_MS: u64 = 30_000;
 /// Greets seeds at one tick in this many while nobody else is known.
@@ -75,7 +75,7 @@
         zone_bytes::count(cause, self.far_addrs.borrow().contains(&addr), bytes);
     }
 
-    fn send(&self, sends: Vec<Send>) {
+    pub(super) fn send(&self, sends: Vec<Send>) {
         for send in sends {
             self.count_bytes(Cause::Gossip, send.to, send.datagram.encoded_len());
             // The sender's task lives as long as this thread.
@@ -87,9 +87,14 @@
     pub(super) fn refresh(self: &Rc<Self>) {
         let changes = self.membership.borrow_mut().take_changes();
         let has_changes = !changes.is_empty();
+        let mut reports = Vec::new();
         for change in changes {
             note(&change);
+            if let Change::Reported(report) = change {
+                reports.push(report);
+            }
         }
+        self.pass_on(reports);
         if has_changes {
             // With the next tick: while a fleet starts, each datagram brings changes, and to
             // draw conclusions from each of 200 records by itself holds up callers' requests.
@@ -189,7 +194,8 @@
         Change::Died(name) => log::info!("event=instance_dead instance={name}"),
         Change::Left(name) => log::info!("event=instance_left instance={name}"),
         Change::Refuted => log::info!("event=suspicion_refuted"),
-        // Replicas that leave are learnt from the store's entries.
-        Change::ServerLeaving(_) => {}
+        // Replicas that leave are learnt from the store's entries; what follows from a report
+        // the traffic thread writes down.
+        Change::ServerLeaving(_) | Change::Reported(_) => {}
     }
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -6,6 +6,8 @@
 mod instances;
 mod join;
 mod members;
+mod refused;
+mod reports;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -18,13 +20,15 @@
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::pulls::Pulls;
+use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_decide::roster::Roster;
 use eelgrasspier_decide::route::{Configuration, RouteTable};
-use eelgrasspier_peer::Links;
+use eelgrasspier_peer::{Links, wire};
 use eelgrasspier_store::{Collections, Decode, Kind};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::view::{Replicas, Shared, View};
+use refused::Refused;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -35,7 +39,9 @@
     /// Another instance wants changes of a kind above a revision.
     Changes { kind: Kind, revision: u64, done: oneshot::Sender<Changes> },
     /// Another instance wants the records of all instances.
-    Members { done: oneshot::Sender<Vec<Member>> },
+    Members { done: oneshot::Sender<wire::Members> },
+    /// Something was found out of requests that end replicas.
+    Tell(Vec<Report>),
     /// A planned stop begins.
     Stop,
 }
@@ -60,6 +66,8 @@
     links: Links,
     membership: RefCell<Membership>,
     outbox: mpsc::UnboundedSender<Send>,
+    /// To the traffic thread: what others know of requests that end replicas.
+    told: mpsc::UnboundedSender<Vec<Report>>,
     mirrors: RefCell<HashMap<Kind, Mirror>>,
     directory: RefCell<Directory>,
     /// Replicas of the directory that take new work, by service.
@@ -93,6 +101,8 @@
     pulls: RefCell<HashMap<Kind, Pulls>>,
     /// Wakes those whose duties may have changed.
     duties: Notify,
+    /// Refused requests, and what the store knows of them.
+    refused: Refused,
 }
 
 impl Control {
@@ -103,9 +113,9 @@
     pub(crate) async fn start(
         shared: Arc<Shared>,
         identity: Identity,
-        store: Rc<dyn Collections>,
-        decode: Arc<dyn Decode>,
+        (store, decode): (Rc<dyn Collections>, Arc<dyn Decode>),
         asks: mpsc::UnboundedReceiver<Ask>,
+        told: mpsc::UnboundedSender<Vec<Report>>,
     ) -> std::io::Result<()> {
         let (gossip, received) = eelgrasspier_peer::Gossip::bind(identity.peer_addr).await?;
         let (outbox, outgoing) = mpsc::unbounded_channel();
@@ -118,6 +128,7 @@
             store,
             decode,
             outbox,
+            told,
             mirrors: RefCell::default(),
             directory: RefCell::default(),
             replicas: RefCell::default(),
@@ -137,6 +148,7 @@
             listed_fleet: Cell::new(None),
             pulls: RefCell::default(),
             duties: Notify::new(),
+            refused: Refused::default(),
         });
         actix_rt::spawn(gossip.send_all(outgoing));
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
@@ -144,6 +156,8 @@
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
         actix_rt::spawn(Rc::clone(&control).follow_instances());
         actix_rt::spawn(Rc::clone(&control).join());
+        actix_rt::spawn(Rc::clone(&control).recall_refused());
+        actix_rt::spawn(Rc::clone(&control).keep_refused());
         actix_rt::spawn(Rc::clone(&control).tick());
         actix_rt::spawn(control.answer_asks(asks));
         Ok(())
@@ -159,8 +173,12 @@
                     let _gone = done.send(changes.unwrap_or_default()).is_err();
                 }
                 Ask::Members { done } => {
-                    let _gone = done.send(self.membership.borrow().table()).is_err();
+                    let membership = self.membership.borrow();
+                    let reports = membership.reports(self.shared.now_ms());
+                    let answer = wire::Members { members: membership.table(), reports };
+                    let _gone = done.send(answer).is_err();
                 }
+                Ask::Tell(reports) => self.tell_reports(&reports),
                 Ask::Stop => self.leave(),
             }
         }
@@ -206,7 +224,7 @@
             has_changed |= match kind {
                 Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
                 Kind::Configuration => self.take_configuration(effect, source),
-                Kind::Instances => false,
+                Kind::Instances | Kind::Refused => false,
             };
         }
         if has_changed {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -118,10 +118,12 @@
         capacity_milli: setup.capacity_milli,
         is_first_start: setup.is_first_start,
     };
+    let (tell, told) = mpsc::unbounded_channel();
     let (started, has_started) = oneshot::channel();
     arbiter.spawn_fn(move || {
         actix_rt::spawn(async move {
-            let result = Control::start(control_shared, identity, store(), decode, asks).await;
+            let started_with = (store(), decode);
+            let result = Control::start(control_shared, identity, started_with, asks, tell).await;
             // The other side waits for exactly this.
             let _gone = started.send(result).is_err();
         });
@@ -136,6 +138,8 @@
         setup.repeat_limits,
     );
     actix_rt::spawn(Rc::clone(&router).follow_views());
+    actix_rt::spawn(Rc::clone(&router).tell_findings(control.clone()));
+    actix_rt::spawn(Rc::clone(&router).hear_findings(told));
     let peers = Rc::new(Peers::new(Rc::clone(&router), control.clone()));
     actix_rt::spawn(eelgrasspier_peer::serve(peer, peers));
 
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -68,6 +68,15 @@
     event(764, "overloaded"),
     event(765, "question_too_late"),
     event(766, "loss_checked"),
+    event(767, "suspected"),
+    event(768, "tried_alone"),
+    event(769, "quarantined"),
+    event(770, "cleared"),
+    event(771, "refusal_kept"),
+    event(772, "refusal_not_kept"),
+    event(773, "refusals_recalled"),
+    event(774, "refusals_not_recalled"),
+    event(775, "refusal_unreadable"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/gather/ends.rs
+++ b/crates/router/src/gather/ends.rs
@@ -61,6 +61,7 @@
         self.gathered.may_have_run |= may_have_run;
         if !may_have_run {
             self.shards[index].not_run += 1;
+            self.trials.take_back(replica);
         }
         // A misdirected one reached another service.
         let is_arrival = !matches!(
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -1,6 +1,7 @@
 //! Gathers the answers of the shards of one request: first sends, second sends, the end.
 
 mod admit;
+mod caution;
 mod ends;
 mod relay;
 mod relay_ends;
@@ -23,6 +24,7 @@
 use crate::route_state::{Pace, RouteState};
 use crate::router::Router;
 use crate::view::{Peer, View};
+use caution::Trials;
 use relay::{Check, RelayEnd};
 use shard::{Shard, ShardState};
 
@@ -126,6 +128,8 @@
     checks: Vec<Check>,
     /// Whether shards that were not in time have been asked for once more.
     is_completed: bool,
+    /// Sends to one replica at a time, since others have ended under the request.
+    trials: Trials,
     gathered: Gathered,
 }
 
@@ -161,6 +165,7 @@
             land,
             checks: Vec::new(),
             is_completed: false,
+            trials: Trials::default(),
             gathered: Gathered::default(),
         }
     }
@@ -174,7 +179,9 @@
 
     /// Gathers until there is enough, or enough is out of reach.
     pub(crate) async fn run(mut self, whom: For) -> Gathered {
-        if !self.begin(whom) {
+        self.trials.are_made_here = !matches!(whom, For::Peer { is_whole: false, .. });
+        if self.is_refused() || !self.begin(whom) {
+            self.note_refusal();
             return self.gathered;
         }
         let is_given_up = loop {
@@ -201,6 +208,7 @@
         self.gathered.failed = self.services(|state| state == ShardState::Failed);
         self.gathered.left_out = self.services(|state| state == ShardState::LeftOut);
         self.gathered.drop_doubles();
+        self.note_refusal();
         self.gathered
     }
 
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -114,7 +114,9 @@
 
     /// Shards that are best asked for elsewhere, with the instance to ask.
     fn groups(&self) -> Vec<(Peer, Vec<usize>)> {
-        if self.shards.len() == 1 || self.view.peers.is_empty() {
+        // One that is tried on one replica at a time is sent from here only: each of those who
+        // are asked would try it on one.
+        if self.shards.len() == 1 || self.view.peers.is_empty() || self.is_suspect() {
             return Vec::new();
         }
         let peers = self.router.sound_peers(self.view);
@@ -273,6 +275,7 @@
             is_whole,
             // Zero stands for "does not say".
             sent_ms: now_ms.max(1),
+            report: self.router.report_on(request.fingerprint()),
         })
     }
 }
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -62,7 +62,7 @@
     ) -> Vec<usize> {
         let is_open = |i: &&usize| self.shards[**i].state == ShardState::Open;
         let open: Vec<usize> = shards.iter().filter(is_open).copied().collect();
-        if !self.view.is_sliced(zone) {
+        if !self.view.is_sliced(zone) || self.is_suspect() {
             return open;
         }
         let mut peers = self.router.sound_peers(self.view);
@@ -106,8 +106,16 @@
     }
 
     fn take_merged(&mut self, shards: &[usize], is_whole: bool, answer: wire::Gathered) {
-        let wire::Gathered { records, parts, may_have_run, slow, busy, left_out, refused_ms } =
-            answer;
+        let wire::Gathered {
+            records,
+            parts,
+            may_have_run,
+            slow,
+            busy,
+            left_out,
+            refused_ms,
+            report,
+        } = answer;
         if is_whole && refused_ms > 0 && !may_have_run {
             self.gathered.refused_ms = Some(refused_ms);
         }
@@ -117,8 +125,9 @@
         self.take_left_out(shards, &left_out);
         self.gathered.may_have_run |= may_have_run || !parts.is_empty();
         if !parts.is_empty() {
-            self.request.learnt.is_answered.set(true);
+            self.router.note_answered(self.request);
         }
+        self.router.take_reports(report.as_slice(), "answer");
         let position = |part: wire::Signed| {
             let shard = shards.get(usize::try_from(part.shard).ok()?)?;
             Some((*shard, part.signature))
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -8,6 +8,7 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::Verdict;
 
+use super::caution::Permission;
 use super::shard::{Shard, ShardState};
 use super::{Gather, Landed, ROOM_RETRY_MS};
 use crate::backend::Attempt;
@@ -78,6 +79,17 @@
             self.settle(index);
             return false;
         };
+        match self.judge_send(index, &replica, now_ms) {
+            Permission::Now => {}
+            Permission::Later => {
+                self.shards[index].hedge_at_ms = Some(now_ms + ROOM_RETRY_MS);
+                return true;
+            }
+            Permission::Never => {
+                self.settle(index);
+                return false;
+            }
+        }
         let hedge_ms = self.router.hedge_after_ms(self.view, &self.pace, &replica);
         let shard = &mut self.shards[index];
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
@@ -130,6 +142,8 @@
             }
             if self.is_crowded(index) {
                 self.send(index);
+            } else if self.is_held_back() {
+                self.hedge_later(index, now_ms);
             } else if self.has_slot_for_hedge(index) {
                 self.send_again(index, "hedge");
             } else {
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -88,6 +88,8 @@
     pub(crate) failure: Option<Reply>,
     /// When to come back, where it was refused before anything was sent.
     pub(crate) refused_ms: Option<u64>,
+    /// For how long it is refused since replicas end under it, in milliseconds.
+    pub(crate) ends_replicas_ms: Option<u64>,
     /// Whether a replica may have run any of it.
     pub(crate) may_have_run: bool,
     /// Whether the time was over.
@@ -114,6 +116,9 @@
         if let Some(retry_after_ms) = self.refused_ms.filter(|_| !self.may_have_run) {
             return Refusal::not_run(RefusalReason::Overloaded, Some(retry_after_ms));
         }
+        if let Some(retry_after_ms) = self.ends_replicas_ms.filter(|_| !self.may_have_run) {
+            return Refusal::not_run(RefusalReason::EndsReplicas, Some(retry_after_ms));
+        }
         let reason = match (self.is_timed_out, self.may_have_run) {
             (true, _) => RefusalReason::TooLate,
             (false, true) => RefusalReason::AnswerLost,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 mod route_state;
 mod router;
 mod setup;
+mod suspects;
 mod told;
 mod view;
 mod zone_bytes;
--- a/crates/router/src/losses.rs
+++ b/crates/router/src/losses.rs
@@ -10,7 +10,6 @@
 
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::directory::ReplicaEntry;
-use eelgrasspier_decide::fingerprint::Fingerprint;
 
 use crate::model::Request;
 use crate::router::Router;
@@ -24,8 +23,11 @@
 #[derive(Debug)]
 struct Loss {
     at_ms: u64,
-    /// Requests that were in progress and not answered by anybody.
-    fingerprints: Vec<Fingerprint>,
+    /// Requests that were in progress and not answered by anybody, until it is known whether
+    /// the replica has ended.
+    requests: Vec<Rc<Request>>,
+    /// Whether it has ended, once that is known.
+    has_ended: Option<bool>,
 }
 
 /// Replicas that have just lost requests.
@@ -34,21 +36,47 @@
     by_replica: HashMap<Arc<str>, Loss>,
 }
 
+/// What is known of the replica of one more loss.
+enum Known {
+    /// Nothing is yet, and it is the first.
+    First,
+    /// It is being found out.
+    Unclear,
+    Lives,
+    HasEnded,
+}
+
 impl Losses {
-    /// Notes one more; returns whether it is the first at its replica.
-    fn add(&mut self, replica: &Arc<str>, fingerprint: Fingerprint, now_ms: u64) -> bool {
-        self.by_replica.retain(|_, loss| now_ms < loss.at_ms + FINDING_LIFE_MS);
-        let is_first = !self.by_replica.contains_key(replica);
-        let fresh = || Loss { at_ms: now_ms, fingerprints: Vec::new() };
-        let loss = self.by_replica.entry(Arc::clone(replica)).or_insert_with(fresh);
-        if !loss.fingerprints.contains(&fingerprint) {
-            loss.fingerprints.push(fingerprint);
+    fn add(&mut self, replica: &Arc<str>, request: &Rc<Request>, now_ms: u64) -> Known {
+        self.by_replica.retain(|_, l| l.has_ended.is_none() || now_ms < l.at_ms + FINDING_LIFE_MS);
+        let Some(loss) = self.by_replica.get_mut(replica) else {
+            let requests = vec![Rc::clone(request)];
+            let loss = Loss { at_ms: now_ms, requests, has_ended: None };
+            self.by_replica.insert(Arc::clone(replica), loss);
+            return Known::First;
+        };
+        match loss.has_ended {
+            Some(true) => Known::HasEnded,
+            Some(false) => Known::Lives,
+            None => {
+                loss.requests.push(Rc::clone(request));
+                Known::Unclear
+            }
         }
-        is_first
     }
 
-    fn fingerprints(&self, replica: &str) -> &[Fingerprint] {
-        self.by_replica.get(replica).map_or(&[], |loss| &loss.fingerprints)
+    /// Notes what was found out; returns the requests that were lost.
+    fn resolve(&mut self, replica: &str, has_ended: bool, now_ms: u64) -> Vec<Rc<Request>> {
+        let Some(loss) = self.by_replica.get_mut(replica) else { return Vec::new() };
+        (loss.has_ended, loss.at_ms) = (Some(has_ended), now_ms);
+        std::mem::take(&mut loss.requests)
+    }
+
+    /// Replicas that have lost a request and of which it is not known yet whether they ended.
+    pub(crate) fn unclear(&self, request: &Request) -> usize {
+        let fingerprint = request.fingerprint();
+        let is_lost = |l: &&Loss| l.requests.iter().any(|r| r.fingerprint() == fingerprint);
+        self.by_replica.values().filter(is_lost).count()
     }
 }
 
@@ -57,15 +85,19 @@
     ///
     /// Only of a request that nobody has answered yet: one that was answered does not end
     /// replicas, and most losses are no end, so that few are looked into.
-    pub(crate) fn note_lost(self: &Rc<Self>, request: &Request, replica: &Arc<ReplicaEntry>) {
+    pub(crate) fn note_lost(self: &Rc<Self>, request: &Rc<Request>, replica: &Arc<ReplicaEntry>) {
         if request.learnt.is_answered.get() {
             return;
         }
-        let now_ms = self.shared.now_ms();
-        let is_first = self.losses.borrow_mut().add(&replica.id, request.fingerprint(), now_ms);
-        if is_first {
-            let (router, replica) = (Rc::clone(self), Arc::clone(replica));
-            actix_rt::spawn(async move { router.check_loss(&replica).await });
+        let known = self.losses.borrow_mut().add(&replica.id, request, self.shared.now_ms());
+        match known {
+            Known::First => {
+                let (router, replica) = (Rc::clone(self), Arc::clone(replica));
+                actix_rt::spawn(async move { router.check_loss(&replica).await });
+            }
+            // Something else was lost with it, and found to have been.
+            Known::HasEnded => self.note_ended(request, replica, false),
+            Known::Unclear | Known::Lives => {}
         }
     }
 
@@ -79,14 +111,23 @@
             Err(_) => "unknown",
         };
         metrics::counter!("eelgrasspier_losses_checked_total", "listens" => listens).increment(1);
-        let losses = self.losses.borrow();
-        let fingerprints: Vec<String> =
-            losses.fingerprints(&replica.id).iter().map(ToString::to_string).collect();
+        let has_ended = listens == "no";
+        let requests =
+            self.losses.borrow_mut().resolve(&replica.id, has_ended, self.shared.now_ms());
+        let (id, service) = (&replica.id, &replica.service);
+        let mut lost: Vec<&Rc<Request>> =
+            requests.iter().filter(|r| !r.learnt.is_answered.get()).collect();
+        lost.sort_by_key(|r| r.fingerprint());
+        lost.dedup_by_key(|r| r.fingerprint());
+        let fingerprints: Vec<String> = lost.iter().map(|r| r.fingerprint().to_string()).collect();
+        let fingerprints = fingerprints.join(",");
         log::info!(
-            "event=loss_checked replica={} service={} listens={listens} fingerprints=[{}]",
-            replica.id,
-            replica.service,
-            fingerprints.join(",")
+            "event=loss_checked replica={id} service={service} listens={listens} \
+             fingerprints=[{fingerprints}]"
         );
+        for request in lost.iter().filter(|_| has_ended) {
+            let is_tried = request.learnt.tried_alone.borrow().contains(id);
+            self.note_ended(request, replica, is_tried && lost.len() == 1);
+        }
     }
 }
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -1,6 +1,7 @@
 //! A caller's request and its outcome, in no particular protocol's terms.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use eelgrasspier_decide::fingerprint::Fingerprint;
@@ -41,6 +42,8 @@
     fingerprint: OnceCell<Fingerprint>,
     /// Whether a replica has answered it, in whatever way: it does not end those that run it.
     pub(crate) is_answered: Cell<bool>,
+    /// Replicas on which it was tried by itself, since others had ended under it.
+    pub(crate) tried_alone: RefCell<Vec<Arc<str>>>,
 }
 
 impl Request {
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -56,6 +56,7 @@
         RefusalReason::TooLate => "too_late",
         RefusalReason::AnswerLost => "answer_lost",
         RefusalReason::NoReplica => "no_replica",
+        RefusalReason::EndsReplicas => "ends_replicas",
         RefusalReason::NotReady => "not_ready",
         RefusalReason::UnknownRoute(_) => "unknown_route",
         _ => "other",
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use eelgrasspier_decide::mirror::Changes;
-use eelgrasspier_peer::wire::{Body, ChangesAbove, Members};
+use eelgrasspier_peer::wire::{Body, ChangesAbove};
 use eelgrasspier_peer::{AnswerFuture, PeerService, packed};
 use eelgrasspier_store::Kind;
 use tokio::sync::{mpsc, oneshot};
@@ -57,7 +57,7 @@
             return Body::Refused("control has ended".to_owned());
         }
         match members.await {
-            Ok(members) => Body::Members(Members { members }),
+            Ok(members) => Body::Members(members),
             Err(_) => Body::Refused("control has ended".to_owned()),
         }
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -143,6 +143,7 @@
             may_leave_out: usize::try_from(own_misses).unwrap_or(0),
             is_whole,
         };
+        self.take_reports(question.report.as_slice(), "question");
         let Some(request) = to_request(question) else {
             log::warn!("event=relay_unreadable");
             return wire::Gathered::default();
@@ -168,6 +169,7 @@
             left_out: left_out.filter_map(|i| u32::try_from(i).ok()).collect(),
             slow: self.slow_replicas(&view, &services),
             busy: self.busy_replicas(&view, &services),
+            report: self.report_on(request.fingerprint()),
             ..to_wire(gathered, top_k)
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -23,6 +23,7 @@
 use crate::model::{Outcome, Request};
 use crate::outcome::{hand_on, merge, note_outcome};
 use crate::route_state::{Pace, RouteState};
+use crate::suspects::Suspects;
 use crate::view::{Shared, View};
 use crate::zone_bytes::{self, Cause};
 
@@ -64,6 +65,7 @@
     allowances: RefCell<ByName<Allowance>>,
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
     pub(crate) losses: RefCell<Losses>,
+    pub(crate) suspects: Suspects,
 }
 
 impl std::fmt::Debug for Router {
@@ -95,6 +97,7 @@
             allowances: RefCell::default(),
             routes: RefCell::default(),
             losses: RefCell::default(),
+            suspects: Suspects::default(),
         })
     }
 
@@ -269,13 +272,14 @@
         zone_bytes::count(Cause::Replica, is_far, attempt.request.body.len());
         let result = self.backend.send(attempt).await;
         drop(in_progress);
+        self.end_trial(&request, &replica);
         let took = started.elapsed();
         metrics::histogram!("eelgrasspier_part_seconds").record(took.as_secs_f64());
         let now_ms = self.shared.now_ms();
         let mut standing = standing.borrow_mut();
         match &result {
             Ok(reply) => {
-                request.learnt.is_answered.set(true);
+                self.note_answered(&request);
                 zone_bytes::count(Cause::Replica, is_far, reply.body.len());
                 // A replica counts the request that it is answering.
                 standing.reported(reply.load.unwrap_or(0).saturating_sub(1), now_ms);
--- /dev/null
+++ b/crates/router/src/suspects.rs
@@ -0,0 +1,173 @@
+//! What the traffic thread knows of requests that end replicas, and what it tells of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::fingerprint::Fingerprint;
+use eelgrasspier_decide::quarantine::{Finding, Quarantine, Report, Treatment};
+use eelgrasspier_decide::relays;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use crate::control::Ask;
+use crate::model::Request;
+use crate::router::Router;
+
+/// Time after which others are told of a replica that has ended under a request: a bystander is
+/// answered by another replica before, and nothing is told of it.
+const TELL_AFTER: Duration = Duration::from_millis(25);
+
+/// Requests under which replicas have ended.
+#[derive(Debug, Default)]
+pub(crate) struct Suspects {
+    quarantine: RefCell<Quarantine>,
+    /// Those of which others have not been told the latest.
+    news: RefCell<BTreeSet<Fingerprint>>,
+    has_news: Notify,
+}
+
+impl Router {
+    /// How a request is treated.
+    pub(crate) fn treatment(&self, fingerprint: Fingerprint) -> Treatment {
+        self.suspects.quarantine.borrow().treatment(fingerprint, self.shared.now_ms())
+    }
+
+    /// What is known of a request, for another instance that works for it.
+    pub(crate) fn report_on(&self, fingerprint: Fingerprint) -> Option<Report> {
+        self.suspects.quarantine.borrow().report(fingerprint, self.shared.now_ms())
+    }
+
+    /// Notes that a replica has answered a request.
+    pub(crate) fn note_answered(&self, request: &Request) {
+        if request.learnt.is_answered.replace(true) {
+            return;
+        }
+        let mut quarantine = self.suspects.quarantine.borrow_mut();
+        if quarantine.is_empty() {
+            return;
+        }
+        let fingerprint = request.fingerprint();
+        let finding = quarantine.note_answered(fingerprint, self.shared.now_ms());
+        drop(quarantine);
+        self.note_finding(fingerprint, finding);
+    }
+
+    /// Notes that a replica has ended while it ran a request; `is_alone` if it was being tried
+    /// there by itself.
+    pub(crate) fn note_ended(&self, request: &Request, replica: &ReplicaEntry, is_alone: bool) {
+        let (fingerprint, now_ms) = (request.fingerprint(), self.shared.now_ms());
+        let end = relays::mark(&format!("{} {}", request.id_text(), replica.id));
+        let mut quarantine = self.suspects.quarantine.borrow_mut();
+        let finding = quarantine.note_ended(fingerprint, end, is_alone, now_ms);
+        drop(quarantine);
+        self.note_finding(fingerprint, finding);
+    }
+
+    /// Takes in what other instances know; `source` says how it came.
+    pub(crate) fn take_reports(&self, reports: &[Report], source: &str) {
+        for report in reports {
+            let fingerprint = Fingerprint(report.fingerprint);
+            let finding = self.suspects.quarantine.borrow_mut().merge(report, self.shared.now_ms());
+            self.write_finding(fingerprint, finding, source);
+        }
+    }
+
+    /// Whether a request may be tried on a replica by itself now; another of the same waits for
+    /// up to `most_ms`.
+    pub(crate) fn begin_trial(
+        &self,
+        request: &Request,
+        replica: &ReplicaEntry,
+        most_ms: u64,
+    ) -> bool {
+        let (fingerprint, now_ms) = (request.fingerprint(), self.shared.now_ms());
+        let mut quarantine = self.suspects.quarantine.borrow_mut();
+        if !quarantine.begin_trial(fingerprint, now_ms, most_ms) {
+            return false;
+        }
+        request.learnt.tried_alone.borrow_mut().push(Arc::clone(&replica.id));
+        let id = request.id_text();
+        metrics::counter!("eelgrasspier_trials_total").increment(1);
+        log::info!("event=tried_alone id={id} fingerprint={fingerprint} replica={}", replica.id);
+        true
+    }
+
+    /// Notes the end of a send that may have been such a trial.
+    pub(crate) fn end_trial(&self, request: &Request, replica: &ReplicaEntry) {
+        if request.learnt.tried_alone.borrow().contains(&replica.id) {
+            self.suspects.quarantine.borrow_mut().end_trial(request.fingerprint());
+        }
+    }
+
+    /// Writes down what was found out here, and has others told.
+    fn note_finding(&self, fingerprint: Fingerprint, finding: Finding) {
+        self.write_finding(fingerprint, finding, "own");
+        if finding != Finding::Unchanged {
+            self.suspects.news.borrow_mut().insert(fingerprint);
+            self.suspects.has_news.notify_one();
+        }
+    }
+
+    fn write_finding(&self, fingerprint: Fingerprint, finding: Finding, source: &str) {
+        let event = match finding {
+            Finding::Unchanged | Finding::Noted => return,
+            Finding::Suspected => "event=suspected",
+            Finding::Refused => "event=quarantined",
+            Finding::Cleared => "event=cleared",
+        };
+        let Some(report) = self.report_on(fingerprint) else { return };
+        let (ended, alone) = (report.ended.len(), report.ended_alone.len());
+        let Report { refused_ms, refusals, .. } = report;
+        let label = event.trim_start_matches("event=");
+        metrics::counter!("eelgrasspier_suspects_total", "finding" => label).increment(1);
+        metrics::gauge!("eelgrasspier_suspects").set(self.remembered());
+        log::info!(
+            "{event} fingerprint={fingerprint} ended={ended} ended_alone={alone} \
+             refused_ms={refused_ms} refusals={refusals} source={source}"
+        );
+    }
+
+    fn remembered(&self) -> f64 {
+        let count = self.suspects.quarantine.borrow().len();
+        f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
+    /// Tells the control thread what was found out, for as long as that runs.
+    pub(crate) async fn tell_findings(self: Rc<Self>, control: mpsc::UnboundedSender<Ask>) {
+        loop {
+            self.suspects.has_news.notified().await;
+            let until = Instant::now() + TELL_AFTER;
+            // A refusal is told at once: the caller's next attempt goes to another instance.
+            while !self.has_refusal_to_tell() {
+                let more = tokio::time::timeout_at(until, self.suspects.has_news.notified());
+                if more.await.is_err() {
+                    break;
+                }
+            }
+            let news = std::mem::take(&mut *self.suspects.news.borrow_mut());
+            let reports = news.into_iter().filter_map(|f| self.report_on(f)).collect();
+            if control.send(Ask::Tell(reports)).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn has_refusal_to_tell(&self) -> bool {
+        let is_refused = |f: &Fingerprint| matches!(self.treatment(*f), Treatment::Refused(_));
+        self.suspects.news.borrow().iter().any(is_refused)
+    }
+
+    /// Takes in what the control thread hears from other instances, for as long as that runs.
+    pub(crate) async fn hear_findings(
+        self: Rc<Self>,
+        mut told: mpsc::UnboundedReceiver<Vec<Report>>,
+    ) {
+        while let Some(reports) = told.recv().await {
+            self.take_reports(&reports, "gossip");
+        }
+    }
+}
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use eelgrasspier_router::{Attempt, Backend, BackendFuture, Learnt, Outcome, Reply, Request};
 use eelgrasspier_router::{Router, Shared, View};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// What a replica does with the requests that reach it.
@@ -54,6 +55,8 @@
     pub full: RefCell<HashSet<String>>,
     /// Replicas whose process has ended.
     pub ended: RefCell<HashSet<String>>,
+    /// Rings where something ends a replica.
+    ends: RefCell<HashMap<String, Rc<Notify>>>,
     pub arrivals: RefCell<Vec<Arrival>>,
     pub cancelled: Rc<RefCell<u32>>,
     started: RefCell<Option<Instant>>,
@@ -64,6 +67,21 @@
         self.conduct.borrow_mut().insert(replica.to_owned(), conduct);
     }
 
+    /// Ends a replica: what is in progress there is lost, and nothing listens any more.
+    pub fn end(&self, replica: &str) {
+        self.ended.borrow_mut().insert(replica.to_owned());
+        self.bell(replica).notify_waiters();
+    }
+
+    /// Starts all replicas again that have ended.
+    pub fn start_all(&self) {
+        self.ended.borrow_mut().clear();
+    }
+
+    fn bell(&self, replica: &str) -> Rc<Notify> {
+        Rc::clone(self.ends.borrow_mut().entry(replica.to_owned()).or_default())
+    }
+
     pub fn arrivals_at(&self, replica: &str) -> usize {
         self.arrivals.borrow().iter().filter(|a| a.replica == replica).count()
     }
@@ -93,6 +111,9 @@
         let script = &self.0;
         let started = *script.started.borrow_mut().get_or_insert_with(Instant::now);
         let replica = attempt.replica.id.to_string();
+        if script.ended.borrow().contains(&replica) {
+            return Box::pin(std::future::ready(Err(PartFailure::NotListening)));
+        }
         let conduct = script.conduct.borrow().get(&replica).copied();
         script.arrivals.borrow_mut().push(Arrival {
             replica: replica.clone(),
@@ -101,8 +122,24 @@
             time_left: attempt.time_left,
         });
         let mut guard = Cancelled(Rc::clone(&script.cancelled), false);
+        let script = Rc::clone(script);
         Box::pin(async move {
-            let result = act(conduct.unwrap_or(Conduct::Answers(5)), &replica, &attempt).await;
+            let bell = script.bell(&replica);
+            let ended = bell.notified();
+            let answering = act(conduct.unwrap_or(Conduct::Answers(5)), &replica, &attempt);
+            let ending = async {
+                if attempt.request.path.path().contains(ENDS) {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    script.end(&replica);
+                }
+                std::future::pending::<()>().await;
+            };
+            let result = tokio::select! {
+                biased;
+                () = ended => Err(PartFailure::Lost("reset".to_owned())),
+                () = ending => unreachable!("it is never ready"),
+                result = answering => result,
+            };
             guard.finish();
             result
         })
@@ -213,12 +250,20 @@
     }
 }
 
+/// Part of a path whose requests end each replica that runs them, after a millisecond.
+pub const ENDS: &str = "ends";
+
 pub fn request(id: &str, deadline_ms: u64) -> Request {
+    request_for("x", id, deadline_ms)
+}
+
+/// A request whose path ends with `what`.
+pub fn request_for(what: &str, id: &str, deadline_ms: u64) -> Request {
     Request {
         id: HeaderValue::from_str(id).unwrap(),
         method: Method::GET,
         host: "h".to_owned(),
-        path: "/q/x".parse().unwrap(),
+        path: format!("/q/{what}").parse().unwrap(),
         headers: HeaderMap::new(),
         body: Bytes::new(),
         arrived: Instant::now(),
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::mirror::Changes;
+use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_decide::route::Configuration;
 
 use crate::StoreFuture;
@@ -19,6 +21,8 @@
     Configuration,
     /// Instances of the system, written by themselves.
     Instances,
+    /// Requests that are refused since they end replicas.
+    Refused,
 }
 
 /// A call of the store brought nothing.
@@ -45,6 +49,17 @@
     pub instances: u64,
 }
 
+/// A request that is refused since it ends replicas, as it is kept.
+///
+/// Instances tell each other, but after a loss of all of them only the store still knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptRequest {
+    /// What is known of it, but for the time for which it is refused.
+    pub report: Report,
+    /// Until when it is refused, in milliseconds since the epoch.
+    pub refused_until_ms: u64,
+}
+
 /// The store's collections.
 pub trait Collections {
     /// All objects of a kind.
@@ -73,6 +88,12 @@
         announcement: &'a Announcement,
     ) -> StoreFuture<'a, Result<(), CollectionError>>;
 
+    /// Keeps a refused request.
+    fn keep<'a>(&'a self, kept: &'a KeptRequest) -> StoreFuture<'a, Result<(), CollectionError>>;
+
+    /// Removes a refused request that was kept.
+    fn forget(&self, request: Fingerprint) -> StoreFuture<'_, Result<(), CollectionError>>;
+
     /// Removes the entry of an instance that is gone for good.
     fn withdraw<'a>(&'a self, name: &'a str) -> StoreFuture<'a, Result<(), CollectionError>>;
 }
@@ -96,4 +117,10 @@
     /// # Errors
     /// Fails with a text that names the field.
     fn instance(&self, name: &str, content: &Bytes) -> Result<Announcement, String>;
+
+    /// A refused request that was kept.
+    ///
+    /// # Errors
+    /// Fails with a text that names the field.
+    fn kept_request(&self, name: &str, content: &Bytes) -> Result<KeptRequest, String>;
 }
