Decide which lost requests may have ended a server without network

The bookkeeping of lost connections moves from the router to decide::losses, so that the own daemon can use it and tests need no router: what waits for a finding, who was alone, whom an answer takes off. No decision changes, but that a request which is answered while its loss is looked into is taken off at once. Measured: the tests of decide and router.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gossip;
 pub mod hedge;
 pub mod leaving;
+pub mod losses;
 pub mod membership;
 pub mod merge;
 pub mod mirror;
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 
 use crate::fingerprint::Fingerprint;
+use crate::losses::Ended;
 use crate::rendezvous;
 
 /// Replicas that must have ended before a request is tried on one at a time.
@@ -177,23 +178,15 @@
     }
 
     /// Notes that a replica has ended while it ran a request that nobody had answered.
-    ///
-    /// `end` marks the send that ended it; `is_alone` if the request was being tried on that
-    /// replica by itself and nothing else that is unanswered was in progress there.
-    pub fn note_ended(
-        &mut self,
-        fingerprint: Fingerprint,
-        end: u32,
-        is_alone: bool,
-        now_ms: u64,
-    ) -> Finding {
-        self.update(fingerprint, now_ms, |record| {
+    pub fn note_ended(&mut self, ended: Ended, now_ms: u64) -> Finding {
+        let Ended { request, send, is_alone } = ended;
+        self.update(request, now_ms, |record| {
             if record.is_cleared() {
                 // An answer after all, and then an end: the evidence starts anew.
                 *record = Record::default();
             }
-            let is_new = add(&mut record.ended, end);
-            let is_new_alone = is_alone && add(&mut record.ended_alone, end);
+            let is_new = add(&mut record.ended, send);
+            let is_new_alone = is_alone && add(&mut record.ended_alone, send);
             record.seen_ms = now_ms;
             record.judge(is_new_alone, now_ms);
             is_new || is_new_alone
--- a/crates/router/src/gather/caution.rs
+++ b/crates/router/src/gather/caution.rs
@@ -140,6 +140,6 @@
 
     /// Replicas that have lost it and of which it is not known yet whether they have ended.
     fn unclear_losses(&self) -> usize {
-        self.router.losses.borrow().unclear(self.request)
+        self.router.losses.borrow().awaited(self.request.fingerprint())
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,6 +9,7 @@
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::losses::Losses;
 use eelgrasspier_decide::patience;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::rendezvous;
@@ -19,7 +20,6 @@
 
 use crate::backend::{Attempt, Backend, Reply};
 use crate::gather::{For, Gather, Times};
-use crate::losses::Losses;
 use crate::model::{Outcome, Request};
 use crate::outcome::{hand_on, merge, note_outcome};
 use crate::route_state::{Pace, RouteState};
--- a/crates/router/src/suspects.rs
+++ b/crates/router/src/suspects.rs
@@ -8,8 +8,8 @@
 
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fingerprint::Fingerprint;
+use eelgrasspier_decide::losses::Ended;
 use eelgrasspier_decide::quarantine::{Finding, Quarantine, Report, Treatment};
-use eelgrasspier_decide::relays;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
@@ -46,25 +46,18 @@
         if request.learnt.is_answered.replace(true) {
             return;
         }
-        let mut quarantine = self.suspects.quarantine.borrow_mut();
-        if quarantine.is_empty() {
-            return;
-        }
         let fingerprint = request.fingerprint();
-        let finding = quarantine.note_answered(fingerprint, self.shared.now_ms());
-        drop(quarantine);
+        self.losses.borrow_mut().answered(fingerprint);
+        let now_ms = self.shared.now_ms();
+        let finding = self.suspects.quarantine.borrow_mut().note_answered(fingerprint, now_ms);
         self.note_finding(fingerprint, finding);
     }
 
-    /// Notes that a replica has ended while it ran a request; `is_alone` if it was being tried
-    /// there by itself.
-    pub(crate) fn note_ended(&self, request: &Request, replica: &ReplicaEntry, is_alone: bool) {
-        let (fingerprint, now_ms) = (request.fingerprint(), self.shared.now_ms());
-        let end = relays::mark(&format!("{} {}", request.id_text(), replica.id));
-        let mut quarantine = self.suspects.quarantine.borrow_mut();
-        let finding = quarantine.note_ended(fingerprint, end, is_alone, now_ms);
-        drop(quarantine);
-        self.note_finding(fingerprint, finding);
+    /// Notes that a replica has ended while it ran a request.
+    pub(crate) fn note_ended(&self, ended: Ended) {
+        let now_ms = self.shared.now_ms();
+        let finding = self.suspects.quarantine.borrow_mut().note_ended(ended, now_ms);
+        self.note_finding(ended.request, finding);
     }
 
     /// Takes in what other instances know; `source` says how it came.
