--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -34,7 +34,7 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// Time for which a request that is tried one at a time is remembered, in milliseconds; as long
 /// as a refusal, which follows if it comes again.
-const SUSPECT_LIFE_MS: u64 = FIRST_REFUSAL_MS;
+pub const SUSPECT_LIFE_MS: u64 = FIRST_REFUSAL_MS;
 /// Time for which a single end is remembered, in milliseconds: callers try again within seconds.
 const SINGLE_LIFE_MS: u64 = 30_000;
 /// Time for which reports on a request that was cleared are passed over, in milliseconds: gossip
@@ -97,6 +97,14 @@
     Cleared,
 }
 
+impl Report {
+    /// Whether the request is not treated as usual.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        !self.is_cleared && (self.refused_ms > 0 || self.ended.len() >= SUSPECT_FROM)
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct Record {
     ended: Vec<u32>,
--- a/crates/router/src/control/fetch.rs
+++ b/crates/router/src/control/fetch.rs
@@ -86,6 +86,6 @@
     match kind {
         Kind::Replicas => member.replicas_revision,
         Kind::Configuration => member.configuration_revision,
-        Kind::Instances | Kind::Refused => 0,
+        Kind::Instances | Kind::Suspects => 0,
     }
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -5,8 +5,8 @@
 mod follow;
 mod instances;
 mod join;
+mod kept;
 mod members;
-mod refused;
 mod reports;
 
 use std::cell::{Cell, RefCell};
@@ -28,7 +28,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::view::{Replicas, Shared, View};
-use refused::Refused;
+use kept::Kept;
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
@@ -101,8 +101,8 @@
     pulls: RefCell<HashMap<Kind, Pulls>>,
     /// Wakes those whose duties may have changed.
     duties: Notify,
-    /// Refused requests, and what the store knows of them.
-    refused: Refused,
+    /// What the store keeps of requests that end replicas.
+    kept: Kept,
 }
 
 impl Control {
@@ -148,7 +148,7 @@
             listed_fleet: Cell::new(None),
             pulls: RefCell::default(),
             duties: Notify::new(),
-            refused: Refused::default(),
+            kept: Kept::default(),
         });
         actix_rt::spawn(gossip.send_all(outgoing));
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
@@ -156,8 +156,8 @@
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
         actix_rt::spawn(Rc::clone(&control).follow_instances());
         actix_rt::spawn(Rc::clone(&control).join());
-        actix_rt::spawn(Rc::clone(&control).recall_refused());
-        actix_rt::spawn(Rc::clone(&control).keep_refused());
+        actix_rt::spawn(Rc::clone(&control).recall_kept());
+        actix_rt::spawn(Rc::clone(&control).follow_due());
         actix_rt::spawn(Rc::clone(&control).tick());
         actix_rt::spawn(control.answer_asks(asks));
         Ok(())
@@ -224,7 +224,7 @@
             has_changed |= match kind {
                 Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
                 Kind::Configuration => self.take_configuration(effect, source),
-                Kind::Instances | Kind::Refused => false,
+                Kind::Instances | Kind::Suspects => false,
             };
         }
         if has_changed {
--- a/crates/router/src/control/reports.rs
+++ b/crates/router/src/control/reports.rs
@@ -12,7 +12,7 @@
         let sends =
             self.membership.borrow_mut().tell_reports(reports, now_ms, most, rand::random());
         self.send(sends);
-        self.note_refused(reports, true);
+        self.keep_reports(reports, true);
     }
 
     /// Passes what others have found out on to the traffic thread.
@@ -20,7 +20,7 @@
         if reports.is_empty() {
             return;
         }
-        self.note_refused(&reports, false);
+        self.keep_reports(&reports, false);
         // A traffic thread that has ended decides nothing any more.
         let _gone = self.told.send(reports).is_err();
     }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -72,11 +72,11 @@
     event(768, "tried_alone"),
     event(769, "quarantined"),
     event(770, "cleared"),
-    event(771, "refusal_kept"),
-    event(772, "refusal_not_kept"),
-    event(773, "refusals_recalled"),
-    event(774, "refusals_not_recalled"),
-    event(775, "refusal_unreadable"),
+    event(771, "request_kept"),
+    event(772, "request_not_kept"),
+    event(773, "requests_recalled"),
+    event(774, "requests_not_recalled"),
+    event(775, "request_unreadable"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/suspects.rs
+++ b/crates/router/src/suspects.rs
@@ -1,6 +1,6 @@
 //! What the traffic thread knows of requests that end replicas, and what it tells of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,8 +17,8 @@
 use crate::model::Request;
 use crate::router::Router;
 
-/// Time after which others are told of a replica that has ended under a request: a bystander is
-/// answered by another replica before, and nothing is told of it.
+/// Time after which others are told of a single replica that has ended under a request: mostly
+/// it is answered by another replica before, and nothing is told of it.
 const TELL_AFTER: Duration = Duration::from_millis(25);
 
 /// Requests under which replicas have ended.
@@ -28,6 +28,9 @@
     /// Those of which others have not been told the latest.
     news: RefCell<BTreeSet<Fingerprint>>,
     has_news: Notify,
+    /// Whether others are to be told at once: a caller whose request has failed comes to another
+    /// instance within milliseconds, and then it must be known there.
+    is_urgent: Cell<bool>,
 }
 
 impl Router {
@@ -99,6 +102,9 @@
     /// Writes down what was found out here, and has others told.
     fn note_finding(&self, fingerprint: Fingerprint, finding: Finding) {
         self.write_finding(fingerprint, finding, "own");
+        if matches!(finding, Finding::Suspected | Finding::Refused) {
+            self.suspects.is_urgent.set(true);
+        }
         if finding != Finding::Unchanged {
             self.suspects.news.borrow_mut().insert(fingerprint);
             self.suspects.has_news.notify_one();
@@ -134,13 +140,13 @@
         loop {
             self.suspects.has_news.notified().await;
             let until = Instant::now() + TELL_AFTER;
-            // A refusal is told at once: the caller's next attempt goes to another instance.
-            while !self.has_refusal_to_tell() {
+            while !self.suspects.is_urgent.get() {
                 let more = tokio::time::timeout_at(until, self.suspects.has_news.notified());
                 if more.await.is_err() {
                     break;
                 }
             }
+            self.suspects.is_urgent.set(false);
             let news = std::mem::take(&mut *self.suspects.news.borrow_mut());
             let reports = news.into_iter().filter_map(|f| self.report_on(f)).collect();
             if control.send(Ask::Tell(reports)).is_err() {
@@ -149,11 +155,6 @@
         }
     }
 
-    fn has_refusal_to_tell(&self) -> bool {
-        let is_refused = |f: &Fingerprint| matches!(self.treatment(*f), Treatment::Refused(_));
-        self.suspects.news.borrow().iter().any(is_refused)
-    }
-
     /// Takes in what the control thread hears from other instances, for as long as that runs.
     pub(crate) async fn hear_findings(
         self: Rc<Self>,
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -21,8 +21,8 @@
     Configuration,
     /// Instances of the system, written by themselves.
     Instances,
-    /// Requests that are refused since they end replicas.
-    Refused,
+    /// Requests under which replicas have ended.
+    Suspects,
 }
 
 /// A call of the store brought nothing.
@@ -49,15 +49,17 @@
     pub instances: u64,
 }
 
-/// A request that is refused since it ends replicas, as it is kept.
+/// A request under which replicas have ended, as it is kept.
 ///
 /// Instances tell each other, but after a loss of all of them only the store still knows.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeptRequest {
     /// What is known of it, but for the time for which it is refused.
     pub report: Report,
-    /// Until when it is refused, in milliseconds since the epoch.
+    /// Until when it is refused, in milliseconds since the epoch; 0 if it is only suspected.
     pub refused_until_ms: u64,
+    /// When it was written, in milliseconds since the epoch.
+    pub written_ms: u64,
 }
 
 /// The store's collections.
@@ -88,10 +90,10 @@
         announcement: &'a Announcement,
     ) -> StoreFuture<'a, Result<(), CollectionError>>;
 
-    /// Keeps a refused request.
+    /// Keeps such a request.
     fn keep<'a>(&'a self, kept: &'a KeptRequest) -> StoreFuture<'a, Result<(), CollectionError>>;
 
-    /// Removes a refused request that was kept.
+    /// Removes a request that was kept.
     fn forget(&self, request: Fingerprint) -> StoreFuture<'_, Result<(), CollectionError>>;
 
     /// Removes the entry of an instance that is gone for good.
@@ -118,7 +120,7 @@
     /// Fails with a text that names the field.
     fn instance(&self, name: &str, content: &Bytes) -> Result<Announcement, String>;
 
-    /// A refused request that was kept.
+    /// A request that was kept since replicas have ended under it.
     ///
     /// # Errors
     /// Fails with a text that names the field.
