Refuse such requests at the own interface too

Cause, as on the users' platform: nothing was remembered of a request whose servers had ended. Queries and runs have a fingerprint of service, kind and body; a query under which servers were lost holds back its retries and hedges, is tried on one server, by way of another instance where that holds the slice, and gets the rest with the first answer; a run goes to one server anyway. Told by the same gossip, events 405 to 407. Not kept by the platform for a loss of all instances: left open.

--- a/crates/backend/src/lanes.rs
+++ b/crates/backend/src/lanes.rs
@@ -292,6 +292,11 @@
     }
 }
 
+/// Whether a server's process has ended: nothing listens at its address any more.
+pub async fn has_ended(addr: SocketAddr) -> bool {
+    matches!(connect(addr).await, Err(PartFailure::NotListening))
+}
+
 async fn connect(addr: SocketAddr) -> Result<TcpStream, PartFailure> {
     let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(|error| {
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use exchange::{Exchanger, HttpExchanger, Kind, PartAnswer, PartFuture, PartRequest};
 pub use failure::PartFailure;
-pub use lanes::{Lanes, Offered, Send, WireAnswer};
+pub use lanes::{Lanes, Offered, Send, WireAnswer, has_ended};
 pub use report::Report;
 
 /// Headers of the servers' protocol.
--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -115,7 +115,8 @@
     fn note(&self, change: Change) {
         match change {
             // Seen in the next view; not worth an event.
-            Change::State(_) | Change::Reported(_) => {}
+            Change::State(_) => {}
+            Change::Reported(report) => self.shared.take_report(&report),
             Change::Joined(name) => self.record(event::MEMBER_JOINED, &name, ""),
             Change::Suspected(name) => self.record(event::MEMBER_SUSPECT, &name, ""),
             Change::Died(name) => self.record(event::MEMBER_DEAD, &name, ""),
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -16,6 +16,7 @@
 use eelgrasspier_decide::leaving::Leaving;
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::prelude::Services;
+use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_decide::share::Agreement;
 use eelgrasspier_peer::Links;
 use eelgrasspier_store::{Claims, HttpStore, ObjectStore};
@@ -26,7 +27,7 @@
 use crate::shared::{Ask, SharedRef};
 use crate::view::{Peer, View};
 
-/// Instances that are told of a stop at once; gossip tells the rest.
+/// Instances that are told of a stop or a finding at once; gossip tells the rest.
 const FAREWELLS: usize = 16;
 /// Time for which the last datagrams may travel.
 const FAREWELL_TIME: Duration = Duration::from_millis(200);
@@ -142,12 +143,23 @@
                         drop(done.send(control.all_events(&about, from_stamp).await));
                     });
                 }
+                Ask::Tell(report) => self.tell(report),
                 Ask::Stop => self.set_state(State::Leaving),
                 Ask::Left { done } => self.leave(done),
             }
         }
     }
 
+    /// Tells others what was found out of a request that ends backend servers.
+    fn tell(&self, report: Report) {
+        let most = (FAREWELLS, FAREWELLS);
+        let now_ms = self.shared.now_ms();
+        let mut membership = self.membership.borrow_mut();
+        for send in membership.tell_reports(&[report], now_ms, most, rand::random()) {
+            drop(self.outbox.send(send));
+        }
+    }
+
     fn set_state(&self, state: State) {
         if self.state.replace(state) != state {
             self.membership.borrow_mut().update_own(|m| m.state = state as i32);
--- a/crates/eelgrasspier/src/daemon.rs
+++ b/crates/eelgrasspier/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::event;
 use crate::settings::Settings;
 use crate::shared::{Ask, Shared, SharedRef};
+use crate::suspects::Suspects;
 use crate::timeline::Timeline;
 use crate::traffic::Traffic;
 use crate::view::View;
@@ -105,6 +106,7 @@
         control,
         warm_threads: std::sync::atomic::AtomicUsize::new(0),
         snapshots: std::sync::Mutex::default(),
+        suspects: Suspects::default(),
         gatherers: std::sync::Mutex::default(),
     })
 }
--- a/crates/eelgrasspier/src/event.rs
+++ b/crates/eelgrasspier/src/event.rs
@@ -59,6 +59,12 @@
 pub const SERVER_UP: Event = event(403, Level::Info, "backend server up");
 /// A service is answered from another snapshot than before.
 pub const SNAPSHOT: Event = event(404, Level::Info, "snapshot chosen");
+/// Servers have ended under a request: it is tried on one at a time.
+pub const REQUEST_SUSPECTED: Event = event(405, Level::Warn, "request suspected of ending servers");
+/// A request has ended each server that it was tried on: it is refused for a while.
+pub const REQUEST_REFUSED: Event = event(406, Level::Warn, "request that ends servers refused");
+/// A server has answered a request that was suspected or refused.
+pub const REQUEST_CLEARED: Event = event(407, Level::Info, "suspected request cleared");
 /// The idempotency key of a run was claimed.
 pub const RUN_CLAIMED: Event = event(501, Level::Debug, "run claimed");
 /// A run was sent to a backend server.
@@ -77,7 +83,7 @@
 pub const PLATFORM_UP: Event = event(602, Level::Info, "platform answers again");
 
 /// All kinds, by number.
-pub const CATALOGUE: [Event; 29] = [
+pub const CATALOGUE: [Event; 32] = [
     STARTED,
     READY,
     LEAVING,
@@ -99,6 +105,9 @@
     SERVER_DOWN,
     SERVER_UP,
     SNAPSHOT,
+    REQUEST_SUSPECTED,
+    REQUEST_REFUSED,
+    REQUEST_CLEARED,
     RUN_CLAIMED,
     RUN_SENT,
     RUN_DONE,
--- a/crates/eelgrasspier/src/gather.rs
+++ b/crates/eelgrasspier/src/gather.rs
@@ -41,6 +41,25 @@
         }
     }
 
+    /// Takes out the shards that were held back.
+    pub(crate) fn take_held(&mut self) -> Vec<ShardId> {
+        let held = self.missed.extract_if(.., |(_, miss)| *miss == Miss::Held);
+        held.map(|(shard, _)| shard).collect()
+    }
+
+    /// Notes shards as held back.
+    pub(crate) fn hold(&mut self, shards: impl IntoIterator<Item = ShardId>) {
+        self.missed.extend(shards.into_iter().map(|shard| (shard, Miss::Held)));
+    }
+
+    /// Adds what was gathered of other shards.
+    pub(crate) fn join(&mut self, other: Self) {
+        self.parts.extend(other.parts);
+        self.missed.extend(other.missed);
+        self.parts.sort_unstable_by_key(|(shard, _)| *shard);
+        self.missed.sort_unstable_by_key(|(shard, _)| *shard);
+    }
+
     fn add(&mut self, outcomes: Outcomes) {
         for (shard, outcome) in outcomes {
             match outcome {
--- a/crates/eelgrasspier/src/lib.rs
+++ b/crates/eelgrasspier/src/lib.rs
@@ -18,6 +18,8 @@
 mod settings;
 mod shared;
 mod slices;
+mod suspects;
+mod suspicion;
 pub mod timeline;
 mod traffic;
 mod view;
--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -18,6 +18,7 @@
 use crate::replica::{Lane, Replica};
 use crate::service::ServiceState;
 use crate::slices;
+use crate::suspicion::Suspicion;
 use crate::traffic::Traffic;
 
 /// Why a shard is missed.
@@ -31,6 +32,8 @@
     VersionGone,
     /// shed
     Shed,
+    /// held back since servers were lost
+    Held,
     /// {0}
     Failed(String),
 }
@@ -48,6 +51,8 @@
     pub(crate) reach: Reach,
     /// The longest exchange that brought a part, to tell the own time from theirs.
     pub(crate) slowest: Cell<Duration>,
+    /// Its part in the ends of servers.
+    pub(crate) suspicion: Suspicion,
 }
 
 /// One part on its way.
@@ -130,11 +135,17 @@
             self.context.traffic.landed(&self.context.service, &landed);
             match landed.result {
                 Ok(answer) => {
+                    self.context.suspicion.answered();
                     let slowest = &self.context.slowest;
                     slowest.set(slowest.get().max(landed.took));
                     return Ok(answer.body);
                 }
-                Err(failure) => self.failed(failure)?,
+                Err(failure) => {
+                    if matches!(failure, PartFailure::Lost(_)) {
+                        self.context.suspicion.lost(&landed.replica);
+                    }
+                    self.failed(failure)?;
+                }
             }
         }
     }
@@ -168,6 +179,9 @@
 
     fn hedge(&mut self) {
         let context = self.context;
+        if context.suspicion.is_held_back() {
+            return;
+        }
         let is_here = !self.candidates().is_empty();
         let peer = match context.reach {
             _ if is_here => None,
@@ -192,7 +206,8 @@
 
     /// Tries another replica where one may do better; else the part is missed.
     fn failed(&mut self, failure: PartFailure) -> Result<(), Miss> {
-        let may_retry = failure.is_retryable() && !self.candidates().is_empty();
+        let is_held = self.context.suspicion.is_held_back();
+        let may_retry = failure.is_retryable() && !is_held && !self.candidates().is_empty();
         if may_retry && self.context.service.retries.borrow_mut().spend() {
             self.launch(Cause::Retry);
         }
@@ -200,6 +215,7 @@
             return Ok(());
         }
         Err(match failure {
+            PartFailure::Lost(_) if is_held => Miss::Held,
             PartFailure::WrongVersion(_) => Miss::VersionGone,
             PartFailure::Shed(_) => Miss::Shed,
             PartFailure::TimedOut => Miss::Late,
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use eelgrasspier_caller::{Answer, Call, CallError, Missed, Part};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId};
+use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::snapshot::Snapshot;
 
 use crate::clock::epoch_ms;
@@ -15,6 +16,7 @@
 use crate::part::PartContext;
 use crate::service::ServiceState;
 use crate::slices;
+use crate::suspicion::Suspicion;
 use crate::traffic::Traffic;
 
 /// Least time that is kept for merging and for the way back to the caller.
@@ -26,6 +28,14 @@
 /// When to come back where no snapshot is known yet.
 const NO_SNAPSHOT_RETRY_MS: u64 = 500;
 
+/// Kind of these requests, as part of their fingerprints.
+pub(crate) const QUERY: &str = "query";
+/// Times that a query is tried on one server at the most: two ends prove enough, and one trial
+/// may bring nothing.
+const MOST_TRIALS: usize = 3;
+/// Time for which the trial of another query of the same is waited for.
+const TRIAL_PAUSE: Duration = Duration::from_millis(20);
+
 /// A checked query.
 #[derive(Debug)]
 pub(crate) struct Query {
@@ -40,6 +50,11 @@
     /// Answers the query, or refuses it at once.
     pub(crate) async fn answer(self, traffic: &Rc<Traffic>) -> Result<Answer, Refusal> {
         let call = &self.call;
+        let of = (&*self.service.name, QUERY);
+        let suspicion = Suspicion::new(&traffic.shared, of, &self.body, &self.request_id);
+        if let Treatment::Refused(left_ms) = suspicion.treatment() {
+            return Err(Refusal::not_run(RefusalReason::EndsReplicas, Some(left_ms)));
+        }
         let budget = Duration::from_millis(call.deadline_ms);
         let margin = LEAST_RETURN_MARGIN.max(budget / RETURN_MARGIN_ONE_IN);
         let cutoff = self.deadline.checked_sub(margin).unwrap_or(self.deadline);
@@ -55,13 +70,14 @@
             cutoff,
             reach: Reach::Everywhere,
             slowest: Cell::default(),
+            suspicion,
         };
         let started = Instant::now();
-        let mut gathered = gather(&context, &wanted).await;
+        let mut gathered = gather_with_caution(&context, &wanted).await;
         if let Some(newer) = self.second_try(&context, &gathered) {
             context.snapshot = newer;
             let wanted = self.wanted(newer)?;
-            gathered = gather(&context, &wanted).await;
+            gathered = gather_with_caution(&context, &wanted).await;
         }
         if gathered.missed.is_empty() {
             let added = started.elapsed().saturating_sub(context.slowest.get());
@@ -157,3 +173,49 @@
         }
     }
 }
+
+/// Gathers `wanted`, and what was held back since servers were lost, once more is known.
+///
+/// A query under which servers have ended goes to one server at a time until one answers; the
+/// rest follows. It is refused, or given up, where that one ends too.
+async fn gather_with_caution(context: &PartContext, wanted: &[ShardId]) -> Gathered {
+    let suspicion = &context.suspicion;
+    let mut gathered = Gathered::default();
+    if suspicion.treatment() == Treatment::Usual {
+        gathered = gather(context, wanted).await;
+    } else {
+        gathered.hold(wanted.iter().copied());
+    }
+    for _ in 0..=MOST_TRIALS {
+        let mut held = gathered.take_held();
+        if held.is_empty() || Instant::now() >= context.cutoff {
+            gathered.hold(held);
+            break;
+        }
+        if !suspicion.is_answered() {
+            suspicion.settle().await;
+        }
+        let treatment = suspicion.treatment();
+        if suspicion.is_answered() || treatment == Treatment::Usual {
+            gathered.join(gather(context, &held).await);
+            continue;
+        }
+        if matches!(treatment, Treatment::Refused(_)) {
+            gathered.hold(held);
+            break;
+        }
+        let Some(trial) = suspicion.begin_trial() else {
+            // Another query of the same is being tried: its end tells.
+            tokio::time::sleep(TRIAL_PAUSE).await;
+            gathered.hold(held);
+            continue;
+        };
+        held.sort_by_key(|shard| suspicion.request.order(&shard.to_string()));
+        let tried = held.remove(0);
+        let outcome = gather(context, &[tried]).await;
+        drop(trial);
+        gathered.join(outcome);
+        gathered.hold(held);
+    }
+    gathered
+}
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -8,6 +8,7 @@
 use eelgrasspier_caller::{RunAnswer, RunCall};
 use eelgrasspier_decide::claim::{Attempt, Nonce, Outcome};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId, Verdict};
+use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::replica::{self, Candidate};
 use eelgrasspier_store::ClaimError;
 
@@ -17,6 +18,7 @@
 use crate::replica::{Lane, Permit};
 use crate::service::ServiceState;
 use crate::shared::Ask;
+use crate::suspicion::Suspicion;
 use crate::traffic::Traffic;
 
 /// Time that is kept for the backend server's work when a key is being claimed.
@@ -28,6 +30,9 @@
 /// When to come back where no backend server took the request.
 const REPLICA_RETRY_MS: u64 = 500;
 
+/// Kind of these requests, as part of their fingerprints.
+const RUN: &str = "run";
+
 /// A checked request that must not run twice.
 #[derive(Debug)]
 pub(crate) struct Run {
@@ -59,9 +64,18 @@
     /// Runs the request at most once, or refuses it with a true verdict.
     pub(crate) async fn answer(self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
         self.check_shard()?;
+        let of = (&*self.service.name, RUN);
+        let suspicion = Suspicion::new(&traffic.shared, of, &self.body, &self.request_id);
+        let treatment = suspicion.treatment();
+        if let Treatment::Refused(left_ms) = treatment {
+            return Err(Refusal::not_run(RefusalReason::EndsReplicas, Some(left_ms)));
+        }
+        // It goes to one server as it is; what ends that one has nothing beside it.
+        let trial = (treatment == Treatment::OneByOne).then(|| suspicion.as_trial());
         let call = &self.call.call;
         let entered = self.service.enter(&call.team, call.weight, self.deadline, epoch_ms).await?;
-        let result = self.claim_and_send(traffic).await;
+        let result = self.claim_and_send(traffic, &suspicion).await;
+        drop(trial);
         drop(entered);
         if let Err(refusal) = &result {
             let detail = format!("{}: {}", refusal.verdict, refusal.reason);
@@ -83,7 +97,11 @@
         }
     }
 
-    async fn claim_and_send(&self, traffic: &Rc<Traffic>) -> Result<RunAnswer, Refusal> {
+    async fn claim_and_send(
+        &self,
+        traffic: &Rc<Traffic>,
+        suspicion: &Suspicion,
+    ) -> Result<RunAnswer, Refusal> {
         // The connection comes first: a claim without one would only be given back.
         let permit = self.permit(traffic, None).await?;
         let mut claim = self.claim(traffic).await?;
@@ -104,6 +122,7 @@
             traffic.landed(&self.service, &landed);
             match landed.result {
                 Ok(answer) => {
+                    suspicion.answered();
                     record(event::RUN_DONE, "");
                     let request_id = self.request_id.to_string();
                     return Ok(RunAnswer { request_id, body: answer.body });
@@ -112,7 +131,12 @@
                     claim.attempt = claim.attempt.not_sent();
                     permit = self.permit(traffic, Some(replica.spec.id)).await?;
                 }
-                Err(failure) => return Err(refuse(&mut claim, &failure)),
+                Err(failure) => {
+                    if matches!(failure, PartFailure::Lost(_)) {
+                        suspicion.lost(&replica);
+                    }
+                    return Err(refuse(&mut claim, &failure));
+                }
             }
         }
     }
--- a/crates/eelgrasspier/src/shared.rs
+++ b/crates/eelgrasspier/src/shared.rs
@@ -8,12 +8,14 @@
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::claim::{Key, Nonce, Outcome};
 use eelgrasspier_decide::leaving::Server;
+use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_operator::{InstanceStatus, ShownText, SubmitAnswer, Submitted, TimelineEntry};
 use eelgrasspier_peer::wire::{Parts, PartsDone};
 use eelgrasspier_store::ClaimError;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::timeline::Timeline;
 use crate::view::View;
 
@@ -39,6 +41,8 @@
     Status { done: oneshot::Sender<Vec<InstanceStatus>> },
     /// Events of all instances.
     Timeline { about: String, from_stamp: u64, done: oneshot::Sender<Vec<TimelineEntry>> },
+    /// Something was found out of a request that ends backend servers.
+    Tell(Report),
     /// A planned stop begins.
     Stop,
     /// Connections are let go: tell the others and end.
@@ -67,6 +71,8 @@
     pub(crate) snapshots: Mutex<BTreeMap<String, u64>>,
     /// Traffic threads that gather parts for other instances.
     pub(crate) gatherers: Mutex<Vec<mpsc::UnboundedSender<PartsAsk>>>,
+    /// Requests that end backend servers.
+    pub(crate) suspects: Suspects,
 }
 
 impl Shared {
--- a/crates/eelgrasspier/src/slices.rs
+++ b/crates/eelgrasspier/src/slices.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use eelgrasspier_decide::prelude::ShardId;
+use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::snapshot::Snapshot;
 use eelgrasspier_peer::wire::{Body, Missed, Part, Parts, PartsDone};
@@ -18,8 +19,10 @@
 
 use crate::gather::{self, Gathered, Outcomes, Reach};
 use crate::part::{Miss, PartContext};
+use crate::query::QUERY;
 use crate::service::ServiceState;
 use crate::shared::PartsAsk;
+use crate::suspicion::Suspicion;
 use crate::traffic::Traffic;
 
 /// Time that is kept for the way back from another instance.
@@ -89,6 +92,7 @@
         time_left_ms,
         body: context.body.clone(),
         is_last: reach == Reach::OwnSlice,
+        is_trial: context.suspicion.is_trial(),
     };
     metrics::counter!("eelgrasspier_slices_asked_total").increment(1);
     match context.traffic.links.ask(peer, Body::Parts(parts), left).await {
@@ -109,7 +113,7 @@
 }
 
 fn read_miss(reason: &str) -> Miss {
-    let known = [Miss::Late, Miss::NoReplica, Miss::VersionGone, Miss::Shed];
+    let known = [Miss::Late, Miss::NoReplica, Miss::VersionGone, Miss::Shed, Miss::Held];
     let named = known.into_iter().find(|miss| miss.to_string() == reason);
     named.unwrap_or_else(|| Miss::Failed(reason.to_owned()))
 }
@@ -167,16 +171,25 @@
     let (Some(service), Some(snapshot)) = (service, snapshot) else {
         return none(&parts.shards, &Miss::VersionGone);
     };
+    let request_id: Rc<str> = parts.request_id.as_str().into();
+    let of = (parts.service.as_str(), QUERY);
+    let suspicion = Suspicion::new(&traffic.shared, of, &parts.body, &request_id);
+    if suspicion.treatment() != Treatment::Usual && !parts.is_trial {
+        // Whoever asks tries it on one server.
+        return none(&parts.shards, &Miss::Held);
+    }
     let context = PartContext {
         traffic: Rc::clone(traffic),
         service,
-        request_id: parts.request_id.as_str().into(),
+        request_id,
         body: parts.body,
         snapshot,
         cutoff: Instant::now() + Duration::from_millis(parts.time_left_ms),
         reach: if parts.is_last { Reach::OwnSlice } else { Reach::Hedges },
         slowest: Cell::default(),
+        suspicion,
     };
+    let _trial = parts.is_trial.then(|| context.suspicion.as_trial());
     let gathered = gather::gather(&context, &parts.shards).await;
     to_wire(gathered)
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -331,6 +331,9 @@
     /// Whether nothing of it may be passed on, not even as a hedge.
     #[prost(bool, tag = "7")]
     pub is_last: bool,
+    /// Whether it is tried on one server, since others have ended under it.
+    #[prost(bool, tag = "8")]
+    pub is_trial: bool,
 }
 
 /// The parts that were gathered, and the shards that were not.
--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -57,6 +57,7 @@
     }
     // One server of each shard, one more before the second loss was seen, two trials.
     let ended = ends(&fuses);
+    println!("{ended} servers ended: {verdicts:?}");
     assert!(ended <= SHARDS + 4, "{ended} servers ended: {verdicts:?}");
     assert!(verdicts["not_run"] >= 7, "{verdicts:?}");
 }
