Bound what is told at once of requests that end replicas

Telling many at once was not bounded: each costs up to 20 KB with 116 others. A report has 160 bytes at the most.

--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -96,6 +96,8 @@
     epoch: u64,
     /// What instances tell each other of requests that end replicas.
     quarantine: Quarantine,
+    /// What was told to many at once in the present second.
+    told: reports::Told,
 }
 
 impl Membership {
@@ -120,6 +122,7 @@
             allowance_ms: 0,
             epoch: 0,
             quarantine: Quarantine::default(),
+            told: reports::Told::default(),
         };
         membership.announce_own();
         membership
--- a/crates/decide/src/membership/reports.rs
+++ b/crates/decide/src/membership/reports.rs
@@ -13,6 +13,30 @@
 use crate::gossip::{Change, Datagram, Purpose, Send};
 use crate::quarantine::{Finding, Report};
 
+/// Times a second that an instance tells many at once: each costs up to 20 KB with 116 others, and a
+/// request that ends replicas takes three. What is beyond goes by gossip, within its bytes.
+const MOST_TOLD_PER_S: u32 = 8;
+const SECOND_MS: u64 = 1_000;
+
+/// What was told to many at once in one second.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Told {
+    second: u64,
+    times: u32,
+}
+
+impl Told {
+    /// Whether many may be told at once; counts it if they may.
+    fn may_tell(&mut self, now_ms: u64) -> bool {
+        let second = now_ms / SECOND_MS;
+        if self.second != second {
+            *self = Self { second, times: 0 };
+        }
+        self.times += 1;
+        self.times <= MOST_TOLD_PER_S
+    }
+}
+
 impl Membership {
     /// Takes in what this instance has found out itself; returns datagrams that tell others.
     ///
@@ -26,13 +50,11 @@
     ) -> Vec<Send> {
         let news: Vec<Report> =
             reports.iter().filter(|r| self.take_report(r, now_ms)).cloned().collect();
-        if news.is_empty() {
+        if news.is_empty() || !self.told.may_tell(now_ms) {
             return Vec::new();
         }
         let addrs = self.told_at_once(most, most_far, random);
-        let sends: Vec<Send> = addrs.into_iter().flat_map(|to| datagrams(to, &news)).collect();
-        self.spend(&sends);
-        sends
+        addrs.into_iter().flat_map(|to| datagrams(to, &news)).collect()
     }
 
     /// Takes in what another instance knows, as part of its table.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -7,6 +7,7 @@
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::losses::{Ended, Known, Losses, Lost};
 use eelgrasspier_decide::quarantine::{Finding, Quarantine, Report, Treatment};
+use prost::Message;
 
 const ENDING: Fingerprint = Fingerprint(1);
 const INNOCENT: Fingerprint = Fingerprint(2);
@@ -187,7 +188,7 @@
         quarantine.note_ended(ended(ENDING, number, true), SECOND_MS);
     }
     let report = quarantine.report(ENDING, SECOND_MS).unwrap();
-    assert!(report.ended.len() <= 16 && report.ended_alone.len() <= 16);
+    assert!(report.encoded_len() <= 160, "{} bytes", report.encoded_len());
 }
 
 #[test]
