Tell others of what came and went between two looks at the store

Trace: the replica started at 22.08 and left at 22.11; one instance's poll read the store in between; those who watch saw both changes at once, 160 ms later. A copy did not remember the deletion of an object that it never had, so that nobody told that instance, until its next poll at 28.0. Change: it is remembered, and is news. Ruled out: load (all others knew within 20 ms), entries that are kept after an outage (there was none). Test in decide/tests/beliefs.rs, seen failing.

--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -58,7 +58,7 @@
 pub enum Effect {
     /// The object has this content now.
     Set(String, Bytes),
-    /// The object is gone.
+    /// The object is gone, if it ever was here.
     Gone(String),
 }
 
@@ -122,10 +122,14 @@
         if self.objects.get(name).is_some_and(|(known, _)| *known > revision) {
             return;
         }
-        if self.objects.remove(name).is_some() {
+        let was_here = self.objects.remove(name).is_some();
+        let deleted = self.deleted.get(name).copied();
+        // Also what never was here: an instance that read the store between the two changes has
+        // it, hears of the deletion from this one only, and would keep it until its next poll.
+        if was_here || deleted.is_none() {
             effects.push(Effect::Gone(name.to_owned()));
-            self.remember_deleted(name, revision);
         }
+        self.remember_deleted(name, revision.max(deleted.unwrap_or(0)));
     }
 
     fn remember_deleted(&mut self, name: &str, revision: u64) {
--- a/crates/decide/tests/beliefs.rs
+++ b/crates/decide/tests/beliefs.rs
@@ -157,3 +157,25 @@
     assert!(!directory.apply(EntryChange::Set(report(1_000, 8, true)), 2));
     assert!(!directory.apply(EntryChange::Set(report(1_000, 7, false)), 3));
 }
+
+/// Symptom: an instance sent requests to a replica three seconds after it had left.
+/// Sequence: the replica started and left within a quarter of a second. One instance read the store
+/// in between; those who watch it saw both changes at once, and the others hear from them.
+/// Cause: the deletion of an object that a copy never had was not remembered, so that nobody told
+/// the one instance. Proof: its line on the entry, and none on the end of it, until its next poll.
+#[test]
+fn an_object_that_came_and_went_between_two_looks_is_told_as_deleted() {
+    let (mut watching, mut polling) = (Mirror::default(), Mirror::default());
+    for mirror in [&mut watching, &mut polling] {
+        mirror.apply(&whole(10, &[("a", 3)]));
+    }
+    let object = Versioned { name: "b".to_owned(), revision: 12, content: Bytes::new() };
+    polling.apply(&Changes { as_of: 12, objects: vec![object], ..Changes::default() });
+    let deleted = vec![Deleted { name: "b".to_owned(), revision: 14 }];
+    let both = Changes { as_of: 14, deleted, ..Changes::default() };
+    // Also news where it changes nothing here: others must hear that there is something to fetch.
+    assert_eq!(watching.apply(&both), [Effect::Gone("b".to_owned())]);
+    assert_eq!(watching.apply(&both), []);
+    assert_eq!(polling.apply(&watching.since(12)), [Effect::Gone("b".to_owned())]);
+    assert_eq!(names(&polling), ["a@3"]);
+}
