Forget requests that end replicas everywhere at the same time

Cause, found by reading: a report did not say how old its evidence was, so that whoever had forgotten a request and was told of it by one that had not remembered it as long again; two instances would have gone on for ever. And what was found out while a request was written to the store was not written. Change: a report says for how long it is still remembered; the store's copy says when it is forgotten; what is over counts for nothing. Test: all_forget_in_time.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -34,7 +34,9 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// Time for which a request that is tried one at a time is remembered, in milliseconds; as long
 /// as a refusal, which follows if it comes again.
-pub const SUSPECT_LIFE_MS: u64 = FIRST_REFUSAL_MS;
+const SUSPECT_LIFE_MS: u64 = FIRST_REFUSAL_MS;
+/// Longest time for which anything is remembered, in milliseconds, whatever a report says.
+const MOST_LEFT_MS: u64 = (FIRST_REFUSAL_MS << MOST_DOUBLINGS) + SUSPECT_LIFE_MS;
 /// Time for which a single end is remembered, in milliseconds: callers try again within seconds.
 const SINGLE_LIFE_MS: u64 = 30_000;
 /// Time for which reports on a request that was cleared are passed over, in milliseconds: gossip
@@ -80,6 +82,10 @@
     /// Whether a replica has answered it.
     #[prost(bool, tag = "6")]
     pub is_cleared: bool,
+    /// For how long this is still remembered, in milliseconds. Without it two instances that
+    /// forget at different moments would tell each other for ever.
+    #[prost(uint64, tag = "7")]
+    pub left_ms: u64,
 }
 
 /// What new evidence leads to.
@@ -109,8 +115,8 @@
 struct Record {
     ended: Vec<u32>,
     ended_alone: Vec<u32>,
-    /// When something last spoke against it.
-    seen_ms: u64,
+    /// When it is forgotten.
+    over_at_ms: u64,
     refused_until_ms: u64,
     refusals: u32,
     /// When it was cleared, if it was.
@@ -129,7 +135,7 @@
     }
 
     fn treatment(&self, now_ms: u64) -> Treatment {
-        if self.is_cleared() {
+        if self.is_cleared() || now_ms >= self.over_at_ms {
             Treatment::Usual
         } else if now_ms < self.refused_until_ms {
             Treatment::Refused(self.refused_until_ms - now_ms)
@@ -140,13 +146,10 @@
         }
     }
 
-    fn is_over(&self, now_ms: u64) -> bool {
-        let life_ms = match self.cleared_ms {
-            Some(cleared_ms) => return now_ms >= cleared_ms + CLEARED_LIFE_MS,
-            None if self.is_suspect() => SUSPECT_LIFE_MS,
-            None => SINGLE_LIFE_MS,
-        };
-        now_ms >= self.seen_ms.max(self.refused_until_ms) + life_ms
+    /// Has it remembered for as long as fresh evidence is.
+    fn renew(&mut self, now_ms: u64) {
+        let life_ms = if self.is_suspect() { SUSPECT_LIFE_MS } else { SINGLE_LIFE_MS };
+        self.over_at_ms = self.over_at_ms.max(now_ms.max(self.refused_until_ms) + life_ms);
     }
 
     /// Refuses it where the evidence is enough; `is_again` if a trial has just shown it.
@@ -167,6 +170,7 @@
             refused_ms: self.refused_until_ms.saturating_sub(now_ms),
             refusals: self.refusals,
             is_cleared: self.is_cleared(),
+            left_ms: self.over_at_ms.saturating_sub(now_ms),
         }
     }
 }
@@ -195,8 +199,8 @@
             }
             let is_new = add(&mut record.ended, send);
             let is_new_alone = is_alone && add(&mut record.ended_alone, send);
-            record.seen_ms = now_ms;
             record.judge(is_new_alone, now_ms);
+            record.renew(now_ms);
             is_new || is_new_alone
         })
     }
@@ -219,7 +223,7 @@
             }
             return self.update(fingerprint, now_ms, |record| clear(record, now_ms));
         }
-        if report.ended.is_empty() && report.refused_ms == 0 {
+        if report.left_ms == 0 || (report.ended.is_empty() && report.refused_ms == 0) {
             return Finding::Unchanged;
         }
         self.update(fingerprint, now_ms, |record| merge_into(record, report, now_ms))
@@ -305,11 +309,11 @@
 
     /// Makes room: forgets what is over, and of too many those that weigh least.
     fn forget(&mut self, wanted: Fingerprint, now_ms: u64) {
-        self.records.retain(|_, record| !record.is_over(now_ms));
+        self.records.retain(|_, record| now_ms < record.over_at_ms);
         if self.records.len() < MOST_REQUESTS || self.records.contains_key(&wanted) {
             return;
         }
-        let weight = |r: &Record| (r.refused_until_ms, r.is_suspect(), r.seen_ms);
+        let weight = |r: &Record| (r.refused_until_ms, r.is_suspect(), r.over_at_ms);
         let least = self.records.iter().min_by_key(|(_, r)| weight(r)).map(|(f, _)| *f);
         if let Some(least) = least {
             self.records.remove(&least);
@@ -327,7 +331,10 @@
 
 fn clear(record: &mut Record, now_ms: u64) -> bool {
     let is_news = !record.is_cleared();
-    *record = Record { cleared_ms: Some(record.cleared_ms.unwrap_or(now_ms)), ..Record::default() };
+    if is_news {
+        let over_at_ms = now_ms + CLEARED_LIFE_MS;
+        *record = Record { cleared_ms: Some(now_ms), over_at_ms, ..Record::default() };
+    }
     is_news
 }
 
@@ -351,10 +358,14 @@
     }
     record.refusals = record.refusals.max(report.refusals);
     is_news |= has_ended_alone || is_longer;
+    // Forgotten when its reporter forgets it, unless more is known here.
+    record.over_at_ms = record.over_at_ms.max(now_ms + report.left_ms.min(MOST_LEFT_MS));
     if is_news {
-        record.seen_ms = now_ms;
         // Of one that was refused before, its reporter knows whether that is over.
         record.judge(has_ended_alone && record.refusals == 0, now_ms);
+        if now_ms < record.refused_until_ms {
+            record.renew(now_ms);
+        }
     }
     is_news
 }
--- a/crates/decide/tests/telling.rs
+++ b/crates/decide/tests/telling.rs
@@ -25,6 +25,15 @@
     quarantine.report(request, 0).unwrap()
 }
 
+/// A report of a request under which two replicas have ended.
+fn suspected(request: Fingerprint) -> Report {
+    let mut quarantine = Quarantine::default();
+    for send in 0..2 {
+        quarantine.note_ended(Ended { request, send, is_alone: false }, 0);
+    }
+    quarantine.report(request, 0).unwrap()
+}
+
 /// Instances that know each other, with what travels between them.
 struct Net {
     nodes: BTreeMap<u16, Membership>,
@@ -154,6 +163,23 @@
     assert_eq!(net.knowing(ENDING), 6);
 }
 
+/// Symptom: what one had forgotten came back with the next probe, for ever.
+/// Sequence: instances forget at different moments, since each heard at another one.
+/// Cause it guards against: counting the time anew with each report.
+#[test]
+fn all_forget_in_time() {
+    let mut net = Net::new(6);
+    net.run_for(1_000);
+    net.tell(1, &suspected(ENDING), (100, 16));
+    net.run_for(290_000);
+    let is_suspect = |net: &Net, m: &Membership| {
+        m.report(ENDING, net.now_ms).is_some_and(|report| report.is_suspect())
+    };
+    assert!(net.nodes.values().all(|m| is_suspect(&net, m)));
+    net.run_for(15_000);
+    assert!(!net.nodes.values().any(|m| is_suspect(&net, m) && !m.reports(net.now_ms).is_empty()));
+}
+
 /// What is known to all costs nothing more than the digests.
 #[test]
 fn nothing_is_told_twice() {
--- a/crates/router/src/control/kept.rs
+++ b/crates/router/src/control/kept.rs
@@ -12,7 +12,7 @@
 
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::outage::LEAST_PAUSE_MS;
-use eelgrasspier_decide::quarantine::{Report, SUSPECT_LIFE_MS};
+use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_store::{Backoff, CollectionError, KeptRequest, Kind};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -80,12 +80,12 @@
                 let _is_due = tokio::time::timeout_at(at, self.kept.has_due.notified()).await;
                 continue;
             }
+            // Before the call: what is found out meanwhile is due again.
+            self.kept.due.borrow_mut().remove(&request);
             match self.keep(request).await {
-                Ok(()) => {
-                    self.kept.due.borrow_mut().remove(&request);
-                    pauses.reset();
-                }
+                Ok(()) => pauses.reset(),
                 Err(error) => {
+                    self.kept.due.borrow_mut().entry(request).or_insert(at);
                     log::info!("event=request_not_kept fingerprint={request} cause=\"{error}\"");
                     tokio::time::sleep(pauses.next_pause()).await;
                 }
@@ -101,10 +101,11 @@
         let is_suspect = suspect.is_some();
         if let Some(report) = suspect {
             self.tidy_kept().await?;
-            let (refusals, written_ms) = (report.refusals, unix_ms());
+            let (refusals, now_ms) = (report.refusals, unix_ms());
             let is_refused = report.refused_ms > 0;
-            let refused_until_ms = if is_refused { written_ms + report.refused_ms } else { 0 };
-            self.store.keep(&KeptRequest { report, refused_until_ms, written_ms }).await?;
+            let refused_until_ms = if is_refused { now_ms + report.refused_ms } else { 0 };
+            let forgotten_ms = now_ms + report.left_ms;
+            self.store.keep(&KeptRequest { report, refused_until_ms, forgotten_ms }).await?;
             self.kept.known.borrow_mut().insert(request, refusals);
         } else if is_known {
             self.store.forget(request).await?;
@@ -125,7 +126,7 @@
         let kept = self.read_kept().await?;
         self.kept.tidied_ms.set(Some(now_ms));
         let now_ms = unix_ms();
-        for kept in kept.iter().filter(|k| is_over(k, now_ms)) {
+        for kept in kept.iter().filter(|k| now_ms >= k.forgotten_ms) {
             let request = Fingerprint(kept.report.fingerprint);
             self.store.forget(request).await?;
             self.kept.known.borrow_mut().remove(&request);
@@ -153,11 +154,11 @@
     async fn recall(self: &Rc<Self>) -> Result<(), CollectionError> {
         let (now_ms, kept) = (unix_ms(), self.read_kept().await?);
         let mut reports = Vec::new();
-        for kept in kept.into_iter().filter(|k| !is_over(k, now_ms)) {
-            let KeptRequest { report, refused_until_ms, .. } = kept;
+        for kept in kept.into_iter().filter(|k| now_ms < k.forgotten_ms) {
+            let KeptRequest { report, refused_until_ms, forgotten_ms } = kept;
             self.kept.known.borrow_mut().insert(Fingerprint(report.fingerprint), report.refusals);
             let refused_ms = refused_until_ms.saturating_sub(now_ms);
-            reports.push(Report { refused_ms, ..report });
+            reports.push(Report { refused_ms, left_ms: forgotten_ms - now_ms, ..report });
         }
         log::info!("event=requests_recalled count={}", reports.len());
         self.membership.borrow_mut().learn_reports(&reports, self.shared.now_ms());
@@ -176,10 +177,6 @@
     }
 }
 
-fn is_over(kept: &KeptRequest, now_ms: u64) -> bool {
-    now_ms >= kept.refused_until_ms.max(kept.written_ms + SUSPECT_LIFE_MS)
-}
-
 /// The time of day; what is kept is so for minutes, and clocks are off by seconds.
 fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -58,8 +58,8 @@
     pub report: Report,
     /// Until when it is refused, in milliseconds since the epoch; 0 if it is only suspected.
     pub refused_until_ms: u64,
-    /// When it was written, in milliseconds since the epoch.
-    pub written_ms: u64,
+    /// When it is forgotten, in milliseconds since the epoch.
+    pub forgotten_ms: u64,
 }
 
 /// The store's collections.
