Send nothing to the replicas of an evacuated zone

Cause: entries at evacuations/ZONE were not read, and the zone's replicas stay listed and sound.

Change: the entries are a kind of the store's objects of their own, followed, told and fetched like the configuration; an instance is ready once it knows them. Replicas of such a zone are left out of the view, as leaving ones are, so that first and second sends, relays and requests that must not repeat go by the same list. A request that is under way goes by what is listed now, and not only by what was when it came. Deployments whose settings name no bound for evacuations spend no calls on them.

Ruled out: to follow them with the configuration's watch, which the store does not offer across kinds; a flag on each replica, which each choice would have to ask.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -76,6 +76,9 @@
     /// Its processor time, in thousandths of a core.
     #[prost(uint32, tag = "14")]
     pub capacity_milli: u32,
+    /// Number of the last change to the evacuated zones that it has taken in.
+    #[prost(uint64, tag = "15")]
+    pub evacuations_revision: u64,
 }
 
 impl Member {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connections;
 pub mod contacts;
 pub mod directory;
+pub mod evacuations;
 pub mod fingerprint;
 pub mod gatherers;
 pub mod gossip;
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -18,7 +18,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: Option<Body>,
 }
@@ -86,6 +86,10 @@
     /// Answers [`Body::MembersAsk`].
     #[prost(message, tag = "22")]
     Members(Members),
+    /// Asks for changes of the evacuated zones above the given one; answered like
+    /// [`Body::ChangesAbove`], of which an older version would take it for another kind.
+    #[prost(uint64, tag = "23")]
+    EvacuationsAbove(u64),
 }
 
 /// Records of instances, and what those that start need to know besides.
--- a/crates/router/src/control/fetch.rs
+++ b/crates/router/src/control/fetch.rs
@@ -27,8 +27,12 @@
         revision: u64,
         timeout: Duration,
     ) -> Result<Option<Changes>, PeerError> {
-        let is_replicas = kind == Kind::Replicas;
-        let question = Body::ChangesAbove(ChangesAbove { is_replicas, revision });
+        let question = match kind {
+            Kind::Evacuations => Body::EvacuationsAbove(revision),
+            kind => {
+                Body::ChangesAbove(ChangesAbove { is_replicas: kind == Kind::Replicas, revision })
+            }
+        };
         let answer = self.links.ask(addr, question, timeout).await?;
         self.count_bytes(Cause::Changes, addr, answer.encoded_len());
         Ok(packed::unpack(answer))
@@ -86,6 +90,7 @@
     match kind {
         Kind::Replicas => member.replicas_revision,
         Kind::Configuration => member.configuration_revision,
+        Kind::Evacuations => member.evacuations_revision,
         Kind::Instances | Kind::Suspects => 0,
     }
 }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -109,6 +109,9 @@
         self.judge_store();
         self.fetch_newer(Kind::Configuration);
         self.fetch_newer(Kind::Replicas);
+        if self.identity.has_evacuations {
+            self.fetch_newer(Kind::Evacuations);
+        }
     }
 
     /// Learns of an outage that only others have noticed.
@@ -141,10 +144,12 @@
             return;
         }
         let revision = |kind| self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
-        let (replicas, configuration) = (revision(Kind::Replicas), revision(Kind::Configuration));
+        let [replicas, configuration, evacuations] =
+            [Kind::Replicas, Kind::Configuration, Kind::Evacuations].map(revision);
         self.membership.borrow_mut().update_own(|m| {
             m.replicas_revision = replicas;
             m.configuration_revision = configuration;
+            m.evacuations_revision = evacuations;
         });
         if is_source {
             self.spread_at_once();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -16,7 +16,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_decide::directory::{Directory, EntryChange};
+use eelgrasspier_decide::directory::{Directory, EntryChange, ReplicaEntry};
+use eelgrasspier_decide::evacuations::{Evacuations, ZoneChange};
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::pulls::Pulls;
@@ -55,6 +56,7 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) capacity_milli: u32,
     pub(crate) is_first_start: bool,
+    pub(crate) has_evacuations: bool,
 }
 
 /// The state of the control thread.
@@ -70,6 +72,8 @@
     told: mpsc::UnboundedSender<Vec<Report>>,
     mirrors: RefCell<HashMap<Kind, Mirror>>,
     directory: RefCell<Directory>,
+    /// Zones whose replicas are to get nothing.
+    evacuations: RefCell<Evacuations>,
     /// Replicas of the directory that take new work, by service.
     replicas: RefCell<Arc<Replicas>>,
     /// Addresses of instances in other zones, as of the last view.
@@ -131,6 +135,7 @@
             told,
             mirrors: RefCell::default(),
             directory: RefCell::default(),
+            evacuations: RefCell::default(),
             replicas: RefCell::default(),
             far_addrs: RefCell::default(),
             has_member_news: Cell::new(false),
@@ -154,6 +159,9 @@
         actix_rt::spawn(members::receive_all(Rc::clone(&control), Box::pin(received)));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Configuration));
         actix_rt::spawn(Rc::clone(&control).follow(Kind::Replicas));
+        if control.identity.has_evacuations {
+            actix_rt::spawn(Rc::clone(&control).follow(Kind::Evacuations));
+        }
         actix_rt::spawn(Rc::clone(&control).follow_instances());
         actix_rt::spawn(Rc::clone(&control).join());
         actix_rt::spawn(Rc::clone(&control).recall_kept());
@@ -224,6 +232,7 @@
             has_changed |= match kind {
                 Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
                 Kind::Configuration => self.take_configuration(effect, source),
+                Kind::Evacuations => self.take_evacuation(effect, changes.as_of, source),
                 Kind::Instances | Kind::Suspects => false,
             };
         }
@@ -265,6 +274,29 @@
         has_changed
     }
 
+    fn take_evacuation(&self, effect: Effect, as_of: u64, source: &str) -> bool {
+        let change = match effect {
+            Effect::Set(name, content) => {
+                ZoneChange::Evacuated(self.decode.evacuated_zone(&name, &content))
+            }
+            Effect::Gone(name) => ZoneChange::TakenBack(name.into()),
+        };
+        let (event, zone) = match &change {
+            ZoneChange::Evacuated(zone) => ("event=zone_evacuated", Arc::clone(zone)),
+            ZoneChange::TakenBack(zone) => ("event=zone_taken_back", Arc::clone(zone)),
+        };
+        let mut evacuations = self.evacuations.borrow_mut();
+        let has_changed = evacuations.apply(change, self.shared.now_ms());
+        let evacuated = u32::try_from(evacuations.evacuated().count()).unwrap_or(u32::MAX);
+        metrics::gauge!("eelgrasspier_evacuated_zones").set(f64::from(evacuated));
+        let replicas = self.directory.borrow().entries().filter(|e| e.zone == zone).count();
+        log::info!(
+            "{event} zone={zone} replicas={replicas} as_of={as_of} source={source} \
+             applied={has_changed}"
+        );
+        has_changed
+    }
+
     fn take_configuration(&self, effect: Effect, source: &str) -> bool {
         let Effect::Set(_, content) = effect else {
             log::warn!("event=configuration_deleted source={source}");
@@ -298,7 +330,10 @@
     /// takes most of its time for them.
     fn list_replicas(&self) {
         let mut replicas = Replicas::new();
-        for entry in self.directory.borrow().entries().filter(|e| !e.is_draining) {
+        let evacuations = self.evacuations.borrow();
+        let takes_work =
+            |e: &&Arc<ReplicaEntry>| !e.is_draining && !evacuations.is_evacuated(&e.zone);
+        for entry in self.directory.borrow().entries().filter(takes_work) {
             replicas.entry(Arc::clone(&entry.service)).or_default().push(Arc::clone(entry));
         }
         *self.replicas.borrow_mut() = Arc::new(replicas);
@@ -309,8 +344,11 @@
         let peers = self.peers();
         let far = peers.iter().filter(|p| *p.zone != *self.identity.zone).map(|p| p.addr);
         *self.far_addrs.borrow_mut() = far.collect();
-        let has_replicas =
-            self.mirrors.borrow().get(&Kind::Replicas).is_some_and(Mirror::is_filled);
+        let mirrors = self.mirrors.borrow();
+        let is_listed = |kind| mirrors.get(&kind).is_some_and(Mirror::is_filled);
+        // One that starts must not send to a zone that was evacuated before.
+        let has_replicas = is_listed(Kind::Replicas)
+            && (!self.identity.has_evacuations || is_listed(Kind::Evacuations));
         let view = View {
             configuration: self.configuration.borrow().clone(),
             table: Arc::clone(&self.table.borrow()),
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -117,6 +117,7 @@
         seeds: setup.seeds.clone(),
         capacity_milli: setup.capacity_milli,
         is_first_start: setup.is_first_start,
+        has_evacuations: setup.has_evacuations,
     };
     let (tell, told) = mpsc::unbounded_channel();
     let (started, has_started) = oneshot::channel();
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -43,6 +43,8 @@
     event(734, "not_warmed"),
     event(735, "object_unreadable"),
     event(736, "listed"),
+    event(737, "zone_evacuated"),
+    event(738, "zone_taken_back"),
     event(741, "instance_joined"),
     event(742, "instance_state"),
     event(743, "instance_suspected"),
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -112,6 +112,8 @@
 pub(crate) struct Gather<'a> {
     router: &'a Rc<Router>,
     view: &'a Arc<View>,
+    /// The view in force: replicas may leave, and zones be evacuated, while a request is served.
+    newest: Arc<View>,
     route: &'a Arc<Route>,
     route_state: Rc<RouteState>,
     request: &'a Rc<Request>,
@@ -152,6 +154,7 @@
         Self {
             router,
             view,
+            newest: Arc::clone(view),
             route,
             route_state,
             request,
@@ -186,6 +189,7 @@
         }
         let is_given_up = loop {
             let now_ms = self.router.shared.now_ms();
+            self.newest = self.router.shared.view.load_full();
             self.complete_late(now_ms);
             let wait_until_ms = match self.progress().next(now_ms) {
                 Next::Answer => break false,
@@ -272,11 +276,13 @@
         self.shards.iter().filter(has_replica).count() >= self.least
     }
 
-    /// Replicas of a service, without those that are known to be replaced.
+    /// Replicas of a service that take new work, without those that are known to be replaced.
     fn replicas(&self, service: &str) -> impl Iterator<Item = &'a Arc<ReplicaEntry>> + Clone {
         let listed = self.view.replicas.get(service).map_or(&[][..], Vec::as_slice);
-        let router = self.router;
-        listed.iter().filter(|r| !router.is_replaced(r))
+        let (router, newest) = (self.router, &self.newest);
+        let is_same = Arc::ptr_eq(self.view, newest);
+        let takes_work = move |r: &&Arc<ReplicaEntry>| is_same || newest.lists(r);
+        listed.iter().filter(takes_work).filter(|r| !router.is_replaced(r))
     }
 
     fn progress(&self) -> Gathering {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -37,15 +37,14 @@
         Self { router, control, packed: RefCell::default() }
     }
 
-    async fn changes(&self, question: ChangesAbove) -> Body {
-        let kind = if question.is_replicas { Kind::Replicas } else { Kind::Configuration };
+    async fn changes(&self, kind: Kind, revision: u64) -> Body {
         let (done, changes) = oneshot::channel();
-        let ask = Ask::Changes { kind, revision: question.revision, done };
+        let ask = Ask::Changes { kind, revision, done };
         if self.control.send(ask).is_err() {
             return Body::Refused("control has ended".to_owned());
         }
         match changes.await {
-            Ok(changes) => self.pack(kind, question.revision, changes),
+            Ok(changes) => self.pack(kind, revision, changes),
             Err(_) => Body::Refused("control has ended".to_owned()),
         }
     }
@@ -81,7 +80,11 @@
     fn answer(&self, question: Body) -> AnswerFuture<'_> {
         Box::pin(async move {
             match question {
-                Body::ChangesAbove(question) => self.changes(question).await,
+                Body::ChangesAbove(ChangesAbove { is_replicas, revision }) => {
+                    let kind = if is_replicas { Kind::Replicas } else { Kind::Configuration };
+                    self.changes(kind, revision).await
+                }
+                Body::EvacuationsAbove(revision) => self.changes(Kind::Evacuations, revision).await,
                 Body::MembersAsk(_) => self.members().await,
                 Body::Gather(question) => {
                     Body::Gathered(self.router.gather_for_peer(question).await)
--- a/crates/router/src/setup.rs
+++ b/crates/router/src/setup.rs
@@ -30,4 +30,6 @@
     pub repeat_limits: RepeatLimits,
     /// Time from the signal to stop to the kill.
     pub grace: Duration,
+    /// Whether operators evacuate availability zones by entries in the store.
+    pub has_evacuations: bool,
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -50,7 +50,7 @@
     pub table: Arc<RouteTable>,
     /// Replicas that take new work, by service.
     pub replicas: Arc<Replicas>,
-    /// Whether the list of replicas was ever read.
+    /// Whether the lists of replicas, and of zones that are evacuated, were ever read.
     pub has_replicas: bool,
     /// Instances that share connections and repeats, this one included.
     pub instances: u64,
@@ -139,6 +139,13 @@
         limits.map_or(LEAST_CONNECTIONS, |l| l.max_connections)
     }
 
+    /// Whether a replica takes new work.
+    #[must_use]
+    pub fn lists(&self, replica: &ReplicaEntry) -> bool {
+        let listed = self.replicas.get(&replica.service);
+        listed.is_some_and(|all| all.iter().any(|r| r.id == replica.id))
+    }
+
     /// Whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -1,5 +1,6 @@
 //! The store's collections of objects, as the router's control thread sees them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +24,8 @@
     Instances,
     /// Requests under which replicas have ended.
     Suspects,
+    /// Availability zones whose replicas are to get nothing, as operators ask.
+    Evacuations,
 }
 
 /// A call of the store brought nothing.
@@ -114,6 +117,9 @@
     /// Fails with a text that names the field.
     fn configuration(&self, content: &Bytes) -> Result<Configuration, String>;
 
+    /// The zone that an entry evacuates, whatever else it says.
+    fn evacuated_zone(&self, name: &str, content: &Bytes) -> Arc<str>;
+
     /// An instance's own entry.
     ///
     /// # Errors
