Send cold replicas no more than they stand, whatever instances know of each other

Cause: what an entry says of cold was only logged, and the configuration's rate was not read; all instances sent a cold replica what a warm one gets.

Change: each cold replica has one keeper, the instance that gathers its shard in its zone, which counts what goes there in each sliding second; others leave it out, or ask the keeper for leave where no replica is warm. The keeper lets out the rate, and half of the bound at the most, so that two that take themselves for it stay within. One that has just taken the place, or that hears of nobody, lets out nothing. A zone that was taken back counts as cold for as long as a start, since entries tell of it later. Reports that only count down the time are no change any more.

Weighed: equal shares for all instances (4 a second over 78 is nothing for each, and a restart forgets its own); a lease in the store (a call for each replica and second, and none in an outage); the replica's own load report (it says nothing of the last second).

--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -111,7 +111,8 @@
     /// `zone` is `None` for those of all zones, who stand in for a zone that has none.
     #[must_use]
     pub fn is_settled(&self, zone: Option<&str>, now_ms: u64) -> bool {
-        let mut counted = self.zones.iter().filter(|(known, _)| zone.is_none_or(|z| z == &***known));
+        let mut counted =
+            self.zones.iter().filter(|(known, _)| zone.is_none_or(|z| z == &***known));
         counted.all(|(_, (_, since_ms))| now_ms >= since_ms + SETTLE_MS)
     }
 }
--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -9,6 +9,10 @@
 /// Live replicas write again within about two seconds; the rest is the way of the news.
 pub const COME_BACK_MS: u64 = 2_200;
 
+/// Difference in when a replica is warm that is nothing new, in milliseconds: reports tell the time
+/// that is left as of when they were written.
+const SAME_WARMTH_MS: u64 = 500;
+
 /// Place of a report among all that replicas of one name have written, later ones greater.
 ///
 /// The store numbers writes in the order in which it carries them out, and a write that was
@@ -46,9 +50,11 @@
 }
 
 impl ReplicaEntry {
-    /// Whether an entry differs from this one in nothing but the number of its report.
+    /// Whether an entry differs from this one in nothing but the number of its report and the
+    /// time for which the replica is cold.
     fn says_the_same(&self, other: &Self) -> bool {
-        let renumbered = Self { report: other.report, ..self.clone() };
+        let (report, cold_left_ms) = (other.report, other.cold_left_ms);
+        let renumbered = Self { report, cold_left_ms, ..self.clone() };
         renumbered == *other
     }
 }
@@ -66,6 +72,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: BTreeMap<Arc<str>, Arc<ReplicaEntry>>,
+    /// Until when replicas are cold, by name.
+    cold_until_ms: BTreeMap<Arc<str>, u64>,
     /// Entries that are gone from the list but kept.
     lapsed: BTreeMap<Arc<str>, u64>,
     /// Until when entries that vanish are taken for lapsed, not gone.
@@ -107,6 +115,7 @@
                 }
                 self.lapsed.remove(&entry.name);
                 let is_known = known.is_some_and(|k| k.says_the_same(&entry));
+                let is_known = !self.note_warmth(&entry, now_ms) && is_known;
                 self.entries.insert(Arc::clone(&entry.name), Arc::new(entry));
                 !is_known
             }
@@ -114,6 +123,26 @@
         }
     }
 
+    /// Notes until when a replica is cold; returns whether that is news.
+    ///
+    /// It may turn cold again at any moment. What a report says is some time old, so that the
+    /// replica is warm a little earlier.
+    fn note_warmth(&mut self, entry: &ReplicaEntry, now_ms: u64) -> bool {
+        let known_ms = self.cold_until_ms.get(&entry.name).map_or(now_ms, |&at| at.max(now_ms));
+        let until_ms = now_ms + entry.cold_left_ms;
+        if known_ms.abs_diff(until_ms) < SAME_WARMTH_MS {
+            return false;
+        }
+        self.cold_until_ms.insert(Arc::clone(&entry.name), until_ms);
+        true
+    }
+
+    /// Until when a replica is cold, as its entry says; in the past where it is warm.
+    #[must_use]
+    pub fn cold_until_ms(&self, entry: &ReplicaEntry) -> u64 {
+        self.cold_until_ms.get(&entry.name).copied().unwrap_or(0)
+    }
+
     fn remove(&mut self, name: &Arc<str>, now_ms: u64) -> bool {
         let Some(entry) = self.entries.get(name) else { return false };
         if now_ms < self.lenient_until_ms && !entry.is_draining {
@@ -121,10 +150,15 @@
             return false;
         }
         self.lapsed.remove(name);
-        self.entries.remove(name);
+        self.drop_entry(name);
         true
     }
 
+    fn drop_entry(&mut self, name: &Arc<str>) {
+        self.entries.remove(name);
+        self.cold_until_ms.remove(name);
+    }
+
     /// Drops lapsed entries that did not come back; returns whether there were any.
     pub fn expire(&mut self, now_ms: u64) -> bool {
         let due: Vec<Arc<str>> = self
@@ -135,7 +169,7 @@
             .collect();
         for name in &due {
             self.lapsed.remove(name);
-            self.entries.remove(name);
+            self.drop_entry(name);
         }
         !due.is_empty()
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod claim;
+pub mod cold;
 pub mod config;
 pub mod connections;
 pub mod contacts;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -97,6 +97,10 @@
     pub max_connections: u32,
     /// Path of its health check.
     pub health_path: String,
+    /// Time for which a replica is cold after its start, in milliseconds.
+    pub warm_up_ms: u64,
+    /// Requests that a cold replica stands, in thousandths of one a second; 0 for no bound.
+    pub cold_rate_milli: u64,
 }
 
 /// One version of the operators' configuration.
--- /dev/null
+++ b/crates/decide/tests/cold.rs
@@ -0,0 +1,76 @@
+//! What a cold replica gets from all instances together.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use eelgrasspier_decide::cold::{ColdBounds, Settled, Windows, is_in_touch, share};
+
+const BOUNDS: ColdBounds = ColdBounds { over_milli: 1_500, slack: 5 };
+
+#[test]
+fn a_keeper_lets_out_the_rate_and_half_of_the_bound_at_the_most() {
+    assert_eq!(share(4_000, BOUNDS), Some(4));
+    // 20 x 1.5 + 5 = 35 for two of them.
+    assert_eq!(share(20_000, BOUNDS), Some(17));
+    assert_eq!(share(500, BOUNDS), Some(1), "one in two seconds is one in some second");
+    assert_eq!(share(500, ColdBounds::default()), Some(0), "any request would be too many");
+    assert_eq!(share(0, BOUNDS), None, "no rate is no bound");
+}
+
+/// Symptom: a cold replica got twice what it stands within one second.
+/// Sequence: requests went out at the end of one second and at the start of the next.
+/// Cause it guards against: seconds that are counted from a clock in place of sliding ones.
+#[test]
+fn no_sliding_second_has_more_than_the_share() {
+    arbtest::arbtest(|u| {
+        let mut windows = Windows::default();
+        let replica: Arc<str> = "r".into();
+        let (mut now_ms, mut sent) = (0_u64, Vec::new());
+        for _ in 0..200 {
+            now_ms += u.int_in_range(0..=120)?;
+            if windows.take(&replica, 4, now_ms) {
+                sent.push(now_ms);
+            }
+            if u.ratio(1, 20)? {
+                windows.tidy(now_ms);
+            }
+        }
+        for &from in &sent {
+            let within = sent.iter().filter(|&&at| (from..from + 1_000).contains(&at)).count();
+            assert!(within <= 4, "{within} from {from}");
+        }
+        Ok(())
+    });
+}
+
+fn keys(zones: &[(&str, &[u64])]) -> BTreeMap<Arc<str>, Vec<u64>> {
+    zones.iter().map(|(zone, keys)| ((*zone).into(), keys.to_vec())).collect()
+}
+
+/// Symptom: a cold replica got the share of three instances within a second.
+/// Sequence: its keeper was killed and started again, while another had taken its place.
+/// Cause: nobody waited until what others had sent was out of the second.
+#[test]
+fn keepers_wait_after_each_change_among_them() {
+    let mut settled = Settled::default();
+    settled.note(keys(&[("a", &[1, 2]), ("b", &[3])]), 0);
+    assert!(!settled.is_settled(Some("a"), 999));
+    assert!(settled.is_settled(Some("a"), 1_000));
+    settled.note(keys(&[("a", &[2, 1]), ("b", &[3])]), 2_000);
+    assert!(settled.is_settled(Some("a"), 2_001), "the same in another order");
+    settled.note(keys(&[("a", &[1]), ("b", &[3])]), 3_000);
+    assert!(!settled.is_settled(Some("a"), 3_999));
+    assert!(settled.is_settled(Some("b"), 3_999), "nothing has changed there");
+    // All of the zone are lost, and those of the others stand in.
+    settled.note(keys(&[("b", &[3])]), 5_000);
+    assert!(!settled.is_settled(None, 5_999));
+    assert!(settled.is_settled(None, 6_000));
+}
+
+/// Sequence: an instance is cut off and goes on for itself, while another takes its place.
+#[test]
+fn an_instance_that_hears_nobody_lets_nothing_out() {
+    assert!(is_in_touch(77, 10_000, 11_499));
+    assert!(!is_in_touch(77, 10_000, 11_500));
+    assert!(is_in_touch(0, 0, 1_000_000), "one that is alone hears of nobody");
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -18,7 +18,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     pub body: Option<Body>,
 }
@@ -90,6 +90,26 @@
     /// [`Body::ChangesAbove`], of which an older version would take it for another kind.
     #[prost(uint64, tag = "23")]
     EvacuationsAbove(u64),
+    /// Asks the keeper of a cold replica whether one request may go there.
+    #[prost(message, tag = "24")]
+    ColdSend(ColdSend),
+    /// Answers [`Body::ColdSend`].
+    #[prost(bool, tag = "25")]
+    ColdSendAllowed(bool),
+}
+
+/// A request that is to go to a cold replica.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ColdSend {
+    /// Id of the replica.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The caller's id of its attempt, for the log.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub request_id: bytes::Bytes,
 }
 
 /// Records of instances, and what those that start need to know besides.
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -18,6 +18,7 @@
             let entries = || view.replicas.values().flatten();
             let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
             self.backend.retain(&ids);
+            self.tidy_cold();
             let peers: HashSet<Arc<str>> = view.peers.iter().map(|p| peer_key(&p.name)).collect();
             self.standings.borrow_mut().retain(|id, _| ids.contains(id) || peers.contains(id));
             if view.configuration.is_some() {
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -32,6 +32,7 @@
 ) {
     while let Some((datagram, from)) = received.next().await {
         let now_ms = control.shared.now_ms();
+        control.shared.note_heard();
         let sends = control.membership.borrow_mut().receive(now_ms, from, &datagram);
         control.send(sends);
         control.refresh();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -10,12 +10,13 @@
 mod reports;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_decide::cold::Settled;
 use eelgrasspier_decide::directory::{Directory, EntryChange, ReplicaEntry};
 use eelgrasspier_decide::evacuations::{Evacuations, ZoneChange};
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
@@ -28,7 +29,7 @@
 use eelgrasspier_store::{Collections, Decode, Kind};
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::view::{Replicas, Shared, View};
+use crate::view::{Peer, Replicas, Shared, View};
 use kept::Kept;
 
 /// Time between two looks at what is due.
@@ -76,6 +77,10 @@
     evacuations: RefCell<Evacuations>,
     /// Replicas of the directory that take new work, by service.
     replicas: RefCell<Arc<Replicas>>,
+    /// Until when replicas are cold, where what they get is bounded.
+    cold_until_ms: RefCell<Arc<HashMap<Arc<str>, u64>>>,
+    /// Since when those of each zone who gather are the same.
+    settled: RefCell<Settled>,
     /// Addresses of instances in other zones, as of the last view.
     far_addrs: RefCell<HashSet<SocketAddr>>,
     /// Whether members have changed since the last view.
@@ -137,6 +142,8 @@
             directory: RefCell::default(),
             evacuations: RefCell::default(),
             replicas: RefCell::default(),
+            cold_until_ms: RefCell::default(),
+            settled: RefCell::default(),
             far_addrs: RefCell::default(),
             has_member_news: Cell::new(false),
             configuration: RefCell::default(),
@@ -336,9 +343,47 @@
         for entry in self.directory.borrow().entries().filter(takes_work) {
             replicas.entry(Arc::clone(&entry.service)).or_default().push(Arc::clone(entry));
         }
+        *self.cold_until_ms.borrow_mut() = Arc::new(self.list_cold(&replicas));
         *self.replicas.borrow_mut() = Arc::new(replicas);
     }
 
+    /// Replicas that are cold, or may be, with until when; of services that bound what those get.
+    fn list_cold(&self, replicas: &Replicas) -> HashMap<Arc<str>, u64> {
+        let now_ms = self.shared.now_ms();
+        let (configuration, directory) = (self.configuration.borrow(), self.directory.borrow());
+        let evacuations = self.evacuations.borrow();
+        let mut cold = HashMap::new();
+        let Some(configuration) = configuration.as_ref() else { return cold };
+        for (service, all) in replicas {
+            let limits = configuration.services.get(service);
+            let Some(limits) = limits.filter(|l| l.cold_rate_milli > 0) else { continue };
+            for replica in all {
+                let told_ms = directory.cold_until_ms(replica);
+                let presumed_ms = evacuations.cold_until_ms(&replica.zone, limits.warm_up_ms);
+                let until_ms = told_ms.max(presumed_ms.unwrap_or(0));
+                if until_ms > now_ms {
+                    cold.insert(Arc::clone(&replica.id), until_ms);
+                }
+            }
+        }
+        cold
+    }
+
+    /// Notes who of each zone gathers, this instance included.
+    fn note_gatherers(&self, peers: &[Peer], is_gatherer: bool) -> Arc<Settled> {
+        let mut keys: BTreeMap<Arc<str>, Vec<u64>> = BTreeMap::new();
+        for peer in peers.iter().filter(|p| p.is_gatherer) {
+            keys.entry(Arc::clone(&peer.zone)).or_default().push(peer.candidate().key);
+        }
+        if is_gatherer {
+            let own = self.membership.borrow().own().key();
+            keys.entry(self.identity.zone.as_str().into()).or_default().push(own);
+        }
+        let mut settled = self.settled.borrow_mut();
+        settled.note(keys, self.shared.now_ms());
+        Arc::new(settled.clone())
+    }
+
     fn publish(&self) {
         self.has_member_news.set(false);
         let peers = self.peers();
@@ -349,13 +394,17 @@
         // One that starts must not send to a zone that was evacuated before.
         let has_replicas = is_listed(Kind::Replicas)
             && (!self.identity.has_evacuations || is_listed(Kind::Evacuations));
+        let is_gatherer = self.is_gatherer();
+        let settled = self.note_gatherers(&peers, is_gatherer);
         let view = View {
             configuration: self.configuration.borrow().clone(),
             table: Arc::clone(&self.table.borrow()),
             replicas: Arc::clone(&self.replicas.borrow()),
             has_replicas,
             instances: self.instances(),
-            is_gatherer: self.is_gatherer(),
+            is_gatherer,
+            settled,
+            cold_until_ms: Arc::clone(&self.cold_until_ms.borrow()),
             capacity_milli: self.identity.capacity_milli,
             peers: Arc::new(peers),
             ..View::default()
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -138,6 +138,7 @@
         setup.zone.as_str().into(),
         setup.repeat_limits,
     );
+    router.set_cold_bounds(setup.cold_bounds);
     actix_rt::spawn(Rc::clone(&router).follow_views());
     actix_rt::spawn(Rc::clone(&router).tell_findings(control.clone()));
     actix_rt::spawn(Rc::clone(&router).hear_findings(told));
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -79,6 +79,7 @@
     event(773, "requests_recalled"),
     event(774, "requests_not_recalled"),
     event(775, "request_unreadable"),
+    event(776, "cold_send"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::backend::Reply;
+use crate::cold::Leave;
 use crate::model::Request;
 use crate::route_state::{Pace, RouteState};
 use crate::router::Router;
@@ -285,6 +286,11 @@
         listed.iter().filter(takes_work).filter(|r| !router.is_replaced(r))
     }
 
+    /// Whether a replica is warm, or counted here and may get more.
+    fn is_open_here(&self, replica: &ReplicaEntry) -> bool {
+        matches!(self.router.leave_for(&self.newest, replica), Leave::Free | Leave::Counted)
+    }
+
     fn progress(&self) -> Gathering {
         let count = |state| self.shards.iter().filter(|s| s.state == state).count();
         let covered = count(ShardState::Covered);
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -164,7 +164,10 @@
 
     /// Zones in which an instance could ask a replica of a shard; none if the own zone has one.
     fn relay_zones<'p>(&self, shard: &Shard, peers: &[&'p Peer]) -> Vec<&'p str> {
-        let replicas = self.replicas(&shard.service).filter(|r| shard.allows(r));
+        let allowed = self.replicas(&shard.service).filter(|r| shard.allows(r));
+        // Where none is open here, whoever counts for a cold one knows what it may get.
+        let is_any_open = allowed.clone().any(|r| self.is_open_here(r));
+        let replicas = allowed.filter(|r| !is_any_open || self.is_open_here(r));
         if self.router.gathers(self.view, &shard.service)
             && replicas.clone().any(|r| r.zone == self.router.zone)
         {
@@ -227,7 +230,7 @@
     }
 
     fn place(&self, replica: &'a ReplicaEntry) -> Place<'a> {
-        let is_slow = self.router.is_slow(relays::mark(&replica.id));
+        let is_slow = self.router.is_slow(relays::mark(&replica.id)) || !self.is_open_here(replica);
         Place { id: &replica.id, zone: &replica.zone, is_slow }
     }
 
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_backend::Offered;
+use eelgrasspier_backend::{Offered, PartFailure};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::Verdict;
 
@@ -12,6 +12,7 @@
 use super::shard::{Shard, ShardState};
 use super::{Gather, Landed, ROOM_RETRY_MS};
 use crate::backend::Attempt;
+use crate::cold::Leave;
 
 /// Time between two looks whether a second send helps, in milliseconds: a fraction of the time
 /// that a request holds a slot.
@@ -25,7 +26,21 @@
     ) -> impl Iterator<Item = &'a Arc<ReplicaEntry>> {
         let has_attempts = shard.used_attempts() < self.route.attempts.max(1);
         let open = self.replicas(&shard.service).filter(move |_| has_attempts);
-        open.filter(|r| shard.allows(r)).filter(|r| !shard.tried.contains(&r.id))
+        let open = open.filter(|r| shard.allows(r)).filter(|r| !shard.tried.contains(&r.id));
+        open.filter(|r| self.may_get_more(r))
+    }
+
+    /// Whether a replica is warm, or may get one more request though it is cold.
+    ///
+    /// Of many shards only one without a warm replica asks another instance for leave: the others
+    /// are as well off without.
+    fn may_get_more(&self, replica: &ReplicaEntry) -> bool {
+        match self.router.leave_for(&self.newest, replica) {
+            Leave::Free | Leave::Counted => true,
+            Leave::Ask(_) if self.shards.len() == 1 => true,
+            Leave::Ask(_) => self.replicas(&replica.service).all(|r| !self.is_open_here(r)),
+            Leave::Denied => false,
+        }
     }
 
     /// The best replica for one more send of a shard, of those with a free connection.
@@ -35,7 +50,11 @@
     /// whenever the connections to the other were in use, to take over a second.
     fn pick(&self, shard: &Shard) -> Option<&'a Arc<ReplicaEntry>> {
         let spent = self.router.spent(&shard.service, self.view);
-        let cost_ms = |r: &Arc<ReplicaEntry>| self.router.cost_ms(r, &self.pace, spent);
+        let cost_ms = |r: &Arc<ReplicaEntry>| {
+            let is_asked = matches!(self.router.leave_for(&self.newest, r), Leave::Ask(_));
+            let asking_ms = if is_asked { self.pace.target_ms } else { 0.0 };
+            self.router.cost_ms(r, &self.pace, spent) + asking_ms
+        };
         let costs: Vec<_> = self.open_replicas(shard).map(|r| (cost_ms(r), r)).collect();
         let has_room = |r: &ReplicaEntry| {
             let most = self.view.most_connections(&r.zone, shard.accepted_connections);
@@ -111,9 +130,23 @@
         };
         let land = self.land.clone();
         let state = Rc::clone(&self.route_state);
+        let leave = self.router.leave_for(&self.newest, &replica);
+        if leave == Leave::Counted {
+            self.router.take_cold(&self.newest, &replica);
+            self.gathered.cold += 1;
+        }
+        let (router, request) = (Rc::clone(self.router), Rc::clone(self.request));
         let sending = Rc::clone(self.router).send(attempt, state, self.pace.usual_ms);
         self.flights.sends.push(actix_rt::spawn(async move {
-            let result = sending.await;
+            let is_allowed = match &leave {
+                Leave::Ask(keeper) => router.ask_cold(keeper, &replica, &request).await,
+                _ => true,
+            };
+            let result = if is_allowed {
+                sending.await
+            } else {
+                Err(PartFailure::NotReached("it is cold and has got enough".to_owned()))
+            };
             if result.as_ref().is_err_and(|failure| failure.verdict() == Verdict::NotRun) {
                 offered.clear();
             }
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -99,6 +99,8 @@
     pub(crate) unpaid: u32,
     /// Sends to replicas in other zones.
     pub(crate) far: u32,
+    /// Sends to replicas that are cold, as far as they are counted here.
+    pub(crate) cold: u32,
     /// Instances that were asked.
     pub(crate) relays: u32,
     /// Shards that are not in, by name.
@@ -130,11 +132,11 @@
 
     /// What it took, for the log.
     pub(crate) fn effort(&self) -> String {
-        let Self { repeats, unpaid, far, relays, .. } = self;
+        let Self { repeats, unpaid, far, cold, relays, .. } = self;
         let [missing, failed, left_out] =
             [&self.missing, &self.failed, &self.left_out].map(|shards| shards.join(","));
         format!(
-            "repeats={repeats} unpaid={unpaid} far={far} relays={relays} missing=[{missing}] \
+            "repeats={repeats} unpaid={unpaid} far={far} cold={cold} relays={relays} missing=[{missing}] \
              failed=[{failed}] left_out=[{left_out}]"
         )
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! to one of each shard; both are the same gathering, with one shard or many.
 
 mod backend;
+mod cold;
 mod connections;
 mod control;
 mod daemon;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -89,6 +89,9 @@
                 Body::Gather(question) => {
                     Body::Gathered(self.router.gather_for_peer(question).await)
                 }
+                Body::ColdSend(question) => {
+                    Body::ColdSendAllowed(self.router.allow_cold_send(&question))
+                }
                 Body::Alive(nothing) => Body::Alive(nothing),
                 _ => Body::Refused("not a question for a router".to_owned()),
             }
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -86,6 +86,7 @@
             setup.grace.as_millis()
         );
         self.router.set_repeat_limits(limits);
+        self.router.set_cold_bounds(setup.cold_bounds);
         self.grace.set(setup.grace);
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::backend::{Attempt, Backend, Reply};
+use crate::cold::Cold;
 use crate::gather::{For, Gather, Times};
 use crate::model::{Outcome, Request};
 use crate::outcome::{hand_on, merge, note_outcome};
@@ -66,6 +67,7 @@
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
     pub(crate) losses: RefCell<Losses>,
     pub(crate) suspects: Suspects,
+    pub(crate) cold: Cold,
 }
 
 impl std::fmt::Debug for Router {
@@ -98,6 +100,7 @@
             routes: RefCell::default(),
             losses: RefCell::default(),
             suspects: Suspects::default(),
+            cold: Cold::default(),
         })
     }
 
--- a/crates/router/src/setup.rs
+++ b/crates/router/src/setup.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasspier_decide::allowance::RepeatLimits;
+use eelgrasspier_decide::cold::ColdBounds;
 
 /// One instance's own settings.
 #[derive(Debug, Clone)]
@@ -32,4 +33,6 @@
     pub grace: Duration,
     /// Whether operators evacuate availability zones by entries in the store.
     pub has_evacuations: bool,
+    /// What cold replicas may get beyond what they stand.
+    pub cold_bounds: ColdBounds,
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -3,10 +3,12 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::time::Instant;
 
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::allowance;
+use eelgrasspier_decide::cold::Settled;
 use eelgrasspier_decide::connections::{LEAST_CONNECTIONS, Part, Place};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::Candidate;
@@ -68,6 +70,10 @@
     pub sliced_zones: HashSet<Arc<str>>,
     /// Number of instances by which the slack for repeats is divided for this one.
     pub slack_sharers: u64,
+    /// Until when replicas are cold, in milliseconds, where what they get is bounded.
+    pub cold_until_ms: Arc<HashMap<Arc<str>, u64>>,
+    /// Since when those of each zone who may keep count of its cold replicas are the same.
+    pub settled: Arc<Settled>,
 }
 
 impl View {
@@ -160,6 +166,8 @@
     pub view: ArcSwap<View>,
     /// Rings when a new view was published.
     pub(crate) has_changed: Notify,
+    /// When another instance was last heard of, in milliseconds.
+    heard_ms: AtomicU64,
     started: Instant,
 }
 
@@ -173,7 +181,22 @@
     /// No view yet.
     #[must_use]
     pub fn new() -> Self {
-        Self { view: ArcSwap::default(), has_changed: Notify::new(), started: Instant::now() }
+        Self {
+            view: ArcSwap::default(),
+            has_changed: Notify::new(),
+            heard_ms: AtomicU64::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    /// Notes that another instance was heard of.
+    pub(crate) fn note_heard(&self) {
+        self.heard_ms.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// When another instance was last heard of, in milliseconds.
+    pub(crate) fn heard_ms(&self) -> u64 {
+        self.heard_ms.load(Ordering::Relaxed)
     }
 
     /// Milliseconds since this process started.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -278,7 +278,12 @@
     let mut replicas: HashMap<Arc<str>, Vec<Arc<ReplicaEntry>>> = HashMap::new();
     for i in 0..services {
         let service: Arc<str> = format!("s{i}").into();
-        let limits = ServiceLimits { max_connections: 25, health_path: "/healthz".to_owned() };
+        let limits = ServiceLimits {
+            max_connections: 25,
+            health_path: "/healthz".to_owned(),
+            warm_up_ms: 3_000,
+            cold_rate_milli: 4_000,
+        };
         configuration.services.insert(Arc::clone(&service), limits);
         let entries = [("a", "z1"), ("b", "z2")].map(|(name, zone)| {
             Arc::new(ReplicaEntry {
