Keep requests in their home regions

Cause: home_regions of routes was not read, and nobody knew the zones' regions.

Change: the settings' regions of the zones and a route's homes are decoded; replicas and instances of other regions are left out of every choice of a request, also by the instances that are asked for it: first and second sends, relays, handed-over requests, requests that must not repeat. A zone whose region is not known is nobody's home.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gatherers;
 pub mod gossip;
 pub mod hedge;
+pub mod homes;
 pub mod leaving;
 pub mod losses;
 pub mod membership;
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -48,6 +48,8 @@
     pub top_k: usize,
     /// Least share of the shards that an answer must cover, 0 to 1.
     pub least_share: f64,
+    /// Regions in which its requests may run; none for anywhere.
+    pub home_regions: Arc<[Arc<str>]>,
 }
 
 impl Route {
--- /dev/null
+++ b/crates/decide/tests/homes.rs
@@ -0,0 +1,18 @@
+//! Where requests with home regions may go.
+
+use std::sync::Arc;
+
+use eelgrasspier_decide::homes::Regions;
+
+#[test]
+fn requests_go_to_zones_of_their_home_regions_only() {
+    let pairs = [("north", "coast"), ("south", "island")].map(|(z, r)| (z.into(), r.into()));
+    let regions: Regions = pairs.into_iter().collect();
+    let homes = |names: &[&str]| names.iter().map(|n| Arc::from(*n)).collect::<Vec<Arc<str>>>();
+    assert!(regions.is_home(&homes(&[]), "south"));
+    assert!(regions.is_home(&homes(&["coast"]), "north"));
+    assert!(!regions.is_home(&homes(&["coast"]), "south"));
+    assert!(regions.is_home(&homes(&["coast", "island"]), "south"));
+    assert!(!regions.is_home(&homes(&["coast"]), "new"), "its region is not known");
+    assert!(regions.is_home(&homes(&[]), "new"));
+}
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -18,6 +18,7 @@
         rank: 1,
         top_k: 5,
         least_share: 0.89,
+        home_regions: [].into(),
     })
 }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -209,6 +209,9 @@
     /// What the sender knows of replicas that have ended under the request.
     #[prost(message, optional, tag = "20")]
     pub report: Option<eelgrasspier_decide::quarantine::Report>,
+    /// Regions in which the request may run; none for anywhere.
+    #[prost(string, repeated, tag = "21")]
+    pub home_regions: Vec<String>,
 }
 
 /// What an instance knows of a replica that is busy or slow.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -139,6 +139,7 @@
         setup.repeat_limits,
     );
     router.set_cold_bounds(setup.cold_bounds);
+    router.set_regions(setup.regions.clone());
     actix_rt::spawn(Rc::clone(&router).follow_views());
     actix_rt::spawn(Rc::clone(&router).tell_findings(control.clone()));
     actix_rt::spawn(Rc::clone(&router).hear_findings(told));
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -283,7 +283,18 @@
         let (router, newest) = (self.router, &self.newest);
         let is_same = Arc::ptr_eq(self.view, newest);
         let takes_work = move |r: &&Arc<ReplicaEntry>| is_same || newest.lists(r);
-        listed.iter().filter(takes_work).filter(|r| !router.is_replaced(r))
+        let homes = &self.route.home_regions;
+        let is_home = move |r: &&Arc<ReplicaEntry>| router.is_home(homes, &r.zone);
+        listed.iter().filter(takes_work).filter(is_home).filter(|r| !router.is_replaced(r))
+    }
+
+    /// Instances that may be asked for shards of the request.
+    ///
+    /// Its body goes to no region but its homes, and the one to which its caller came.
+    fn sound_peers(&self) -> Vec<&'a Peer> {
+        let mut peers = self.router.sound_peers(self.view);
+        peers.retain(|p| self.router.is_home(&self.route.home_regions, &p.zone));
+        peers
     }
 
     /// Whether a replica is warm, or counted here and may get more.
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -71,7 +71,7 @@
         if self.shards.len() == 1 || !is_small {
             return None;
         }
-        let mut peers = router.sound_peers(self.view);
+        let mut peers = self.sound_peers();
         let least_milli = self.view.capacity_milli.saturating_mul(LARGER_BY);
         peers.retain(|p| p.capacity_milli >= least_milli);
         router.best_peer(&peers, &router.zone, rand::random())
@@ -119,7 +119,7 @@
         if self.shards.len() == 1 || self.view.peers.is_empty() || self.is_suspect() {
             return Vec::new();
         }
-        let peers = self.router.sound_peers(self.view);
+        let peers = self.sound_peers();
         let open = (0..self.shards.len()).filter(|&i| self.shards[i].state == ShardState::Open);
         self.assign(open, &self.router.zone, &peers)
     }
@@ -279,6 +279,7 @@
             // Zero stands for "does not say".
             sent_ms: now_ms.max(1),
             report: self.router.report_on(request.fingerprint()),
+            home_regions: self.route.home_regions.iter().map(ToString::to_string).collect(),
         })
     }
 }
--- a/crates/router/src/gather/relay_ends.rs
+++ b/crates/router/src/gather/relay_ends.rs
@@ -65,7 +65,7 @@
         if !self.view.is_sliced(zone) || self.is_suspect() {
             return open;
         }
-        let mut peers = self.router.sound_peers(self.view);
+        let mut peers = self.sound_peers();
         peers.retain(|p| &*p.name != lost);
         let fresh = open.iter().copied().filter(|&i| !self.shards[i].was_moved);
         let moved = self.assign(fresh.collect::<Vec<_>>(), zone, &peers);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -189,6 +189,7 @@
         rank: 0,
         top_k: whole(question.top_k),
         least_share: 0.0,
+        home_regions: question.home_regions.iter().map(|r| r.as_str().into()).collect(),
     }
 }
 
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -87,6 +87,7 @@
         );
         self.router.set_repeat_limits(limits);
         self.router.set_cold_bounds(setup.cold_bounds);
+        self.router.set_regions(setup.regions);
         self.grace.set(setup.grace);
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,6 +9,7 @@
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::{Allowance, RepeatLimits};
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::homes::Regions;
 use eelgrasspier_decide::losses::Losses;
 use eelgrasspier_decide::patience;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
@@ -68,6 +69,7 @@
     pub(crate) losses: RefCell<Losses>,
     pub(crate) suspects: Suspects,
     pub(crate) cold: Cold,
+    regions: RefCell<Regions>,
 }
 
 impl std::fmt::Debug for Router {
@@ -101,6 +103,7 @@
             losses: RefCell::default(),
             suspects: Suspects::default(),
             cold: Cold::default(),
+            regions: RefCell::default(),
         })
     }
 
@@ -198,6 +201,16 @@
         standings.get(&replica.id).is_some_and(|s| s.borrow().is_replaced())
     }
 
+    /// Puts other regions of the zones in force.
+    pub fn set_regions(&self, regions: Regions) {
+        *self.regions.borrow_mut() = regions;
+    }
+
+    /// Whether requests with these home regions may go to a zone.
+    pub(crate) fn is_home(&self, homes: &[Arc<str>], zone: &str) -> bool {
+        self.regions.borrow().is_home(homes, zone)
+    }
+
     /// Puts other limits for repeats in force.
     pub(crate) fn set_repeat_limits(&self, limits: RepeatLimits) {
         self.limits.set(limits);
--- a/crates/router/src/setup.rs
+++ b/crates/router/src/setup.rs
@@ -5,6 +5,7 @@
 
 use eelgrasspier_decide::allowance::RepeatLimits;
 use eelgrasspier_decide::cold::ColdBounds;
+use eelgrasspier_decide::homes::Regions;
 
 /// One instance's own settings.
 #[derive(Debug, Clone)]
@@ -31,6 +32,8 @@
     pub repeat_limits: RepeatLimits,
     /// Time from the signal to stop to the kill.
     pub grace: Duration,
+    /// The region of each availability zone.
+    pub regions: Regions,
     /// Whether operators evacuate availability zones by entries in the store.
     pub has_evacuations: bool,
     /// What cold replicas may get beyond what they stand.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -226,6 +226,7 @@
         rank: 0,
         top_k: 5,
         least_share: 0.75,
+        home_regions: [].into(),
     }
 }
 
