Tell of fields and values that are not known

Cause: what is new in entries, the configuration or the settings was passed over in silence, so that nobody noticed that evacuations, cold rates and homes were not read.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -45,6 +45,7 @@
     event(736, "listed"),
     event(737, "zone_evacuated"),
     event(738, "zone_taken_back"),
+    event(739, "content_unknown"),
     event(741, "instance_joined"),
     event(742, "instance_state"),
     event(743, "instance_suspected"),
