Send second sends a little earlier

Cause: with 90 to 135 shards and pauses of 120 ms at each replica some shards are late in most requests; the second send went out a fifth to a third of the target in, too late where the other replica has a queue as well.

--- a/crates/router/src/route_state.rs
+++ b/crates/router/src/route_state.rs
@@ -31,12 +31,12 @@
 const LEAST_HEDGE_MS: u64 = 4;
 /// Share of the target latency before which no second send goes out: an answer within it
 /// is in time without one, and second sends cross zones.
-const EARLIEST_DIVISOR: u64 = 5;
+const EARLIEST_DIVISOR: u64 = 6;
 /// The same while the budget is scarce.
-const SCARCE_EARLIEST_DIVISOR: u64 = 4;
-/// Share of the target latency after which a second send goes out at the latest, so that
-/// the other replica has as long again.
-const HEDGE_LATEST_DIVISOR: u64 = 3;
+const SCARCE_EARLIEST_DIVISOR: u64 = 5;
+/// Share of the target latency after which a second send goes out at the latest: with many shards
+/// some are late in most requests, and the other replica may have a queue as well.
+const HEDGE_LATEST_DIVISOR: u64 = 4;
 /// Quantile of merged answers after which the instance is asked whether it is alive.
 const RELAY_CHECK_PER_MILLE: u32 = 800;
 /// Share of the target latency after which that happens at the latest.
