--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -92,7 +92,7 @@
         cold::share(rate_milli, self.cold.bounds.get())
     }
 
-    /// Counts one request to a cold replica that is counted here.
+    /// Counts one request to a cold replica that is counted here; false if it has got enough.
     pub(crate) fn take_cold(&self, view: &View, replica: &ReplicaEntry) -> bool {
         let Some(share) = self.cold_share(view, replica) else { return true };
         let now_ms = self.shared.now_ms();
--- /dev/null
+++ b/crates/router/src/control/views.rs
@@ -0,0 +1,96 @@
+//! What the traffic thread works from: replicas that take new work, instances, what binds sends.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use eelgrasspier_decide::cold::Settled;
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::mirror::Mirror;
+use eelgrasspier_store::Kind;
+
+use super::Control;
+use crate::view::{Peer, Replicas, View};
+
+impl Control {
+    /// Lists the replicas that take new work anew.
+    ///
+    /// Only where entries have changed: members change more often, and a view of 400 replicas
+    /// takes most of its time for them.
+    pub(super) fn list_replicas(&self) {
+        let mut replicas = Replicas::new();
+        let evacuations = self.evacuations.borrow();
+        let takes_work =
+            |e: &&Arc<ReplicaEntry>| !e.is_draining && !evacuations.is_evacuated(&e.zone);
+        for entry in self.directory.borrow().entries().filter(takes_work) {
+            replicas.entry(Arc::clone(&entry.service)).or_default().push(Arc::clone(entry));
+        }
+        *self.cold_until_ms.borrow_mut() = Arc::new(self.list_cold(&replicas));
+        *self.replicas.borrow_mut() = Arc::new(replicas);
+    }
+
+    /// Replicas that are cold, or may be, with until when; of services that bound what those get.
+    fn list_cold(&self, replicas: &Replicas) -> HashMap<Arc<str>, u64> {
+        let now_ms = self.shared.now_ms();
+        let (configuration, directory) = (self.configuration.borrow(), self.directory.borrow());
+        let evacuations = self.evacuations.borrow();
+        let mut cold = HashMap::new();
+        let Some(configuration) = configuration.as_ref() else { return cold };
+        for (service, all) in replicas {
+            let limits = configuration.services.get(service);
+            let Some(limits) = limits.filter(|l| l.cold_rate_milli > 0) else { continue };
+            for replica in all {
+                let told_ms = directory.cold_until_ms(replica);
+                let presumed_ms = evacuations.cold_until_ms(&replica.zone, limits.warm_up_ms);
+                let until_ms = told_ms.max(presumed_ms.unwrap_or(0));
+                if until_ms > now_ms {
+                    cold.insert(Arc::clone(&replica.id), until_ms);
+                }
+            }
+        }
+        cold
+    }
+
+    /// Notes who of each zone gathers, this instance included.
+    fn note_gatherers(&self, peers: &[Peer], is_gatherer: bool) -> Arc<Settled> {
+        let mut keys: BTreeMap<Arc<str>, Vec<u64>> = BTreeMap::new();
+        for peer in peers.iter().filter(|p| p.is_gatherer) {
+            keys.entry(Arc::clone(&peer.zone)).or_default().push(peer.candidate().key);
+        }
+        if is_gatherer {
+            let own = self.membership.borrow().own().key();
+            keys.entry(self.identity.zone.as_str().into()).or_default().push(own);
+        }
+        let mut settled = self.settled.borrow_mut();
+        settled.note(keys, self.shared.now_ms());
+        Arc::new(settled.clone())
+    }
+
+    pub(super) fn publish(&self) {
+        self.has_member_news.set(false);
+        let peers = self.peers();
+        let far = peers.iter().filter(|p| *p.zone != *self.identity.zone).map(|p| p.addr);
+        *self.far_addrs.borrow_mut() = far.collect();
+        let mirrors = self.mirrors.borrow();
+        let is_listed = |kind| mirrors.get(&kind).is_some_and(Mirror::is_filled);
+        // One that starts must not send to a zone that was evacuated before.
+        let has_replicas = is_listed(Kind::Replicas)
+            && (!self.identity.has_evacuations || is_listed(Kind::Evacuations));
+        let is_gatherer = self.is_gatherer();
+        let settled = self.note_gatherers(&peers, is_gatherer);
+        let view = View {
+            configuration: self.configuration.borrow().clone(),
+            table: Arc::clone(&self.table.borrow()),
+            replicas: Arc::clone(&self.replicas.borrow()),
+            has_replicas,
+            instances: self.instances(),
+            is_gatherer,
+            settled,
+            cold_until_ms: Arc::clone(&self.cold_until_ms.borrow()),
+            capacity_milli: self.identity.capacity_milli,
+            peers: Arc::new(peers),
+            ..View::default()
+        };
+        self.set_ready(view.is_ready());
+        self.shared.publish(view.share_out(&self.identity.zone));
+    }
+}
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -109,6 +109,12 @@
                 return false;
             }
         }
+        self.launch(index, replica, now_ms);
+        true
+    }
+
+    /// Sends a shard's request to `replica`, whatever speaks against it.
+    fn launch(&mut self, index: usize, replica: Arc<ReplicaEntry>, now_ms: u64) {
         let hedge_ms = self.router.hedge_after_ms(self.view, &self.pace, &replica);
         let shard = &mut self.shards[index];
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
@@ -131,8 +137,7 @@
         let land = self.land.clone();
         let state = Rc::clone(&self.route_state);
         let leave = self.router.leave_for(&self.newest, &replica);
-        if leave == Leave::Counted {
-            self.router.take_cold(&self.newest, &replica);
+        if leave == Leave::Counted && self.router.take_cold(&self.newest, &replica) {
             self.gathered.cold += 1;
         }
         let (router, request) = (Rc::clone(self.router), Rc::clone(self.request));
@@ -154,7 +159,6 @@
             // Nobody listens once the answer has gone out.
             let _is_late = land.send(Landed::Send { shard: index, replica, result }).is_err();
         }));
-        true
     }
 
     /// Whether a shard is not on its way, only because all connections are in use.
