Keep nobody's count while no other instance was ever heard of

Found by reading: an instance that starts while it is cut off knows nobody and took itself for the only one of its fleet, so that several of them could each let out a share to the same cold replica. Now the fleet's size by the store's entries counts, and one that has never heard of another is cut off like one that has heard of nobody of late.

--- a/crates/decide/src/cold.rs
+++ b/crates/decide/src/cold.rs
@@ -117,10 +117,11 @@
     }
 }
 
-/// Whether an instance that last heard of another at `heard_ms` may be a keeper at all.
+/// Whether an instance that last heard of another at `heard_ms`, if ever, may be a keeper at all.
 ///
-/// `others` are the instances that it knows: one that is alone hears of nobody.
+/// `fleet` is the number of all instances, also of those that it does not know: one that starts
+/// while it is cut off knows nobody, and is not alone for that.
 #[must_use]
-pub fn is_in_touch(others: usize, heard_ms: u64, now_ms: u64) -> bool {
-    others == 0 || now_ms < heard_ms + SILENT_MS
+pub fn is_in_touch(fleet: u64, heard_ms: Option<u64>, now_ms: u64) -> bool {
+    fleet <= 1 || heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + SILENT_MS)
 }
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -70,7 +70,8 @@
 /// Sequence: an instance is cut off and goes on for itself, while another takes its place.
 #[test]
 fn an_instance_that_hears_nobody_lets_nothing_out() {
-    assert!(is_in_touch(77, 10_000, 11_499));
-    assert!(!is_in_touch(77, 10_000, 11_500));
-    assert!(is_in_touch(0, 0, 1_000_000), "one that is alone hears of nobody");
+    assert!(is_in_touch(78, Some(10_000), 11_499));
+    assert!(!is_in_touch(78, Some(10_000), 11_500));
+    assert!(!is_in_touch(78, None, 100), "it has just started");
+    assert!(is_in_touch(1, None, 1_000_000), "one that is alone hears of nobody");
 }
--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -78,7 +78,7 @@
             Some(index) if index < near.len() => Leave::Ask(near[index].clone()),
             Some(_) => {
                 let is_keeper = view.settled.is_settled(zone, now_ms)
-                    && cold::is_in_touch(view.peers.len(), self.shared.heard_ms(), now_ms);
+                    && cold::is_in_touch(view.fleet, self.shared.heard_ms(), now_ms);
                 let has_room = self.cold.windows.borrow().has_room(&replica.id, share, now_ms);
                 if is_keeper && has_room { Leave::Counted } else { Leave::Denied }
             }
--- a/crates/router/src/control/views.rs
+++ b/crates/router/src/control/views.rs
@@ -83,6 +83,7 @@
             replicas: Arc::clone(&self.replicas.borrow()),
             has_replicas,
             instances: self.instances(),
+            fleet: self.instances().max(self.listed_fleet.get().unwrap_or(0)),
             is_gatherer,
             settled,
             cold_until_ms: Arc::clone(&self.cold_until_ms.borrow()),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -56,6 +56,8 @@
     pub has_replicas: bool,
     /// Instances that share connections and repeats, this one included.
     pub instances: u64,
+    /// Instances of the fleet as far as the store's entries or others say, this one included.
+    pub fleet: u64,
     /// Whether this instance holds connections to its zone's replicas.
     pub is_gatherer: bool,
     /// The processor time of this instance, in thousandths of a core.
@@ -166,7 +168,7 @@
     pub view: ArcSwap<View>,
     /// Rings when a new view was published.
     pub(crate) has_changed: Notify,
-    /// When another instance was last heard of, in milliseconds.
+    /// When another instance was last heard of, in milliseconds; 0 for never.
     heard_ms: AtomicU64,
     started: Instant,
 }
@@ -194,9 +196,9 @@
         self.heard_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
-    /// When another instance was last heard of, in milliseconds.
-    pub(crate) fn heard_ms(&self) -> u64 {
-        self.heard_ms.load(Ordering::Relaxed)
+    /// When another instance was last heard of, in milliseconds, if ever.
+    pub(crate) fn heard_ms(&self) -> Option<u64> {
+        Some(self.heard_ms.load(Ordering::Relaxed)).filter(|&heard_ms| heard_ms > 0)
     }
 
     /// Milliseconds since this process started.
--- a/crates/router/tests/places.rs
+++ b/crates/router/tests/places.rs
@@ -78,3 +78,24 @@
         assert_eq!(world.script.arrivals_at("s0/a") + world.script.arrivals_at("s0/b"), 80);
     });
 }
+
+/// Symptom: a cold replica got the share of several instances within a second.
+/// Sequence: instances that were cut off from all others started again; each knew nobody, took
+/// itself for the only one, and counted by itself.
+/// Cause: one that hears of nobody was only taken for cut off where it knew somebody.
+#[test]
+fn an_instance_that_knows_nobody_of_its_fleet_sends_nothing_to_cold_replicas() {
+    in_virtual_time(async {
+        let world = World::new(route(1), 1);
+        let mut now = view(route(1), 1);
+        now.fleet = 3;
+        now.cold_until_ms = Arc::new([("s0/a".into(), 60_000), ("s0/b".into(), 60_000)].into());
+        world.shared.publish(now);
+        for second in 0..4 {
+            let outcome = world.serve(&second.to_string(), 400).await;
+            assert!(matches!(outcome, Outcome::Refused(_)), "{outcome:?}");
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        assert!(world.script.arrivals.borrow().is_empty());
+    });
+}
