--- a/crates/router/src/cold.rs
+++ b/crates/router/src/cold.rs
@@ -27,11 +27,11 @@
 pub(crate) enum Leave {
     /// It is warm, or nothing bounds what it gets.
     Free,
-    /// It is cold and counted here, in this second so many more.
+    /// It is cold and counted here, and may get one more in this second.
     Counted,
-    /// It is cold, and another instance counts.
+    /// It is cold, and this other instance counts.
     Ask(Peer),
-    /// It is cold and has got enough, or nobody surely counts.
+    /// It is cold and has got enough, or it is not sure that nobody else counts.
     Denied,
 }
 
