--- a/crates/decide/src/patience.rs
+++ b/crates/decide/src/patience.rs
@@ -11,9 +11,8 @@
 /// Processor time of a whole core between the end of waiting and the caller's having the
 /// answer, in microseconds: merging it, writing it, and what others' requests take just then.
 ///
-/// With 7 ms for every instance, answers of those with an eighth of a core came 0.1 to 0.9 ms
-/// after a target of 100 ms, half of them on the heaviest day: 1,368 of 2,011 were in time. With
-/// 13 ms 1,720 were, with 18 ms 1,784; a quarter of a core needs 10 ms.
+/// By processor time, since an answer of a small instance would come just after its target with
+/// the time that a large one needs, and a large one would wait for fewer parts with a small one's.
 const WORK_US: u64 = 1_600;
 /// Part of the target latency that is kept besides, as a divisor: the last fortieth of it brings
 /// hardly a part more, and what is late for some milliseconds has waited for nothing.
--- a/crates/standin/src/slopes.rs
+++ b/crates/standin/src/slopes.rs
@@ -1,4 +1,4 @@
-//! The slopes behind docs/CAPACITY.md, measured on one machine.
+//! How time and bytes of decisions grow with what they are made from.
 
 use std::hint::black_box;
 use std::time::Instant;
