--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -3,6 +3,8 @@
 //! Each replica listens on its own port and has its own slots, connections and
 //! faults. `PUT /standin/faults` on a replica's port changes how it behaves.
 
+mod handlers;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -11,8 +13,8 @@
 
 use actix_web::dev::Extensions;
 use actix_web::rt::net::TcpStream;
-use actix_web::web::{self, Bytes, Data, Json, Path};
-use actix_web::{App, HttpRequest, HttpResponse, HttpResponseBuilder, HttpServer};
+use actix_web::web::{self, Data};
+use actix_web::{App, HttpResponse, HttpResponseBuilder, HttpServer};
 use bpaf::Bpaf;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, Semaphore};
@@ -154,12 +156,12 @@
     let mut server = HttpServer::new(move || {
         App::new()
             .app_data(Data::new(Arc::clone(&replicas)))
-            .route("/query", web::post().to(query))
-            .route("/run", web::post().to(run))
-            .route("/state", web::get().to(state))
-            .route("/requests/{id}", web::delete().to(cancel))
-            .route("/standin/faults", web::put().to(put_faults))
-            .route("/standin/counters", web::get().to(get_counters))
+            .route("/query", web::post().to(handlers::query))
+            .route("/run", web::post().to(handlers::run))
+            .route("/state", web::get().to(handlers::state))
+            .route("/requests/{id}", web::delete().to(handlers::cancel))
+            .route("/standin/faults", web::put().to(handlers::put_faults))
+            .route("/standin/counters", web::get().to(handlers::get_counters))
     })
     .workers(2)
     .on_connect(move |io, data| accept(&by_port, io, data));
@@ -262,144 +264,3 @@
         self.0.load.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-fn replica_of(request: &HttpRequest, replicas: &Replicas) -> Option<Arc<Replica>> {
-    replicas.get(&request.app_config().local_addr().port()).cloned()
-}
-
-fn number(request: &HttpRequest, name: &str) -> Option<u64> {
-    request.headers().get(name)?.to_str().ok()?.parse().ok()
-}
-
-fn text(request: &HttpRequest, name: &str) -> String {
-    let value = request.headers().get(name).and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
-/// What a connection does before the request on it is looked at.
-async fn begin(request: &HttpRequest, replica: &Replica) {
-    let Some(connection) = request.conn_data::<Connection>() else { return };
-    // Not for the test's own questions, which begin no work.
-    if lock(&replica.faults).is_lost
-        || connection.number <= replica.silent_up_to.load(Ordering::Acquire)
-    {
-        tokio::time::sleep(SILENCE).await;
-    }
-    if !connection.is_warm.swap(true, Ordering::AcqRel) {
-        tokio::time::sleep(Duration::from_millis(replica.shape.connect_ms)).await;
-    }
-}
-
-fn is_shed(replica: &Replica) -> bool {
-    let is_full = replica.load.load(Ordering::Acquire) > MAX_QUEUE;
-    let sheds = is_full || lock(&replica.faults).is_shedding;
-    let mut counters = lock(&replica.counters);
-    counters.shed += u64::from(sheds);
-    sheds
-}
-
-async fn query(request: HttpRequest, body: Bytes, replicas: Data<Replicas>) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    begin(&request, &replica).await;
-    let version = number(&request, "index-version").unwrap_or_default();
-    let faults = lock(&replica.faults).clone();
-    if !faults.versions.iter().any(|(held, _)| *held == version) {
-        return replica.respond(409).finish();
-    }
-    if is_shed(&replica) {
-        return replica.respond(503).finish();
-    }
-    let _loaded = Loaded::new(&replica);
-    {
-        let mut counters = lock(&replica.counters);
-        counters.parts += 1;
-        counters.after_drain += u64::from(faults.is_draining);
-    }
-    let id = text(&request, "request-id");
-    let cancelled = Arc::new(Notify::new());
-    lock(&replica.working).insert(id.clone(), Arc::clone(&cancelled));
-    let time_left = Duration::from_millis(number(&request, "time-left-ms").unwrap_or(0));
-    let is_done = replica.work(time_left, &cancelled).await;
-    lock(&replica.working).remove(&id);
-    if !is_done {
-        lock(&replica.counters).cancelled += 1;
-        return replica.respond(504).finish();
-    }
-    let answer = serde_json::json!({
-        "service": text(&request, "query-service"),
-        "shard": replica.shard,
-        "version": version,
-        "echo": String::from_utf8_lossy(&body),
-    });
-    replica.respond(200).insert_header(("index-version", version)).json(answer)
-}
-
-async fn run(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    begin(&request, &replica).await;
-    if is_shed(&replica) {
-        return replica.respond(503).finish();
-    }
-    let _loaded = Loaded::new(&replica);
-    let key = text(&request, "idempotency-key");
-    {
-        let is_draining = lock(&replica.faults).is_draining;
-        let mut counters = lock(&replica.counters);
-        *counters.runs.entry(key.clone()).or_default() += 1;
-        counters.after_drain += u64::from(is_draining);
-    }
-    let time_left = Duration::from_millis(number(&request, "time-left-ms").unwrap_or(0));
-    replica.work(time_left, &Notify::new()).await;
-    replica.respond(200).body(format!("ran {key}"))
-}
-
-async fn state(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    begin(&request, &replica).await;
-    replica.respond(200).finish()
-}
-
-async fn cancel(request: HttpRequest, id: Path<String>, replicas: Data<Replicas>) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    begin(&request, &replica).await;
-    if let Some(cancelled) = lock(&replica.working).get(id.as_str()) {
-        cancelled.notify_one();
-    }
-    replica.respond(200).finish()
-}
-
-async fn put_faults(
-    request: HttpRequest,
-    faults: Json<Faults>,
-    replicas: Data<Replicas>,
-) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    let mut faults = faults.into_inner();
-    let mut current = lock(&replica.faults);
-    if faults.versions.is_empty() {
-        faults.versions.clone_from(&current.versions);
-    }
-    if faults.silences_open {
-        let opened = lock(&replica.counters).opened;
-        replica.silent_up_to.store(opened, Ordering::Release);
-    }
-    *current = faults;
-    HttpResponse::NoContent().finish()
-}
-
-async fn get_counters(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
-    let Some(replica) = replica_of(&request, &replicas) else {
-        return HttpResponse::NotFound().finish();
-    };
-    HttpResponse::Ok().json(&*lock(&replica.counters))
-}
