--- a/crates/decide/src/connections.rs
+++ b/crates/decide/src/connections.rs
@@ -9,15 +9,13 @@
 /// Part of a replica's connections for the instances of its own zone, in hundredths.
 ///
 /// They send it most of its requests, and it works on a few at a time: a connection that only
-/// queues there takes its request away from a replica that is free sooner. With 60 hundredths in
-/// place of 24 three hundredths less of the credit were earned where shards are over full, with
-/// 15 one less.
+/// queues there takes its request away from a replica that is free sooner.
 const NEAR_PERCENT: u32 = 24;
 /// Part for all other instances, in hundredths.
 ///
-/// Where the replica beside it is lost or slow, an instance needs two of them: with one (18 in
-/// place of 56) one hundredth less was earned. What is left, and what rounding down leaves, is
-/// for instances that start while connections of others that have just died still count.
+/// Where the replica beside it is lost or slow, an instance needs two of them. What is left, and
+/// what rounding down leaves, is for instances that start while connections of others that have
+/// just died still count.
 const FAR_PERCENT: u32 = 56;
 /// Of the instances not heard of yet, one in this many is assumed in any one zone.
 const UNKNOWN_IN_ZONE_DIVISOR: u32 = 4;
--- a/crates/decide/src/standing.rs
+++ b/crates/decide/src/standing.rs
@@ -14,9 +14,8 @@
 const PENALTY_HALF_LIFE_MS: f64 = 400.0;
 /// Multiples of the expected latency after which a request without answer says "paused".
 ///
-/// What is expected includes the queue, so that little more is no longer chance: at 2.5 in its
-/// place a pause of a quarter of a second was noticed when a third of it was over, and half a
-/// hundredth less of the credit was earned where shards are over full.
+/// What is expected includes the queue, so that little more is no longer chance; a pause has to be
+/// noticed while most of it is still to come.
 const OVERDUE_RATIO: f64 = 1.8;
 /// Cost of an overdue request in multiples of the usual latency.
 const OVERDUE_COST: f64 = 6.0;
--- a/crates/eelgrasspier/src/settings.rs
+++ b/crates/eelgrasspier/src/settings.rs
@@ -47,7 +47,7 @@
     pub policy: Policy,
 }
 
-/// Policy switches; the defaults are what measured best.
+/// Policy switches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
     /// How a replica is chosen.
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -14,12 +14,11 @@
 use crate::zone_bytes::{self, Cause};
 
 /// Instances that are told of news at once, those of the own zone first; gossip tells the
-/// rest. With 300 instances, 75 in a zone, 16 let a configuration be in force after 4.9 s,
-/// just within its bound; a datagram has some 150 bytes.
+/// rest, too late for a configuration where a zone has many more; a datagram has some 150 bytes.
 pub(super) const TOLD_AT_ONCE: usize = 100;
 /// Of them, instances of other zones at the most: one that fetches for each zone, and some more
-/// in case that one of these is lost. With 68 of them in place of 16 the datagrams that tell of
-/// a change cost more bytes between zones than the change.
+/// in case that one of these is lost. With many the datagrams that tell of a change cost more bytes
+/// between zones than the change.
 pub(super) const FAR_AT_ONCE: usize = 16;
 /// Time between two records of an instance that does not watch, in milliseconds.
 const TELL_EVERY_MS: u64 = 30_000;
--- a/crates/router/src/gather/admit.rs
+++ b/crates/router/src/gather/admit.rs
@@ -63,8 +63,7 @@
     /// Time after which a shard is expected to answer, in milliseconds, by its best replica.
     ///
     /// Failures and silence count only where they say "not in time at all": a shard that is asked
-    /// in spite of a little doubt mostly answers, while one that is left out never does. Counted
-    /// in full they cost lightly loaded deployments half a hundredth of their credit.
+    /// in spite of a little doubt mostly answers, while one that is left out never does.
     fn answer_ms(&self, index: usize, left_ms: f64) -> f64 {
         let service = &self.shards[index].service;
         let spent = self.router.spent(service, self.view);
--- a/crates/router/src/gather/ends.rs
+++ b/crates/router/src/gather/ends.rs
@@ -125,8 +125,7 @@
     /// Asks once more for shards that were not in time, where few of them complete the answer.
     ///
     /// Without it an answer that lacked one shard of 83 was given up at its target, with five
-    /// times as long left: the caller tried again, and all shards worked for it a second time. On
-    /// a day with many slow replicas 68 of 2,500 requests failed in place of 90.
+    /// times as long left: the caller tried again, and all shards worked for it a second time.
     pub(super) fn complete_late(&mut self, now_ms: u64) {
         let count = |state| self.shards.iter().filter(|s| s.state == state).count();
         let [late, open, covered] =
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -63,8 +63,7 @@
     /// A request of 129 shards is ten questions and ten answers to be merged: ten milliseconds
     /// and more of an instance with an eighth of a core, of the fifty in which some answers are
     /// wanted. One with half a core needs a quarter of that, its connections are in use, and since
-    /// all requests of the zone go by way of a few, these know the replicas' queues. With 195
-    /// instances 96.0 in place of 94.5 in 100 such answers were in time on a calm day.
+    /// all requests of the zone go by way of a few, these know the replicas' queues.
     pub(super) fn delegate(&self) -> Option<&'a Peer> {
         let router = self.router;
         let is_small = !self.view.is_gatherer && self.view.is_sliced(&router.zone);
