Tell the store's era, and each change that is left out as old

Cause of the change: the lines of the incident could not tell whether changes after the store's return were never sent, read and dropped, or overwritten. What an instance drops in its copy of the store left no line, and no answer's Store-Era was read. Change: E777 with era and revisions before and after, E778 for each change left out, three metrics. No decision changes.

--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -51,6 +51,9 @@
     /// Deleted objects.
     #[prost(message, repeated, tag = "4")]
     pub deleted: Vec<Deleted>,
+    /// How often the store has been restored from a copy, as its answer says.
+    #[prost(uint64, optional, tag = "5")]
+    pub era: Option<u64>,
 }
 
 /// What a change did to the copy.
@@ -60,6 +63,15 @@
     Set(String, Bytes),
     /// The object is gone, if it ever was here.
     Gone(String),
+    /// A change of the object was left out: one with the revision `known` is newer.
+    LeftOut {
+        /// Name of the object.
+        name: String,
+        /// Revision of the change.
+        told: u64,
+        /// Revision that is known.
+        known: u64,
+    },
 }
 
 /// The copy.
@@ -109,7 +121,11 @@
     fn set(&mut self, object: &Versioned, effects: &mut Vec<Effect>) {
         let known = self.objects.get(&object.name).map(|(revision, _)| *revision);
         let deleted = self.deleted.get(&object.name).copied();
-        if known.max(deleted).is_some_and(|newest| newest >= object.revision) {
+        if let Some(newest) = known.max(deleted).filter(|newest| *newest >= object.revision) {
+            if newest > object.revision {
+                let (name, told) = (object.name.clone(), object.revision);
+                effects.push(Effect::LeftOut { name, told, known: newest });
+            }
             return;
         }
         self.deleted.remove(&object.name);
@@ -178,6 +194,7 @@
             deleted: deleted
                 .map(|(name, revision)| Deleted { name: name.clone(), revision: *revision })
                 .collect(),
+            era: None,
         }
     }
 }
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eelgrasspier_decide::mirror::Mirror;
+use eelgrasspier_decide::mirror::{Changes, Mirror};
 use eelgrasspier_decide::outage::{self, LEAST_PAUSE_MS, MOST_PAUSE_MS};
 use eelgrasspier_decide::watchers;
 use eelgrasspier_store::{Backoff, CollectionError, Kind};
@@ -83,6 +83,7 @@
                     pauses.reset();
                     is_history_gone = false;
                     self.store_answered();
+                    self.note_era(kind, &changes);
                     // A stale answer must not set the watch back.
                     since = Some(changes.as_of.max(since.unwrap_or(0)));
                     self.take(kind, &changes, "store");
@@ -202,6 +203,21 @@
         }
     }
 
+    fn note_era(&self, kind: Kind, changes: &Changes) {
+        let before = self.store_era.get();
+        if changes.era != before {
+            self.store_era.set(changes.era);
+            let era = u32::try_from(changes.era.unwrap_or(0)).unwrap_or(u32::MAX);
+            metrics::gauge!("eelgrasspier_store_era").set(f64::from(era));
+            let known = self.filled_up_to(kind);
+            log::warn!(
+                "event=store_era era={:?} before={before:?} kind={kind:?} as_of={} known={known:?}",
+                changes.era,
+                changes.as_of
+            );
+        }
+    }
+
     fn store_answered(&self) {
         let now_ms = self.shared.now_ms();
         let silent_ms = now_ms.saturating_sub(self.heard_ms.replace(now_ms));
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -92,6 +92,8 @@
     /// When the store last answered, in milliseconds.
     heard_ms: Cell<u64>,
     is_store_up: Cell<bool>,
+    /// How often the store had been restored from a copy, as of its last answer.
+    store_era: Cell<Option<u64>>,
     /// Other instances that the store answers, as they say.
     answered_by_store: Cell<usize>,
     /// Rings when the store answers another instance, after it answered none.
@@ -152,6 +154,7 @@
             table: RefCell::default(),
             heard_ms: Cell::new(0),
             is_store_up: Cell::new(true),
+            store_era: Cell::new(None),
             answered_by_store: Cell::new(0),
             store_answers_another: Notify::new(),
             is_any_turned_away: Cell::new(false),
--- a/crates/router/src/control/take.rs
+++ b/crates/router/src/control/take.rs
@@ -4,7 +4,7 @@
 
 use eelgrasspier_decide::directory::EntryChange;
 use eelgrasspier_decide::evacuations::ZoneChange;
-use eelgrasspier_decide::mirror::{Changes, Effect};
+use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
 use eelgrasspier_decide::route::RouteTable;
 use eelgrasspier_store::Kind;
 
@@ -20,6 +20,10 @@
             (mirror.apply(changes), was_filled)
         };
         let mut has_changed = !was_filled && changes.is_whole;
+        let changed = self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
+        let revision = u32::try_from(changed).unwrap_or(u32::MAX);
+        metrics::gauge!("eelgrasspier_store_revision", "kind" => kind.name())
+            .set(f64::from(revision));
         // Told even where nothing changes here, such as an entry that is kept for a while:
         // the others would hear of it only by their next poll.
         let has_news = has_changed || !effects.is_empty();
@@ -33,6 +37,15 @@
         }
         let is_first = has_changed;
         for effect in effects {
+            if let Effect::LeftOut { name, told, known } = &effect {
+                metrics::counter!("eelgrasspier_changes_left_out_total").increment(1);
+                log::info!(
+                    "event=change_left_out kind={kind:?} name={name} revision={told} \
+                     known={known} as_of={} source={source}",
+                    changes.as_of
+                );
+                continue;
+            }
             has_changed |= match kind {
                 Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
                 Kind::Configuration => self.take_configuration(effect, source),
@@ -60,6 +73,7 @@
                 }
             },
             Effect::Gone(name) => EntryChange::Gone(name.as_str().into()),
+            Effect::LeftOut { .. } => return false,
         };
         let text = match &change {
             EntryChange::Set(e) => format!(
@@ -84,6 +98,7 @@
                 ZoneChange::Evacuated(self.decode.evacuated_zone(&name, &content))
             }
             Effect::Gone(name) => ZoneChange::TakenBack(name.into()),
+            Effect::LeftOut { .. } => return false,
         };
         let (event, zone) = match &change {
             ZoneChange::Evacuated(zone) => ("event=zone_evacuated", Arc::clone(zone)),
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -81,6 +81,8 @@
     event(774, "requests_not_recalled"),
     event(775, "request_unreadable"),
     event(776, "cold_send"),
+    event(777, "store_era"),
+    event(778, "change_left_out"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -28,6 +28,20 @@
     Evacuations,
 }
 
+impl Kind {
+    /// Its name in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Replicas => "replicas",
+            Self::Configuration => "configuration",
+            Self::Instances => "instances",
+            Self::Suspects => "suspects",
+            Self::Evacuations => "evacuations",
+        }
+    }
+}
+
 /// A call of the store brought nothing.
 #[derive(Debug, Display, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CollectionError {
