--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::history::Edition;
+
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 ///
 /// Live replicas write again within about two seconds; the rest is the way of the news.
@@ -13,19 +15,6 @@
 /// that is left as of when they were written.
 const SAME_WARMTH_MS: u64 = 500;
 
-/// Place of a report among all that replicas of one name have written, later ones greater.
-///
-/// The store numbers writes in the order in which it carries them out, and a write that was
-/// given up for lost may be carried out seconds later: the last write of a crashed replica
-/// then overwrites the first one of its successor.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct Report {
-    /// Unix time of the replica's start in milliseconds; 0 where replicas don't tell it.
-    pub born_ms: u64,
-    /// Number of the report since then.
-    pub number: u64,
-}
-
 /// A replica as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaEntry {
@@ -34,7 +23,10 @@
     /// Name under which the store lists it; a replica that starts again may keep it.
     pub name: Arc<str>,
     /// Which of its reports this is.
-    pub report: Report,
+    ///
+    /// The store may carry out a write that was given up for lost seconds later: the last write
+    /// of a crashed replica then overwrites the first one of its successor.
+    pub report: Edition,
     /// Service that it serves.
     pub service: Arc<str>,
     /// Where it listens.
--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -79,6 +79,15 @@
     /// Number of the last change to the evacuated zones that it has taken in.
     #[prost(uint64, tag = "15")]
     pub evacuations_revision: u64,
+    /// Era of the store to which [`Self::replicas_revision`] belongs.
+    #[prost(uint64, tag = "16")]
+    pub replicas_era: u64,
+    /// Era of the store to which [`Self::configuration_revision`] belongs.
+    #[prost(uint64, tag = "17")]
+    pub configuration_era: u64,
+    /// Era of the store to which [`Self::evacuations_revision`] belongs.
+    #[prost(uint64, tag = "18")]
+    pub evacuations_era: u64,
 }
 
 impl Member {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod budget;
+pub mod changes;
 pub mod claim;
 pub mod cold;
 pub mod config;
@@ -18,6 +19,7 @@
 pub mod gatherers;
 pub mod gossip;
 pub mod hedge;
+pub mod history;
 pub mod homes;
 pub mod leaving;
 pub mod losses;
--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -1,61 +1,21 @@
 //! A copy of one kind of the store's objects, kept by changes from several sources.
 //!
-//! The store numbers every change by one counter. Changes come from the store's own
-//! lists and watches and from other instances, in any order; an older one never
-//! overwrites a newer one, so a stale read can't bring back what was replaced.
+//! Changes come from the store's own lists and watches and from other instances, in any
+//! order; an older one ([`crate::history`]) never overwrites a newer one. After a restore of the
+//! store its list is not the whole truth: objects that it lacks are kept for a while, and those
+//! that are back though they had been deleted are left out for a while, until their writers have
+//! written again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
+pub use crate::changes::{Changes, Deleted, Versioned};
+use crate::history::{Position, Stamp};
+
 /// Deletions that are remembered for other instances; at 60 bytes each about 60 KB.
 const MOST_DELETIONS: usize = 1000;
 
-/// An object as of its last change.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Versioned {
-    /// Its name.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Number of its last change.
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    /// Its content, as the store spells it.
-    #[prost(bytes = "bytes", tag = "3")]
-    pub content: Bytes,
-}
-
-/// An object that was deleted.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Deleted {
-    /// Its name.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Number of the deletion, or of a later change.
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-}
-
-/// Changes of one kind of objects.
-#[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct Changes {
-    /// Change up to which this is complete.
-    #[prost(uint64, tag = "1")]
-    pub as_of: u64,
-    /// Whether these are all objects, so that others are deleted.
-    #[prost(bool, tag = "2")]
-    pub is_whole: bool,
-    /// Objects as they are.
-    #[prost(message, repeated, tag = "3")]
-    pub objects: Vec<Versioned>,
-    /// Deleted objects.
-    #[prost(message, repeated, tag = "4")]
-    pub deleted: Vec<Deleted>,
-    /// How often the store has been restored from a copy, as its answer says.
-    #[prost(uint64, optional, tag = "5")]
-    pub era: Option<u64>,
-}
-
 /// What a change did to the copy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
@@ -63,112 +23,291 @@
     Set(String, Bytes),
     /// The object is gone, if it ever was here.
     Gone(String),
-    /// A change of the object was left out: one with the revision `known` is newer.
+}
+
+/// What was told and not taken in as it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// A change of the object was left out, since the `known` one is newer.
     LeftOut {
         /// Name of the object.
         name: String,
-        /// Revision of the change.
-        told: u64,
-        /// Revision that is known.
-        known: u64,
+        /// Place of the change.
+        told: Position,
+        /// Place of the one that is known.
+        known: Position,
     },
+    /// The restored store lacks the object; it is kept until it is written again, for a while.
+    Kept(String),
+    /// The restored store has the object though it had been deleted; it is left out for a while.
+    Doubted(String),
+}
+
+/// What became of changes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Applied {
+    /// What they did to the copy.
+    pub effects: Vec<Effect>,
+    /// What was not taken in as it was told.
+    pub notes: Vec<Note>,
+}
+
+impl Applied {
+    fn note_left_out(&mut self, object: &Versioned, known: Stamp) {
+        let (name, told) = (object.name.clone(), object.stamp().at);
+        self.notes.push(Note::LeftOut { name, told, known: known.at });
+    }
+}
+
+/// What becomes of objects that a restored store lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Retention {
+    /// They stay until a newer edition replaces them, whoever has it.
+    Always,
+    /// They stay for so many milliseconds.
+    ForMs(u64),
+}
+
+/// Bounds of the time after a restore in which writers have not written again yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settling {
+    /// What becomes of objects that the store lacks.
+    pub retention: Retention,
+    /// Time for which objects are left out that are back, in milliseconds: those of writers that
+    /// are gone have lapsed by then.
+    pub doubt_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    stamp: Stamp,
+    content: Bytes,
+    /// Whether the store lacks it since it was restored.
+    is_missing: bool,
 }
 
 /// The copy.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Mirror {
-    objects: BTreeMap<String, (u64, Bytes)>,
-    deleted: BTreeMap<String, u64>,
-    /// Change from which on deletions are known.
+    settling: Settling,
+    objects: BTreeMap<String, Known>,
+    deleted: BTreeMap<String, Stamp>,
+    /// Objects that a restored store has though they had been deleted.
+    doubted: BTreeMap<String, Versioned>,
+    /// Change of this era from which on deletions are known.
     horizon: u64,
-    /// Change up to which the copy is complete.
-    changed: u64,
+    /// Place up to which the copy is complete.
+    position: Position,
     /// Whether a whole list was ever taken in.
     is_filled: bool,
+    /// Until when objects of earlier eras are kept, in milliseconds, while they are.
+    kept_until_ms: Option<u64>,
+    /// Until when objects that are back are left out, in milliseconds, while they are.
+    doubted_until_ms: Option<u64>,
 }
 
 impl Mirror {
+    /// An empty copy.
+    #[must_use]
+    pub fn new(settling: Settling) -> Self {
+        Self {
+            settling,
+            objects: BTreeMap::new(),
+            deleted: BTreeMap::new(),
+            doubted: BTreeMap::new(),
+            horizon: 0,
+            position: Position::default(),
+            is_filled: false,
+            kept_until_ms: None,
+            doubted_until_ms: None,
+        }
+    }
+
     /// Whether a whole list was ever taken in.
     #[must_use]
     pub fn is_filled(&self) -> bool {
         self.is_filled
     }
 
-    /// Change up to which the copy is complete.
+    /// Place up to which the copy is complete.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Objects that are kept though the restored store lacks them, and that are left out though
+    /// it has them.
     #[must_use]
-    pub fn changed(&self) -> u64 {
-        self.changed
+    pub fn unsettled(&self) -> usize {
+        self.objects.values().filter(|known| known.is_missing).count() + self.doubted.len()
     }
 
     /// Takes changes in; returns what they did.
-    pub fn apply(&mut self, changes: &Changes) -> Vec<Effect> {
-        let mut effects = Vec::new();
+    ///
+    /// A later era is entered by a whole list only: changes from a place in an earlier one may
+    /// lack some, since its revisions were given out again.
+    pub fn apply(&mut self, changes: &Changes, now_ms: u64) -> Applied {
+        let mut applied = Applied::default();
+        if changes.era < self.position.era {
+            self.take_newer_editions(changes, &mut applied);
+            return applied;
+        }
+        if changes.era > self.position.era {
+            if !changes.is_whole {
+                return applied;
+            }
+            self.enter(changes, now_ms);
+        }
         for object in &changes.objects {
-            self.set(object, &mut effects);
+            self.set(object, now_ms, &mut applied);
         }
         for deleted in &changes.deleted {
-            self.delete(&deleted.name, deleted.revision, &mut effects);
+            self.delete(&deleted.name, deleted.stamp(), now_ms, &mut applied);
         }
         if changes.is_whole {
-            self.delete_missing(changes, &mut effects);
+            self.delete_missing(changes, now_ms, &mut applied);
         }
         // Also without an effect: otherwise an instance would go on asking for changes that
         // it has already.
-        self.changed = self.changed.max(changes.as_of);
-        effects
+        self.position = self.position.max(changes.position());
+        applied
+    }
+
+    fn enter(&mut self, changes: &Changes, now_ms: u64) {
+        self.position = Position { era: changes.era, revision: 0 };
+        self.horizon = changes.as_of;
+        self.doubted.clear();
+        self.doubted_until_ms = Some(now_ms + self.settling.doubt_ms);
+        self.kept_until_ms = match self.settling.retention {
+            Retention::Always => None,
+            Retention::ForMs(kept_ms) => Some(now_ms + kept_ms),
+        };
+    }
+
+    /// What an instance still knows that has not heard of the restore.
+    ///
+    /// It may be the only one left that knows the newest content.
+    fn take_newer_editions(&mut self, changes: &Changes, applied: &mut Applied) {
+        if self.settling.retention != Retention::Always {
+            return;
+        }
+        for object in &changes.objects {
+            let known = self.objects.get(&object.name).and_then(|known| known.stamp.edition);
+            if object.edition > known {
+                self.insert(object, applied);
+            }
+        }
     }
 
-    fn set(&mut self, object: &Versioned, effects: &mut Vec<Effect>) {
-        let known = self.objects.get(&object.name).map(|(revision, _)| *revision);
-        let deleted = self.deleted.get(&object.name).copied();
-        if let Some(newest) = known.max(deleted).filter(|newest| *newest >= object.revision) {
-            if newest > object.revision {
-                let (name, told) = (object.name.clone(), object.revision);
-                effects.push(Effect::LeftOut { name, told, known: newest });
+    fn set(&mut self, object: &Versioned, now_ms: u64, applied: &mut Applied) {
+        let stamp = object.stamp();
+        if stamp.at.era < self.position.era && !self.keeps_earlier(now_ms) {
+            return;
+        }
+        if let Some(known) = self.objects.get_mut(&object.name)
+            && !stamp.replaces(&known.stamp)
+        {
+            if stamp.at.era == self.position.era {
+                // What the store has of it is older, and yet it has it.
+                known.is_missing = false;
+            } else if stamp == known.stamp {
+                known.is_missing |= object.is_missing;
+            }
+            if known.stamp.replaces(&stamp) {
+                applied.note_left_out(object, known.stamp);
             }
             return;
         }
-        self.deleted.remove(&object.name);
+        if let Some(&deletion) = self.deleted.get(&object.name) {
+            if stamp.is_back_after(&deletion) && self.is_in_doubt(now_ms) {
+                self.doubted.insert(object.name.clone(), object.clone());
+                return applied.notes.push(Note::Doubted(object.name.clone()));
+            }
+            if deletion.at >= stamp.at {
+                return applied.note_left_out(object, deletion);
+            }
+        }
+        self.insert(object, applied);
+    }
+
+    /// Whether objects of earlier eras are kept.
+    fn keeps_earlier(&self, now_ms: u64) -> bool {
+        let is_always = self.settling.retention == Retention::Always;
+        is_always || self.kept_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
+    fn is_in_doubt(&self, now_ms: u64) -> bool {
+        self.doubted_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
+    fn insert(&mut self, object: &Versioned, applied: &mut Applied) {
+        let name = &object.name;
+        self.deleted.remove(name);
+        self.doubted.remove(name);
         let content = object.content.clone();
-        self.objects.insert(object.name.clone(), (object.revision, content.clone()));
-        effects.push(Effect::Set(object.name.clone(), content));
+        let known = Known { stamp: object.stamp(), content, is_missing: object.is_missing };
+        let before = self.objects.insert(name.clone(), known);
+        if before.is_none_or(|before| before.content != object.content) {
+            applied.effects.push(Effect::Set(name.clone(), object.content.clone()));
+        }
     }
 
-    fn delete(&mut self, name: &str, revision: u64, effects: &mut Vec<Effect>) {
-        if self.objects.get(name).is_some_and(|(known, _)| *known > revision) {
+    fn delete(&mut self, name: &str, deletion: Stamp, now_ms: u64, applied: &mut Applied) {
+        if let Some(known) = self.objects.get(name).filter(|known| known.stamp.at > deletion.at) {
+            if known.stamp.is_back_after(&deletion) && self.is_in_doubt(now_ms) {
+                self.doubted.insert(name.to_owned(), to_versioned(name, known));
+                self.objects.remove(name);
+                self.deleted.insert(name.to_owned(), deletion);
+                applied.effects.push(Effect::Gone(name.to_owned()));
+            }
             return;
         }
-        let was_here = self.objects.remove(name).is_some();
-        let deleted = self.deleted.get(name).copied();
+        if deletion.at.era == self.position.era {
+            self.doubted.remove(name);
+        }
+        let removed = self.objects.remove(name);
+        let before = self.deleted.get(name).copied();
         // Also what never was here: an instance that read the store between the two changes has
         // it, hears of the deletion from this one only, and would keep it until its next poll.
-        if was_here || deleted.is_none() {
-            effects.push(Effect::Gone(name.to_owned()));
+        if removed.is_some() || before.is_none() {
+            applied.effects.push(Effect::Gone(name.to_owned()));
         }
-        self.remember_deleted(name, revision.max(deleted.unwrap_or(0)));
+        let removed = removed.and_then(|known| known.stamp.edition);
+        let edition = deletion.edition.max(removed).max(before.and_then(|before| before.edition));
+        let at = before.map_or(deletion.at, |before| before.at.max(deletion.at));
+        self.remember_deleted(name, Stamp { at, edition });
     }
 
-    fn remember_deleted(&mut self, name: &str, revision: u64) {
-        self.deleted.insert(name.to_owned(), revision);
+    fn remember_deleted(&mut self, name: &str, deletion: Stamp) {
+        self.deleted.insert(name.to_owned(), deletion);
         if self.deleted.len() > MOST_DELETIONS {
-            let oldest = self.deleted.iter().min_by_key(|(_, revision)| **revision);
-            if let Some((name, revision)) = oldest.map(|(n, r)| (n.clone(), *r)) {
-                self.horizon = self.horizon.max(revision);
+            let oldest = self.deleted.iter().min_by_key(|(_, deletion)| deletion.at);
+            if let Some((name, at)) = oldest.map(|(name, deletion)| (name.clone(), deletion.at)) {
+                if at.era == self.position.era {
+                    self.horizon = self.horizon.max(at.revision);
+                }
                 self.deleted.remove(&name);
             }
         }
     }
 
-    fn delete_missing(&mut self, changes: &Changes, effects: &mut Vec<Effect>) {
-        let listed: std::collections::BTreeSet<&str> =
-            changes.objects.iter().map(|o| o.name.as_str()).collect();
-        let is_missing = |(name, (revision, _)): &(&String, &(u64, Bytes))| {
-            !listed.contains(name.as_str()) && *revision <= changes.as_of
-        };
-        let missing: Vec<String> =
-            self.objects.iter().filter(is_missing).map(|(name, _)| name.clone()).collect();
-        for name in missing {
-            self.delete(&name, changes.as_of, effects);
+    fn delete_missing(&mut self, changes: &Changes, now_ms: u64, applied: &mut Applied) {
+        let listed: BTreeSet<&str> = changes.objects.iter().map(|o| o.name.as_str()).collect();
+        let as_of = changes.position();
+        let mut deleted = Vec::new();
+        for (name, known) in &mut self.objects {
+            if listed.contains(name.as_str()) || known.stamp.at > as_of {
+                continue;
+            }
+            if known.stamp.at.era == changes.era {
+                deleted.push(name.clone());
+            } else if !known.is_missing {
+                known.is_missing = true;
+                applied.notes.push(Note::Kept(name.clone()));
+            }
+        }
+        for name in deleted {
+            self.delete(&name, Stamp { at: as_of, edition: None }, now_ms, applied);
         }
         if !self.is_filled {
             self.is_filled = true;
@@ -176,25 +315,71 @@
         }
     }
 
-    /// What another instance lacks that has seen everything up to `revision`.
+    /// Ends the time in which writers write again after a restore; returns what that did.
+    pub fn expire(&mut self, now_ms: u64) -> Applied {
+        let mut applied = Applied::default();
+        if self.kept_until_ms.is_some_and(|until_ms| now_ms >= until_ms) {
+            self.kept_until_ms = None;
+            let missing = self.objects.iter().filter(|(_, known)| known.is_missing);
+            let missing: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
+            let deletion = Stamp { at: self.position, edition: None };
+            for name in missing {
+                self.delete(&name, deletion, now_ms, &mut applied);
+            }
+        }
+        if self.doubted_until_ms.is_some_and(|until_ms| now_ms >= until_ms) {
+            self.doubted_until_ms = None;
+            for object in std::mem::take(&mut self.doubted).into_values() {
+                self.insert(&object, &mut applied);
+            }
+            self.settle();
+        }
+        applied
+    }
+
+    /// Gives what is of earlier eras a place in this one: all instances have entered it by now, and
+    /// it need not be told to each again.
+    fn settle(&mut self) {
+        let era = self.position.era;
+        let start = Position { era, revision: 0 };
+        let earlier = self.deleted.values_mut().filter(|deletion| deletion.at.era < era);
+        earlier.for_each(|deletion| deletion.at = start);
+        if self.settling.retention == Retention::Always {
+            return;
+        }
+        let known = self.objects.values_mut().map(|known| &mut known.stamp.at);
+        known.filter(|at| at.era < era).for_each(|at| *at = start);
+    }
+
+    /// What another instance lacks that has seen everything up to `position`.
     #[must_use]
-    pub fn since(&self, revision: u64) -> Changes {
-        let is_whole = revision < self.horizon;
-        let object = |(name, (revision, content)): (&String, &(u64, Bytes))| Versioned {
-            name: name.clone(),
-            revision: *revision,
-            content: content.clone(),
+    pub fn since(&self, position: Position) -> Changes {
+        let Position { era, revision } = self.position;
+        let is_ahead = position.era > era;
+        let is_whole = position.era < era || !is_ahead && position.revision < self.horizon;
+        let is_silent = is_ahead && self.settling.retention != Retention::Always;
+        // What this era has not confirmed yet has no place in it by which it could be asked for.
+        let is_wanted =
+            |at: Position| !is_silent && (is_whole || is_ahead || at.era < era || at > position);
+        let objects = self.objects.iter().filter(|(_, known)| is_wanted(known.stamp.at));
+        let deleted = self.deleted.iter().filter(|(_, deletion)| is_wanted(deletion.at));
+        let to_deleted = |(name, deletion): (&String, &Stamp)| {
+            let Stamp { at: Position { era, revision }, edition } = *deletion;
+            Deleted { name: name.clone(), revision, era, edition }
         };
-        let objects = self.objects.iter().filter(|(_, (known, _))| is_whole || *known > revision);
-        let deleted = self.deleted.iter().filter(|(_, known)| **known > revision);
         Changes {
-            as_of: self.changed,
+            as_of: revision,
             is_whole,
-            objects: objects.map(object).collect(),
-            deleted: deleted
-                .map(|(name, revision)| Deleted { name: name.clone(), revision: *revision })
-                .collect(),
-            era: None,
+            objects: objects.map(|(name, known)| to_versioned(name, known)).collect(),
+            deleted: deleted.map(to_deleted).collect(),
+            era,
         }
     }
 }
+
+fn to_versioned(name: &str, known: &Known) -> Versioned {
+    let Known { stamp: Stamp { at: Position { era, revision }, edition }, .. } = *known;
+    let content = known.content.clone();
+    let is_missing = known.is_missing;
+    Versioned { name: name.to_owned(), revision, content, era, edition, is_missing }
+}
--- a/crates/decide/tests/beliefs.rs
+++ b/crates/decide/tests/beliefs.rs
@@ -3,21 +3,32 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use eelgrasspier_decide::directory::{COME_BACK_MS, Directory, EntryChange, ReplicaEntry, Report};
-use eelgrasspier_decide::mirror::{Changes, Deleted, Effect, Mirror, Versioned};
+use eelgrasspier_decide::directory::{COME_BACK_MS, Directory, EntryChange, ReplicaEntry};
+use eelgrasspier_decide::history::{Edition, Position};
+use eelgrasspier_decide::mirror::{
+    Changes, Deleted, Effect, Mirror, Retention, Settling, Versioned,
+};
 
 fn object(name: &str, revision: u64) -> Versioned {
     let content = Bytes::from(format!("{name}@{revision}"));
-    Versioned { name: name.to_owned(), revision, content }
+    Versioned { name: name.to_owned(), revision, content, ..Versioned::default() }
 }
 
 fn whole(as_of: u64, objects: &[(&str, u64)]) -> Changes {
     let objects = objects.iter().map(|(name, revision)| object(name, *revision)).collect();
-    Changes { as_of, is_whole: true, objects, deleted: Vec::new() }
+    Changes { as_of, is_whole: true, objects, ..Changes::default() }
+}
+
+fn empty() -> Mirror {
+    Mirror::new(Settling { retention: Retention::ForMs(2_000), doubt_ms: 4_000 })
+}
+
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
 }
 
 fn names(mirror: &Mirror) -> Vec<String> {
-    mirror.since(0).objects.into_iter().map(|o| format!("{}@{}", o.name, o.revision)).collect()
+    mirror.since(at(0)).objects.into_iter().map(|o| format!("{}@{}", o.name, o.revision)).collect()
 }
 
 /// Symptom: a version that was replaced came back.
@@ -26,41 +37,44 @@
 /// Cause it guards against: taking the last answer for the newest.
 #[test]
 fn a_stale_list_neither_lowers_nor_deletes_nor_brings_back() {
-    let mut mirror = Mirror::default();
-    mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+    let mut mirror = empty();
+    mirror.apply(&whole(10, &[("a", 3), ("b", 4)]), 0);
     let newer = Changes {
         as_of: 20,
         objects: vec![object("a", 15), object("c", 16)],
-        deleted: vec![Deleted { name: "b".to_owned(), revision: 17 }],
+        deleted: vec![Deleted { name: "b".to_owned(), revision: 17, ..Deleted::default() }],
         ..Changes::default()
     };
-    mirror.apply(&newer);
-    let effects = mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+    mirror.apply(&newer, 0);
+    let effects = mirror.apply(&whole(10, &[("a", 3), ("b", 4)]), 0).effects;
     assert_eq!(effects, Vec::<Effect>::new());
     assert_eq!(names(&mirror), ["a@15", "c@16"]);
 }
 
 #[test]
 fn what_another_instance_lacks_makes_it_the_same() {
-    let mut first = Mirror::default();
-    let mut second = Mirror::default();
+    let mut first = empty();
+    let mut second = empty();
     for mirror in [&mut first, &mut second] {
-        mirror.apply(&whole(10, &[("a", 3), ("b", 4)]));
+        mirror.apply(&whole(10, &[("a", 3), ("b", 4)]), 0);
     }
-    first.apply(&Changes {
-        as_of: 12,
-        objects: vec![object("c", 11)],
-        deleted: vec![Deleted { name: "a".to_owned(), revision: 12 }],
-        ..Changes::default()
-    });
-    let changes = first.since(second.changed());
+    first.apply(
+        &Changes {
+            as_of: 12,
+            objects: vec![object("c", 11)],
+            deleted: vec![Deleted { name: "a".to_owned(), revision: 12, ..Deleted::default() }],
+            ..Changes::default()
+        },
+        0,
+    );
+    let changes = first.since(second.position());
     assert!(!changes.is_whole && changes.objects.len() == 1);
-    second.apply(&changes);
+    second.apply(&changes, 0);
     assert_eq!(names(&second), names(&first));
-    assert_eq!(second.changed(), first.changed());
+    assert_eq!(second.position(), first.position());
     // One that has just started gets everything.
-    let mut third = Mirror::default();
-    third.apply(&first.since(0));
+    let mut third = empty();
+    third.apply(&first.since(at(0)), 0);
     assert!(third.is_filled());
     assert_eq!(names(&third), names(&first));
 }
@@ -71,19 +85,19 @@
 /// Cause: an answer without an effect left the own number as it was.
 #[test]
 fn an_answer_without_an_effect_still_counts_as_seen() {
-    let mut first = Mirror::default();
-    first.apply(&whole(30, &[("a", 3)]));
-    let mut second = Mirror::default();
-    second.apply(&whole(20, &[("a", 3)]));
-    assert!(second.apply(&first.since(second.changed())).is_empty());
-    assert_eq!(second.changed(), first.changed());
+    let mut first = empty();
+    first.apply(&whole(30, &[("a", 3)]), 0);
+    let mut second = empty();
+    second.apply(&whole(20, &[("a", 3)]), 0);
+    assert!(second.apply(&first.since(second.position()), 0).effects.is_empty());
+    assert_eq!(second.position(), first.position());
 }
 
 fn entry(id: &str, is_draining: bool) -> ReplicaEntry {
     ReplicaEntry {
         id: id.into(),
         name: id.into(),
-        report: Report::default(),
+        report: Edition::default(),
         service: "s".into(),
         addr: ([127, 0, 0, 1], 80).into(),
         zone: "z".into(),
@@ -126,7 +140,7 @@
 /// A report of the replica `a`, started at `born_ms`.
 fn report(born_ms: u64, number: u64, is_draining: bool) -> ReplicaEntry {
     let id = format!("a@{born_ms}").into();
-    ReplicaEntry { id, report: Report { born_ms, number }, ..entry("a", is_draining) }
+    ReplicaEntry { id, report: Edition { born_ms, number }, ..entry("a", is_draining) }
 }
 
 /// Symptom: requests went to a replica that had ended, while its successor idled.
@@ -165,17 +179,17 @@
 /// the one instance. Proof: its line on the entry, and none on the end of it, until its next poll.
 #[test]
 fn an_object_that_came_and_went_between_two_looks_is_told_as_deleted() {
-    let (mut watching, mut polling) = (Mirror::default(), Mirror::default());
+    let (mut watching, mut polling) = (empty(), empty());
     for mirror in [&mut watching, &mut polling] {
-        mirror.apply(&whole(10, &[("a", 3)]));
+        mirror.apply(&whole(10, &[("a", 3)]), 0);
     }
-    let object = Versioned { name: "b".to_owned(), revision: 12, content: Bytes::new() };
-    polling.apply(&Changes { as_of: 12, objects: vec![object], ..Changes::default() });
-    let deleted = vec![Deleted { name: "b".to_owned(), revision: 14 }];
+    let object = Versioned { name: "b".to_owned(), revision: 12, ..Versioned::default() };
+    polling.apply(&Changes { as_of: 12, objects: vec![object], ..Changes::default() }, 0);
+    let deleted = vec![Deleted { name: "b".to_owned(), revision: 14, ..Deleted::default() }];
     let both = Changes { as_of: 14, deleted, ..Changes::default() };
     // Also news where it changes nothing here: others must hear that there is something to fetch.
-    assert_eq!(watching.apply(&both), [Effect::Gone("b".to_owned())]);
-    assert_eq!(watching.apply(&both), []);
-    assert_eq!(polling.apply(&watching.since(12)), [Effect::Gone("b".to_owned())]);
+    assert_eq!(watching.apply(&both, 0).effects, [Effect::Gone("b".to_owned())]);
+    assert_eq!(watching.apply(&both, 0).effects, []);
+    assert_eq!(polling.apply(&watching.since(at(12)), 0).effects, [Effect::Gone("b".to_owned())]);
     assert_eq!(names(&polling), ["a@3"]);
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -22,7 +22,7 @@
     /// What is asked or answered.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub body: Option<Body>,
 }
@@ -90,8 +90,7 @@
     /// Answers [`Body::MembersAsk`].
     #[prost(message, tag = "22")]
     Members(Members),
-    /// Asks for changes of the evacuated zones above the given one; answered like
-    /// [`Body::ChangesAbove`], of which an older version would take it for another kind.
+    /// Asks for changes of the evacuated zones above the given one, as older versions do.
     #[prost(uint64, tag = "23")]
     EvacuationsAbove(u64),
     /// Asks the keeper of a cold replica whether one request may go there.
@@ -100,6 +99,10 @@
     /// Answers [`Body::ColdSend`].
     #[prost(bool, tag = "25")]
     ColdSendAllowed(bool),
+    /// Asks for changes of the evacuated zones that the sender has not seen; answered like
+    /// [`Body::ChangesAbove`], of which an older version would take it for another kind.
+    #[prost(message, tag = "26")]
+    EvacuationsAfter(eelgrasspier_decide::history::Position),
 }
 
 /// Records of instances, and what those that start need to know besides.
@@ -122,6 +125,9 @@
     /// Last change that the sender has taken in.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Era of that change.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 /// Nothing.
--- a/crates/peer/tests/packed.rs
+++ b/crates/peer/tests/packed.rs
@@ -17,8 +17,12 @@
         )
     };
     let content: Vec<String> = (0..routes).map(route).collect();
-    let object =
-        Versioned { name: "main".to_owned(), revision: 7, content: content.join(",").into() };
+    let object = Versioned {
+        name: "main".to_owned(),
+        revision: 7,
+        content: content.join(",").into(),
+        ..Versioned::default()
+    };
     Changes { as_of: 9, objects: vec![object], ..Changes::default() }
 }
 
@@ -51,8 +55,17 @@
         for _ in 0..u.int_in_range(0..=60)? {
             let content: Vec<u8> = u.arbitrary()?;
             let (name, revision) = (u.arbitrary()?, u.arbitrary()?);
-            changes.objects.push(Versioned { name, revision, content: content.into() });
-            changes.deleted.push(Deleted { name: u.arbitrary()?, revision: u.arbitrary()? });
+            changes.objects.push(Versioned {
+                name,
+                revision,
+                content: content.into(),
+                ..Versioned::default()
+            });
+            changes.deleted.push(Deleted {
+                name: u.arbitrary()?,
+                revision: u.arbitrary()?,
+                ..Deleted::default()
+            });
         }
         assert_eq!(unpack(pack(changes.clone())), Some(changes));
         Ok(())
--- a/crates/router/src/control/fetch.rs
+++ b/crates/router/src/control/fetch.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use eelgrasspier_decide::history::Position;
 use eelgrasspier_decide::membership::Member;
 use eelgrasspier_decide::mirror::{Changes, Mirror};
 use eelgrasspier_decide::pulls;
@@ -19,18 +20,20 @@
 const OWN_ZONE_MS: u64 = 400;
 
 impl Control {
-    /// Has the changes of a kind above `revision` from another instance; `None` if it refuses.
+    /// Has the changes of a kind above a place from another instance; `None` if it refuses.
     pub(super) async fn changes_from(
         &self,
         addr: SocketAddr,
         kind: Kind,
-        revision: u64,
+        above: Position,
         timeout: Duration,
     ) -> Result<Option<Changes>, PeerError> {
         let question = match kind {
-            Kind::Evacuations => Body::EvacuationsAbove(revision),
+            Kind::Evacuations => Body::EvacuationsAfter(above),
             kind => {
-                Body::ChangesAbove(ChangesAbove { is_replicas: kind == Kind::Replicas, revision })
+                let Position { era, revision } = above;
+                let is_replicas = kind == Kind::Replicas;
+                Body::ChangesAbove(ChangesAbove { is_replicas, revision, era })
             }
         };
         let answer = self.links.ask(addr, question, timeout).await?;
@@ -40,14 +43,19 @@
 
     /// Fetches changes from an instance that has seen more.
     pub(super) fn fetch_newer(self: &Rc<Self>, kind: Kind) {
-        let known = self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
+        let known = self.mirrors.borrow().get(&kind).map(Mirror::position).unwrap_or_default();
+        let version = self.configuration.borrow().as_ref().map_or(0, |c| c.version);
         let now_ms = self.shared.now_ms();
         let pulls = self.pulls.borrow().get(&kind).cloned().unwrap_or_default();
         if !pulls.may_start(now_ms) {
             return;
         }
         let membership = self.membership.borrow();
-        let is_ahead = |m: &&Member| revision_of(m, kind) > known && !pulls.is_asked(&m.name);
+        // In a restored store the newest version may be missing, at whatever place.
+        let has_newer = |m: &Member| kind == Kind::Configuration && m.config_version > version;
+        let is_ahead = |m: &&Member| {
+            (position_of(m, kind) > known || has_newer(m)) && !pulls.is_asked(&m.name)
+        };
         let ahead = membership.alive().filter(is_ahead);
         // One in the own zone, if there is one: so changes cross zones but once.
         let best = ahead.min_by_key(|m| (m.zone != self.identity.zone, rand::random::<u32>()));
@@ -86,11 +94,12 @@
     }
 }
 
-fn revision_of(member: &Member, kind: Kind) -> u64 {
-    match kind {
-        Kind::Replicas => member.replicas_revision,
-        Kind::Configuration => member.configuration_revision,
-        Kind::Evacuations => member.evacuations_revision,
-        Kind::Instances | Kind::Suspects => 0,
-    }
+fn position_of(member: &Member, kind: Kind) -> Position {
+    let (era, revision) = match kind {
+        Kind::Replicas => (member.replicas_era, member.replicas_revision),
+        Kind::Configuration => (member.configuration_era, member.configuration_revision),
+        Kind::Evacuations => (member.evacuations_era, member.evacuations_revision),
+        Kind::Instances | Kind::Suspects => (0, 0),
+    };
+    Position { era, revision }
 }
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eelgrasspier_decide::mirror::{Changes, Mirror};
+use eelgrasspier_decide::history::Position;
+use eelgrasspier_decide::mirror::Mirror;
 use eelgrasspier_decide::outage::{self, LEAST_PAUSE_MS, MOST_PAUSE_MS};
 use eelgrasspier_decide::watchers;
 use eelgrasspier_store::{Backoff, CollectionError, Kind};
 
 use super::Control;
+use super::restore::{Asked, Placed};
 
 /// Time for which a watch waits at the store.
 ///
@@ -52,22 +54,27 @@
         } else {
             self.ask_seeds(kind).await;
         }
-        let mut since = None;
-        let mut is_history_gone = false;
+        let mut must_list = false;
         let mut next_poll = self.next_poll();
         loop {
             // What others have brought meanwhile spares the list.
-            since = since.or_else(|| self.filled_up_to(kind)).filter(|_| !is_history_gone);
+            let since = self.known_in_era(kind).await.filter(|_| !must_list);
             if since.is_some() {
                 self.wait_until_joined().await;
             }
-            let called = Instant::now();
+            let (called, asked_in) = (Instant::now(), self.era());
+            let restored = self.restored.notified();
+            let mut may_be_stale = false;
             let result = match since {
                 None => self.store.list(kind, false).await,
-                Some(revision) if self.is_watcher() => {
-                    self.store.watch(kind, revision, self.watch_wait()).await
+                Some(since) if self.is_watcher() => {
+                    let watch = self.store.watch(kind, since.revision, self.watch_wait());
+                    tokio::select! {
+                        answer = watch => answer,
+                        () = restored => continue,
+                    }
                 }
-                Some(revision) => {
+                Some(since) => {
                     // One that lost the store goes on until it is answered, watcher or not: its
                     // record would say "not reached" until the next poll, a minute later in a
                     // large fleet.
@@ -75,28 +82,32 @@
                         continue;
                     }
                     next_poll = self.next_poll();
-                    self.store.poll(kind, revision).await
+                    may_be_stale = true;
+                    self.store.poll(kind, since.revision).await
                 }
             };
+            let asked = Asked { kind, since, in_era: asked_in, may_be_stale };
             match result {
-                Ok(changes) => {
+                Ok(answer) => {
                     pauses.reset();
-                    is_history_gone = false;
                     self.store_answered();
-                    self.note_era(kind, &changes);
-                    // A stale answer must not set the watch back.
-                    since = Some(changes.as_of.max(since.unwrap_or(0)));
-                    self.take(kind, &changes, "store");
+                    match self.place(asked, answer) {
+                        Placed::Taken => must_list = false,
+                        Placed::ListFirst => continue,
+                        Placed::Late => {}
+                    }
                     tokio::time::sleep(BATCH).await;
                 }
                 Err(error) => {
                     log::info!(
-                        "event=store_call_failed kind={kind:?} since={since:?} after_ms={} cause=\"{error}\"",
+                        "event=store_call_failed kind={kind:?} since={} after_ms={} cause=\"{error}\"",
+                        since.unwrap_or_default(),
                         called.elapsed().as_millis()
                     );
-                    if error == CollectionError::HistoryGone {
+                    if let CollectionError::HistoryGone { era } = error {
                         self.store_answered();
-                        is_history_gone = true;
+                        self.take_era(asked, era);
+                        must_list = self.filled_up_to(kind) == since;
                     } else {
                         self.store_failed(&error);
                         self.pause(pauses.next_pause()).await;
@@ -127,8 +138,10 @@
     async fn ask_seeds(&self, kind: Kind) {
         let asking = async {
             for seed in self.other_seeds() {
-                match self.changes_from(seed, kind, 0, SEED_TIME).await {
+                let nothing = Position::default();
+                match self.changes_from(seed, kind, nothing, SEED_TIME).await {
                     Ok(Some(changes)) if changes.is_whole => {
+                        self.is_confirmed.set(true);
                         return self.take(kind, &changes, "seed");
                     }
                     // It has just started too.
@@ -149,10 +162,10 @@
         tokio::time::sleep(Duration::from_millis(left_ms)).await;
     }
 
-    /// Change up to which the copy is complete, once it is filled.
-    fn filled_up_to(&self, kind: Kind) -> Option<u64> {
+    /// Place up to which the copy is complete, once it is filled.
+    pub(super) fn filled_up_to(&self, kind: Kind) -> Option<Position> {
         let mirrors = self.mirrors.borrow();
-        mirrors.get(&kind).filter(|m| m.is_filled()).map(Mirror::changed)
+        mirrors.get(&kind).filter(|m| m.is_filled()).map(Mirror::position)
     }
 
     /// While the store is lost a call doesn't wait there for changes.
@@ -203,21 +216,6 @@
         }
     }
 
-    fn note_era(&self, kind: Kind, changes: &Changes) {
-        let before = self.store_era.get();
-        if changes.era != before {
-            self.store_era.set(changes.era);
-            let era = u32::try_from(changes.era.unwrap_or(0)).unwrap_or(u32::MAX);
-            metrics::gauge!("eelgrasspier_store_era").set(f64::from(era));
-            let known = self.filled_up_to(kind);
-            log::warn!(
-                "event=store_era era={:?} before={before:?} kind={kind:?} as_of={} known={known:?}",
-                changes.era,
-                changes.as_of
-            );
-        }
-    }
-
     fn store_answered(&self) {
         let now_ms = self.shared.now_ms();
         let silent_ms = now_ms.saturating_sub(self.heard_ms.replace(now_ms));
--- a/crates/router/src/control/instances.rs
+++ b/crates/router/src/control/instances.rs
@@ -26,12 +26,19 @@
 /// all have lost power and start together.
 const ALONE_AFTER_MS: u64 = 2_000;
 
+/// Time over which those that have entries write them again to a restored store.
+const ANNOUNCE_AGAIN_SPREAD_MS: u64 = 3_000;
+
 /// What this instance has done about the entries.
 #[derive(Debug, Default)]
 struct Entries {
     /// Size of the fleet in the own entry, while there is one.
     written: Option<u64>,
     listed_at: Option<Instant>,
+    /// Era of the store in which the own entry is known to be there, and when to write it again
+    /// in a later one.
+    era: u64,
+    due_at: Option<Instant>,
 }
 
 impl Control {
@@ -58,6 +65,7 @@
         if self.is_list_due(entries) {
             self.list_instances(entries).await?;
         }
+        self.note_restore(entries);
         let instances = self.instances();
         let is_current = entries.written.is_some_and(|n| !contacts::is_outdated(n, instances));
         if !is_current && self.may_announce() {
@@ -69,6 +77,18 @@
         Ok(())
     }
 
+    /// Has the own entry written again some time after the store was restored.
+    fn note_restore(&self, entries: &mut Entries) {
+        let before = std::mem::replace(&mut entries.era, self.era());
+        if before > 0 && before < entries.era {
+            let spread_ms = rand::random_range(0..ANNOUNCE_AGAIN_SPREAD_MS);
+            entries.due_at = Some(Instant::now() + Duration::from_millis(spread_ms));
+        }
+        if entries.due_at.take_if(|at| Instant::now() >= *at).is_some() {
+            entries.written = None;
+        }
+    }
+
     fn is_alone(&self) -> bool {
         self.membership.borrow().alive_count() == 1
     }
@@ -101,7 +121,7 @@
         let changes = self.store.list(Kind::Instances, true).await;
         let changes =
             changes.inspect_err(|e| log::info!("event=instances_not_listed cause=\"{e}\""))?;
-        let read = changes.objects.iter().filter_map(|o| {
+        let read = changes.changes.objects.iter().filter_map(|o| {
             let read = self.decode.instance(&o.name, &o.content);
             read.inspect_err(|e| log::warn!("event=instance_unreadable cause=\"{e}\"")).ok()
         });
--- a/crates/router/src/control/kept.rs
+++ b/crates/router/src/control/kept.rs
@@ -27,6 +27,12 @@
 /// Time after which a request that is only suspected is kept: a bystander is mostly answered at its
 /// caller's next attempt, and nothing is written for it.
 const KEEP_SUSPECT_AFTER: Duration = Duration::from_millis(500);
+/// Time after a restore of the store in which those who watch it look what it lacks: first until a
+/// stale read shows the restored store, then spread over the rest.
+const KEEP_AGAIN_AFTER_MS: u64 = 4_000;
+const KEEP_AGAIN_SPREAD_MS: u64 = 3_000;
+/// Time between two writes of what it lacks.
+const KEEP_AGAIN_EVERY: Duration = Duration::from_millis(100);
 /// Time between two looks for kept requests whose time is over.
 const TIDY_EVERY_MS: u64 = 600_000;
 
@@ -166,10 +172,51 @@
         Ok(())
     }
 
+    /// Has a store that was restored keep again what it lacks.
+    pub(super) async fn keep_again_after_restores(self: Rc<Self>) {
+        loop {
+            self.restored.notified().await;
+            self.kept.known.borrow_mut().clear();
+            // Spread, so that one has written when the next one looks.
+            let spread_ms = rand::random_range(0..KEEP_AGAIN_SPREAD_MS);
+            tokio::time::sleep(Duration::from_millis(KEEP_AGAIN_AFTER_MS + spread_ms)).await;
+            if !self.is_watcher() || self.suspects().is_empty() {
+                continue;
+            }
+            match self.read_kept().await {
+                Ok(kept) => self.keep_missing(&kept),
+                Err(error) => log::info!("event=requests_not_recalled cause=\"{error}\""),
+            }
+        }
+    }
+
+    fn suspects(&self) -> Vec<Report> {
+        let reports = self.membership.borrow().reports(self.shared.now_ms());
+        reports.into_iter().filter(Report::is_suspect).collect()
+    }
+
+    /// Writes what the store should keep and does not, at a bounded rate.
+    fn keep_missing(&self, kept: &[KeptRequest]) {
+        for kept in kept {
+            let request = Fingerprint(kept.report.fingerprint);
+            self.kept.known.borrow_mut().insert(request, kept.report.refusals);
+        }
+        let suspects = self.suspects();
+        let known = self.kept.known.borrow();
+        let is_missing = |r: &&Report| !known.contains_key(&Fingerprint(r.fingerprint));
+        let mut at = Instant::now();
+        for report in suspects.iter().filter(is_missing) {
+            self.kept.due.borrow_mut().entry(Fingerprint(report.fingerprint)).or_insert(at);
+            at += KEEP_AGAIN_EVERY;
+        }
+        log::info!("event=requests_kept_again known={} of={}", known.len(), suspects.len());
+        self.kept.has_due.notify_one();
+    }
+
     /// A read that may be seconds old, which costs the store a tenth.
     async fn read_kept(&self) -> Result<Vec<KeptRequest>, CollectionError> {
-        let changes = self.store.list(Kind::Suspects, true).await?;
-        let read = changes.objects.iter().filter_map(|o| {
+        let answer = self.store.list(Kind::Suspects, true).await?;
+        let read = answer.changes.objects.iter().filter_map(|o| {
             let read = self.decode.kept_request(&o.name, &o.content);
             read.inspect_err(|e| log::warn!("event=request_unreadable cause=\"{e}\"")).ok()
         });
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -139,23 +139,35 @@
     pub(super) fn announce_changes(&self) {
         // Others fetch from these; that each instance told of each change cost more bytes than
         // the changes themselves.
-        let is_source = self.is_watcher() || self.is_fetcher();
+        let is_source = self.is_watcher() || self.is_fetcher() || self.has_newest_version();
         if !is_source && !self.is_told_due() {
             return;
         }
-        let revision = |kind| self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
+        let position =
+            |kind| self.mirrors.borrow().get(&kind).map(Mirror::position).unwrap_or_default();
         let [replicas, configuration, evacuations] =
-            [Kind::Replicas, Kind::Configuration, Kind::Evacuations].map(revision);
+            [Kind::Replicas, Kind::Configuration, Kind::Evacuations].map(position);
+        let version = self.configuration.borrow().as_ref().map_or(0, |c| c.version);
         self.membership.borrow_mut().update_own(|m| {
-            m.replicas_revision = replicas;
-            m.configuration_revision = configuration;
-            m.evacuations_revision = evacuations;
+            (m.replicas_era, m.replicas_revision) = (replicas.era, replicas.revision);
+            (m.configuration_era, m.configuration_revision) =
+                (configuration.era, configuration.revision);
+            (m.evacuations_era, m.evacuations_revision) = (evacuations.era, evacuations.revision);
+            m.config_version = version;
         });
         if is_source {
             self.spread_at_once();
         }
     }
 
+    /// Whether nobody else tells of a version as new as the one in force here.
+    ///
+    /// A restored store may lack it, and those who watch the store may have started since.
+    fn has_newest_version(&self) -> bool {
+        let told = self.membership.borrow().alive().map(|m| m.config_version).max();
+        self.configuration.borrow().as_ref().is_some_and(|c| Some(c.version) > told)
+    }
+
     /// Whether an instance that does not watch may tell again what it has taken in.
     fn is_told_due(&self) -> bool {
         let now_ms = self.shared.now_ms();
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod kept;
 mod members;
 mod reports;
+mod restore;
 mod take;
 mod views;
 
@@ -21,6 +22,7 @@
 use eelgrasspier_decide::cold::Settled;
 use eelgrasspier_decide::directory::Directory;
 use eelgrasspier_decide::evacuations::Evacuations;
+use eelgrasspier_decide::history::{Eras, Position};
 use eelgrasspier_decide::membership::{Member, Membership, Send, State};
 use eelgrasspier_decide::mirror::{Changes, Mirror};
 use eelgrasspier_decide::pulls::Pulls;
@@ -40,8 +42,8 @@
 /// What other threads ask of the control thread.
 #[derive(Debug)]
 pub(crate) enum Ask {
-    /// Another instance wants changes of a kind above a revision.
-    Changes { kind: Kind, revision: u64, done: oneshot::Sender<Changes> },
+    /// Another instance wants changes of a kind above a place.
+    Changes { kind: Kind, above: Position, done: oneshot::Sender<Changes> },
     /// Another instance wants the records of all instances.
     Members { done: oneshot::Sender<wire::Members> },
     /// Something was found out of requests that end replicas.
@@ -60,6 +62,7 @@
     pub(crate) capacity_milli: u32,
     pub(crate) is_first_start: bool,
     pub(crate) has_evacuations: bool,
+    pub(crate) heartbeat: Duration,
 }
 
 /// The state of the control thread.
@@ -92,8 +95,14 @@
     /// When the store last answered, in milliseconds.
     heard_ms: Cell<u64>,
     is_store_up: Cell<bool>,
-    /// How often the store had been restored from a copy, as of its last answer.
-    store_era: Cell<Option<u64>>,
+    /// How often the store has been restored from a copy.
+    eras: RefCell<Eras>,
+    /// The last era of the store that was told though a later one was known.
+    told_back: Cell<Option<u64>>,
+    /// Wakes those whose call of the store began before a restore.
+    restored: Notify,
+    /// Whether another instance was asked what it knows, which a restored store may lack.
+    is_confirmed: Cell<bool>,
     /// Other instances that the store answers, as they say.
     answered_by_store: Cell<usize>,
     /// Rings when the store answers another instance, after it answered none.
@@ -132,6 +141,7 @@
     ) -> std::io::Result<()> {
         let (gossip, received) = eelgrasspier_peer::Gossip::bind(identity.peer_addr).await?;
         let (outbox, outgoing) = mpsc::unbounded_channel();
+        let is_first_start = identity.is_first_start;
         let control = Rc::new(Self {
             membership: RefCell::new(Membership::new(own_member(&identity))),
             // Nobody orders these frames, so they carry no clock stamp.
@@ -154,7 +164,10 @@
             table: RefCell::default(),
             heard_ms: Cell::new(0),
             is_store_up: Cell::new(true),
-            store_era: Cell::new(None),
+            eras: RefCell::default(),
+            told_back: Cell::new(None),
+            restored: Notify::new(),
+            is_confirmed: Cell::new(is_first_start),
             answered_by_store: Cell::new(0),
             store_answers_another: Notify::new(),
             is_any_turned_away: Cell::new(false),
@@ -176,6 +189,8 @@
         }
         actix_rt::spawn(Rc::clone(&control).follow_instances());
         actix_rt::spawn(Rc::clone(&control).join());
+        actix_rt::spawn(Rc::clone(&control).confirm());
+        actix_rt::spawn(Rc::clone(&control).keep_again_after_restores());
         actix_rt::spawn(Rc::clone(&control).recall_kept());
         actix_rt::spawn(Rc::clone(&control).follow_due());
         actix_rt::spawn(Rc::clone(&control).tick());
@@ -186,9 +201,9 @@
     async fn answer_asks(self: Rc<Self>, mut asks: mpsc::UnboundedReceiver<Ask>) {
         while let Some(ask) = asks.recv().await {
             match ask {
-                Ask::Changes { kind, revision, done } => {
+                Ask::Changes { kind, above, done } => {
                     let mirrors = self.mirrors.borrow();
-                    let changes = mirrors.get(&kind).map(|m| m.since(revision));
+                    let changes = mirrors.get(&kind).map(|m| m.since(above));
                     // The asker's connection may have gone meanwhile.
                     let _gone = done.send(changes.unwrap_or_default()).is_err();
                 }
@@ -206,6 +221,7 @@
 
     async fn tick(self: Rc<Self>) {
         loop {
+            self.expire_kept();
             if self.directory.borrow_mut().expire(self.shared.now_ms()) {
                 log::info!("event=lapsed_entries_dropped");
                 self.list_replicas();
--- a/crates/router/src/control/take.rs
+++ b/crates/router/src/control/take.rs
@@ -4,56 +4,40 @@
 
 use eelgrasspier_decide::directory::EntryChange;
 use eelgrasspier_decide::evacuations::ZoneChange;
-use eelgrasspier_decide::mirror::{Changes, Effect, Mirror};
+use eelgrasspier_decide::mirror::{Applied, Changes, Effect, Note};
 use eelgrasspier_decide::route::RouteTable;
 use eelgrasspier_store::Kind;
 
 use super::Control;
+use super::restore::as_gauge;
 
 impl Control {
     /// Takes changes into the copy and draws the conclusions.
     pub(super) fn take(&self, kind: Kind, changes: &Changes, source: &str) {
-        let (effects, was_filled) = {
+        // First, so that entries that are gone from the list of a restored store count as lapsed.
+        self.hear_era(changes.era, source);
+        let (applied, before, after) = {
             let mut mirrors = self.mirrors.borrow_mut();
-            let mirror = mirrors.entry(kind).or_default();
-            let was_filled = mirror.is_filled();
-            (mirror.apply(changes), was_filled)
+            let mirror = mirrors.entry(kind).or_insert_with(|| self.empty_mirror(kind));
+            let before = Some(mirror.position()).filter(|_| mirror.is_filled());
+            (mirror.apply(changes, self.shared.now_ms()), before, mirror.position())
         };
-        let mut has_changed = !was_filled && changes.is_whole;
-        let changed = self.mirrors.borrow().get(&kind).map_or(0, Mirror::changed);
-        let revision = u32::try_from(changed).unwrap_or(u32::MAX);
-        metrics::gauge!("eelgrasspier_store_revision", "kind" => kind.name())
-            .set(f64::from(revision));
+        let is_first = before.is_none() && changes.is_whole;
+        let has_entered = before.is_some_and(|before| before.era < after.era);
         // Told even where nothing changes here, such as an entry that is kept for a while:
         // the others would hear of it only by their next poll.
-        let has_news = has_changed || !effects.is_empty();
-        if has_changed {
+        let has_news = is_first || has_entered || !applied.effects.is_empty();
+        if is_first {
             // One line in place of one for each: a fleet that starts wrote most of its lines here.
             log::info!(
                 "event=listed kind={kind:?} entries={} as_of={} source={source}",
                 changes.objects.len(),
-                changes.as_of
+                changes.position()
             );
         }
-        let is_first = has_changed;
-        for effect in effects {
-            if let Effect::LeftOut { name, told, known } = &effect {
-                metrics::counter!("eelgrasspier_changes_left_out_total").increment(1);
-                log::info!(
-                    "event=change_left_out kind={kind:?} name={name} revision={told} \
-                     known={known} as_of={} source={source}",
-                    changes.as_of
-                );
-                continue;
-            }
-            has_changed |= match kind {
-                Kind::Replicas => self.take_replica(effect, changes.as_of, source, is_first),
-                Kind::Configuration => self.take_configuration(effect, source),
-                Kind::Evacuations => self.take_evacuation(effect, changes.as_of, source),
-                Kind::Instances | Kind::Suspects => false,
-            };
-        }
-        if has_changed {
+        let has_changed = self.carry_out(kind, applied, (changes.as_of, source), is_first);
+        self.note_unsettled(kind);
+        if has_changed || is_first {
             self.list_replicas();
             self.publish();
         }
@@ -62,6 +46,31 @@
         }
     }
 
+    /// Draws the conclusions from what changes did to the copy of a kind; returns whether the
+    /// view is another one. `is_quiet` leaves out the line of each entry.
+    pub(super) fn carry_out(
+        &self,
+        kind: Kind,
+        applied: Applied,
+        (as_of, source): (u64, &str),
+        is_quiet: bool,
+    ) -> bool {
+        let at = self.filled_up_to(kind).unwrap_or_default();
+        metrics::gauge!("eelgrasspier_store_revision", "kind" => kind.name())
+            .set(as_gauge(at.revision));
+        let mut has_changed = false;
+        applied.notes.iter().for_each(|note| write_down(kind, note, source));
+        for effect in applied.effects {
+            has_changed |= match kind {
+                Kind::Replicas => self.take_replica(effect, as_of, source, is_quiet),
+                Kind::Configuration => self.take_configuration(effect, source),
+                Kind::Evacuations => self.take_evacuation(effect, as_of, source),
+                Kind::Instances | Kind::Suspects => false,
+            };
+        }
+        has_changed
+    }
+
     /// Takes one entry; `is_quiet` if its line is left out.
     fn take_replica(&self, effect: Effect, as_of: u64, source: &str, is_quiet: bool) -> bool {
         let change = match effect {
@@ -73,7 +82,6 @@
                 }
             },
             Effect::Gone(name) => EntryChange::Gone(name.as_str().into()),
-            Effect::LeftOut { .. } => return false,
         };
         let text = match &change {
             EntryChange::Set(e) => format!(
@@ -98,7 +106,6 @@
                 ZoneChange::Evacuated(self.decode.evacuated_zone(&name, &content))
             }
             Effect::Gone(name) => ZoneChange::TakenBack(name.into()),
-            Effect::LeftOut { .. } => return false,
         };
         let (event, zone) = match &change {
             ZoneChange::Evacuated(zone) => ("event=zone_evacuated", Arc::clone(zone)),
@@ -143,3 +150,18 @@
         true
     }
 }
+
+/// Writes down what was told and not taken in as it is.
+fn write_down(kind: Kind, note: &Note, source: &str) {
+    match note {
+        Note::LeftOut { name, told, known } => {
+            metrics::counter!("eelgrasspier_changes_left_out_total").increment(1);
+            log::info!(
+                "event=change_left_out kind={kind:?} name={name} told={told} known={known} \
+                 source={source}"
+            );
+        }
+        Note::Kept(name) => log::info!("event=object_kept kind={kind:?} name={name}"),
+        Note::Doubted(name) => log::info!("event=object_doubted kind={kind:?} name={name}"),
+    }
+}
--- a/crates/router/src/control/views.rs
+++ b/crates/router/src/control/views.rs
@@ -73,7 +73,9 @@
         let mirrors = self.mirrors.borrow();
         let is_listed = |kind| mirrors.get(&kind).is_some_and(Mirror::is_filled);
         // One that starts must not send to a zone that was evacuated before.
-        let has_replicas = is_listed(Kind::Replicas)
+        // A restored store may have an older version than the others have in force.
+        let has_replicas = self.is_confirmed.get()
+            && is_listed(Kind::Replicas)
             && (!self.identity.has_evacuations || is_listed(Kind::Evacuations));
         let is_gatherer = self.is_gatherer();
         let settled = self.note_gatherers(&peers, is_gatherer);
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -118,6 +118,7 @@
         capacity_milli: setup.capacity_milli,
         is_first_start: setup.is_first_start,
         has_evacuations: setup.has_evacuations,
+        heartbeat: setup.heartbeat,
     };
     let (tell, told) = mpsc::unbounded_channel();
     let (started, has_started) = oneshot::channel();
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -81,8 +81,14 @@
     event(774, "requests_not_recalled"),
     event(775, "request_unreadable"),
     event(776, "cold_send"),
-    event(777, "store_era"),
+    event(777, "store_restored"),
     event(778, "change_left_out"),
+    event(779, "answer_late"),
+    event(780, "store_era_back"),
+    event(781, "object_kept"),
+    event(782, "object_doubted"),
+    event(783, "not_confirmed"),
+    event(784, "requests_kept_again"),
 ];
 
 /// The number of the event that a line names, if it names one of the catalogue.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use eelgrasspier_decide::history::Position;
 use eelgrasspier_decide::mirror::Changes;
 use eelgrasspier_peer::wire::{Body, ChangesAbove};
 use eelgrasspier_peer::{AnswerFuture, PeerService, packed};
 use eelgrasspier_store::Kind;
+use prost::Message;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Ask;
@@ -25,10 +27,13 @@
 /// changes within a second, and each would have them packed anew on the traffic thread.
 #[derive(Clone, PartialEq)]
 struct Packed {
-    /// Change from which the asker wanted to go on.
-    asked: u64,
-    /// Change up to which the answer is complete.
-    as_of: u64,
+    /// Place from which the asker wanted to go on.
+    asked: Position,
+    /// Place up to which the answer is complete.
+    as_of: Position,
+    /// Length of the answer before it was packed, in bytes: after a restore of the store what is
+    /// told changes without a change of the store.
+    length_bytes: usize,
     answer: Body,
 }
 
@@ -37,14 +42,14 @@
         Self { router, control, packed: RefCell::default() }
     }
 
-    async fn changes(&self, kind: Kind, revision: u64) -> Body {
+    async fn changes(&self, kind: Kind, above: Position) -> Body {
         let (done, changes) = oneshot::channel();
-        let ask = Ask::Changes { kind, revision, done };
+        let ask = Ask::Changes { kind, above, done };
         if self.control.send(ask).is_err() {
             return Body::Refused("control has ended".to_owned());
         }
         match changes.await {
-            Ok(changes) => self.pack(kind, revision, changes),
+            Ok(changes) => self.pack(kind, above, changes),
             Err(_) => Body::Refused("control has ended".to_owned()),
         }
     }
@@ -61,16 +66,17 @@
         }
     }
 
-    fn pack(&self, kind: Kind, asked: u64, changes: Changes) -> Body {
-        let as_of = changes.as_of;
+    fn pack(&self, kind: Kind, asked: Position, changes: Changes) -> Body {
+        let (as_of, length_bytes) = (changes.position(), changes.encoded_len());
         let mut known = self.packed.borrow_mut();
-        let last = known.get(&kind).filter(|p| (p.asked, p.as_of) == (asked, as_of));
-        if let Some(last) = last {
+        let is_same =
+            |p: &&Packed| (p.asked, p.as_of, p.length_bytes) == (asked, as_of, length_bytes);
+        if let Some(last) = known.get(&kind).filter(is_same) {
             return last.answer.clone();
         }
         let answer = packed::pack(changes);
         if matches!(answer, Body::PackedChanges(_)) {
-            known.insert(kind, Packed { asked, as_of, answer: answer.clone() });
+            known.insert(kind, Packed { asked, as_of, length_bytes, answer: answer.clone() });
         }
         answer
     }
@@ -80,11 +86,14 @@
     fn answer(&self, question: Body) -> AnswerFuture<'_> {
         Box::pin(async move {
             match question {
-                Body::ChangesAbove(ChangesAbove { is_replicas, revision }) => {
+                Body::ChangesAbove(ChangesAbove { is_replicas, revision, era }) => {
                     let kind = if is_replicas { Kind::Replicas } else { Kind::Configuration };
-                    self.changes(kind, revision).await
+                    self.changes(kind, Position { era, revision }).await
                 }
-                Body::EvacuationsAbove(revision) => self.changes(Kind::Evacuations, revision).await,
+                Body::EvacuationsAbove(revision) => {
+                    self.changes(Kind::Evacuations, Position { era: 0, revision }).await
+                }
+                Body::EvacuationsAfter(above) => self.changes(Kind::Evacuations, above).await,
                 Body::MembersAsk(_) => self.members().await,
                 Body::Gather(question) => {
                     Body::Gathered(self.router.gather_for_peer(question).await)
--- a/crates/router/src/setup.rs
+++ b/crates/router/src/setup.rs
@@ -30,6 +30,8 @@
     pub metrics_addr: Option<SocketAddr>,
     /// What all instances together may send twice.
     pub repeat_limits: RepeatLimits,
+    /// Time between two reports of a replica to the store.
+    pub heartbeat: Duration,
     /// Time from the signal to stop to the kill.
     pub grace: Duration,
     /// The region of each availability zone.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::allowance::RepeatLimits;
-use eelgrasspier_decide::directory::{ReplicaEntry, Report};
+use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::history::Edition;
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
 use eelgrasspier_router::{Attempt, Backend, BackendFuture, Learnt, Outcome, Reply, Request};
 use eelgrasspier_router::{Router, Shared, View};
@@ -290,7 +291,7 @@
             Arc::new(ReplicaEntry {
                 id: format!("{service}/{name}").into(),
                 name: format!("{service}/{name}").into(),
-                report: Report::default(),
+                report: Edition::default(),
                 service: Arc::clone(&service),
                 addr: ([127, 0, 0, 1], 1).into(),
                 zone: zone.into(),
--- a/crates/store/src/collections.rs
+++ b/crates/store/src/collections.rs
@@ -45,14 +45,26 @@
 /// A call of the store brought nothing.
 #[derive(Debug, Display, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum CollectionError {
-    /// the store no longer has the changes that were asked for
-    HistoryGone,
+    /// the store does not have the changes that were asked for
+    HistoryGone {
+        /// How often it has been restored, where it says so.
+        era: Option<u64>,
+    },
     /// the store does not answer: {0}
     Unavailable(String),
     /// the store's answer makes no sense: {0}
     Malformed(String),
 }
 
+/// What the store answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// How often the store had been restored from a copy, where it says so.
+    pub era: Option<u64>,
+    /// What it said, in no era yet.
+    pub changes: Changes,
+}
+
 /// An instance as it announces itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
@@ -88,7 +100,7 @@
         &self,
         kind: Kind,
         may_be_stale: bool,
-    ) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+    ) -> StoreFuture<'_, Result<Answer, CollectionError>>;
 
     /// Changes above `since`, as soon as there is one or `wait` is over.
     fn watch(
@@ -96,10 +108,10 @@
         kind: Kind,
         since: u64,
         wait: Duration,
-    ) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+    ) -> StoreFuture<'_, Result<Answer, CollectionError>>;
 
     /// Changes above `since` that there are now; they may be some seconds old.
-    fn poll(&self, kind: Kind, since: u64) -> StoreFuture<'_, Result<Changes, CollectionError>>;
+    fn poll(&self, kind: Kind, since: u64) -> StoreFuture<'_, Result<Answer, CollectionError>>;
 
     /// Writes this instance's own entry.
     fn announce<'a>(
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,6 +15,8 @@
 
 pub use backoff::Backoff;
 pub use claims::{ClaimError, Claims, bucket_of};
-pub use collections::{Announcement, CollectionError, Collections, Decode, KeptRequest, Kind};
+pub use collections::{
+    Announcement, Answer, CollectionError, Collections, Decode, KeptRequest, Kind,
+};
 pub use http::HttpStore;
 pub use store::{ListedInstance, Object, ObjectStore, ReadError, StoreFuture, UpdateError};
