Keep the own daemon's claims, edits and text over a restore of its platform

What callers and operators would see: a run whose claim the copy lacks runs a second time, an accepted text goes back or is never in force again, and an edit with a base of before the restore overwrites another edit, since the base's number was given out again. A condition on a version names no era, so that it can match another change. Change: versions carry the platform's era (decide::history, as one number). A bucket of claims says for which era it is complete; in a later one keys issued before are refused, and what instances remember is put back, so that a lost or overwritten claim never leads to a second run. Of two texts of different eras the one that has the other's last edit is newer; an older one is written over, under a condition, and an accepted edit that is lost is told with its submitter (event 207). A daemon that starts asks one that serves. Five tests without network. The stand-in of the platform panicked on a write to an object that was never there; mended.

--- a/crates/decide/src/claim.rs
+++ b/crates/decide/src/claim.rs
@@ -36,6 +36,8 @@
     pub floor_ms: u64,
     /// The attempt that holds each claimed key.
     pub claims: BTreeMap<Key, Nonce>,
+    /// Era of the platform for which the claims are complete: in a later one some may be lost.
+    pub era: u64,
 }
 
 /// One wanted change of a bucket.
@@ -98,6 +100,19 @@
         }
     }
 
+    /// Makes a bucket of an earlier era, or one that a restored platform lacks, safe to claim in.
+    ///
+    /// Claims may be lost, or overwritten by a writer whose version was given out again, since a
+    /// condition names no era. So keys issued before `floor_ms` are refused from now on; keys of
+    /// callers whose clocks run further ahead are known only where they are `remembered`.
+    pub fn enter(&mut self, era: u64, floor_ms: u64, remembered: &Self) {
+        self.era = era;
+        for (&key, &nonce) in &remembered.claims {
+            self.claims.entry(key).or_insert(nonce);
+        }
+        self.raise_floor(floor_ms.max(remembered.floor_ms), usize::MAX);
+    }
+
     /// Raises the floor and drops the claims below it.
     ///
     /// `keep_most` bounds the object's size: beyond it the oldest claims go, and
--- a/crates/decide/src/history.rs
+++ b/crates/decide/src/history.rs
@@ -16,12 +16,45 @@
     pub revision: u64,
 }
 
+/// Bits of [`Position::to_number`] that hold the revision.
+const REVISION_BITS: u32 = 40;
+
+impl Position {
+    /// Both in one number of the same order, for where there is room for one.
+    ///
+    /// A store that tells no era has its revisions for numbers.
+    #[must_use]
+    pub fn to_number(self) -> u64 {
+        self.era << REVISION_BITS | self.revision & ((1 << REVISION_BITS) - 1)
+    }
+
+    /// The position that such a number stands for.
+    #[must_use]
+    pub fn from_number(number: u64) -> Self {
+        let revision = number & ((1 << REVISION_BITS) - 1);
+        Self { era: number >> REVISION_BITS, revision }
+    }
+}
+
 impl std::fmt::Display for Position {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if self.era == 0 {
+            return write!(f, "{}", self.revision);
+        }
         write!(f, "{}.{}", self.era, self.revision)
     }
 }
 
+impl std::str::FromStr for Position {
+    type Err = std::num::ParseIntError;
+
+    /// Reads a revision, or an era and a revision, as they are shown.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (era, revision) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self { era: era.parse()?, revision: revision.parse()? })
+    }
+}
+
 /// Number that a writer gives to what it writes under a name, greater each time.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Message)]
 pub struct Edition {
--- a/crates/decide/src/prelude.rs
+++ b/crates/decide/src/prelude.rs
@@ -3,7 +3,8 @@
 pub use crate::text::{ReplicaSpec, Service, Services};
 pub use crate::verdict::{Refusal, RefusalReason, Verdict};
 
-/// Version of the operators' text, as the platform numbers it.
+/// Version of the operators' text, as the platform numbers it, with the platform's era:
+/// [`crate::history::Position::to_number`].
 pub type ConfigVersion = u64;
 
 /// Version of an index, as the backend servers number it.
--- a/crates/decide/tests/model_config.rs
+++ b/crates/decide/tests/model_config.rs
@@ -141,7 +141,8 @@
                 if mutant == Mutant::TakesAnyVersion {
                     s.in_force[i] = InForce::default();
                 }
-                let _is_new = s.in_force[i].offer(version);
+                let edits = usize::try_from(version).unwrap();
+                let _offered = s.in_force[i].offer(version, &self.history[..edits]);
                 s.highest[i] = s.highest[i].max(s.in_force[i].version());
             }));
         }
--- /dev/null
+++ b/crates/decide/tests/restored_texts.rs
@@ -0,0 +1,77 @@
+//! The operators' text and claims where the platform is restored from a copy.
+
+use eelgrasspier_decide::claim::{Bucket, Change, Key, Outcome};
+use eelgrasspier_decide::config::{Edit, InForce, Offered};
+use eelgrasspier_decide::history::Position;
+
+fn version(era: u64, revision: u64) -> u64 {
+    Position { era, revision }.to_number()
+}
+
+fn edits(ids: &[u64]) -> Vec<Edit> {
+    ids.iter().map(|&edit_id| Edit { edit_id, base: 0 }).collect()
+}
+
+/// An instance that has the text of these edits in force.
+fn with(era: u64, ids: &[u64]) -> InForce {
+    let mut in_force = InForce::default();
+    let first = in_force.offer(version(era, ids.len() as u64), &edits(ids));
+    assert_eq!(first, Offered::Taken { lost: vec![] });
+    in_force
+}
+
+#[test]
+fn versions_are_shown_and_read_with_their_era() {
+    for (text, era, revision) in [("12", 0, 12), ("8.12", 8, 12)] {
+        let position: Position = text.parse().unwrap();
+        assert_eq!(position, Position { era, revision });
+        assert_eq!(Position::from_number(position.to_number()), position);
+        assert_eq!(position.to_string(), text);
+    }
+    assert!("8.".parse::<Position>().is_err());
+}
+
+/// Guards against a text that goes back, since the copy has an older one.
+#[test]
+fn an_older_text_of_a_later_era_is_written_over() {
+    let mut in_force = with(1, &[10, 11, 12]);
+    assert_eq!(in_force.offer(version(2, 2), &edits(&[10, 11])), Offered::Outdated);
+    assert_eq!(in_force.version(), Some(version(1, 3)));
+    let written_again = in_force.offer(version(2, 3), &edits(&[10, 11, 12]));
+    assert_eq!(written_again, Offered::Taken { lost: vec![] });
+    assert_eq!(in_force.version(), Some(version(2, 3)));
+}
+
+/// Guards against an edit that is ignored, since its version was given out before.
+#[test]
+fn an_edit_of_a_later_era_is_taken_and_what_it_lacks_is_told() {
+    let mut in_force = with(1, &[10, 11, 12]);
+    assert_eq!(
+        in_force.offer(version(2, 2), &edits(&[10, 21])),
+        Offered::Taken { lost: vec![11, 12] }
+    );
+    assert_eq!(in_force.offer(version(1, 4), &edits(&[10, 11, 12, 13])), Offered::Known);
+}
+
+/// Guards against an instance that starts with the older text of the copy.
+#[test]
+fn a_text_that_was_made_from_the_one_in_force_is_taken_from_an_earlier_era() {
+    let mut in_force = with(2, &[10, 11]);
+    let told = in_force.offer(version(1, 3), &edits(&[10, 11, 12]));
+    assert_eq!(told, Offered::Taken { lost: vec![] });
+    assert_eq!(in_force.version(), Some(version(2, 2)));
+}
+
+/// Guards against a second run of a key whose claim a restored platform lacks.
+#[test]
+fn a_bucket_of_an_earlier_era_refuses_older_keys_and_keeps_what_is_remembered() {
+    let key = |ms: u128| Key(ms << 80);
+    let remembered = Bucket::default().with(&[Change::Claim(key(9_000), 7)]);
+    let mut bucket = Bucket::default();
+    bucket.enter(2, 5_000, &remembered);
+    assert_eq!(bucket.outcome(key(4_999), 1), Some(Outcome::Expired));
+    // Issued by a clock that runs far ahead.
+    assert_eq!(bucket.outcome(key(9_000), 1), Some(Outcome::Taken));
+    let bucket = bucket.with(&[Change::Claim(key(5_000), 1)]);
+    assert_eq!(bucket.outcome(key(5_000), 1), Some(Outcome::Granted));
+}
--- a/crates/eelgrasspier/src/control/claims.rs
+++ b/crates/eelgrasspier/src/control/claims.rs
@@ -38,12 +38,20 @@
 
     /// The instance that owns the key's bucket; `None` if it is this one.
     fn owner(&self, key: Key) -> Option<SocketAddr> {
+        self.owner_of(eelgrasspier_store::bucket_of(key))
+    }
+
+    /// Whether this instance is the usual owner of a bucket.
+    pub(super) fn owns(&self, bucket: usize) -> bool {
+        self.owner_of(bucket).is_none()
+    }
+
+    fn owner_of(&self, bucket: usize) -> Option<SocketAddr> {
         let membership = self.membership.borrow();
         let others: Vec<_> = membership.alive().filter(|m| m.state() == State::Ready).collect();
         let mut keys: Vec<u64> = others.iter().map(|m| m.key()).collect();
         keys.push(membership.own().key());
-        let bucket = eelgrasspier_store::bucket_of(key) as u64;
-        let owner = rendezvous::owner(rendezvous::hash(OWNERS) ^ bucket, &keys)?;
+        let owner = rendezvous::owner(rendezvous::hash(OWNERS) ^ bucket as u64, &keys)?;
         others.get(owner)?.peer_addr.parse().ok()
     }
 
--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -189,6 +189,7 @@
         loop {
             let read = self.store.instances().await;
             self.note_platform(read.is_ok());
+            self.note_era();
             if let Ok(list) = read {
                 let listed: Vec<Listed> = list
                     .into_iter()
@@ -209,6 +210,20 @@
         }
     }
 
+    /// Has what a restored platform lacks written again.
+    fn note_era(&self) {
+        let era = self.store.era();
+        let before = self.seen_era.replace(era);
+        if before == era {
+            return;
+        }
+        self.record(event::RESTORED, &format!("era {era}"), &format!("before {before}"));
+        self.restored.notify_waiters();
+        for bucket in (0..eelgrasspier_store::BUCKETS).filter(|bucket| self.owns(*bucket)) {
+            self.claims.settle(bucket);
+        }
+    }
+
     fn list_pause(&self) -> Duration {
         if !self.is_listed.get() {
             return UNLISTED_PAUSE;
--- a/crates/eelgrasspier/src/control/mod.rs
+++ b/crates/eelgrasspier/src/control/mod.rs
@@ -51,6 +51,12 @@
     last_tick: Cell<Instant>,
     is_fetching: Cell<bool>,
     is_platform_up: Cell<bool>,
+    /// The platform's era as of the last look.
+    seen_era: Cell<u64>,
+    /// Wakes the text's watcher after a restore of the platform.
+    restored: Notify,
+    /// Whether another instance that serves was asked for its text.
+    is_confirmed: Cell<bool>,
     /// The members' epoch from which conclusions were last drawn.
     seen_epoch: Cell<u64>,
     /// Whether the platform's list has shown this instance.
@@ -96,6 +102,9 @@
             last_tick: Cell::new(Instant::now()),
             is_fetching: Cell::new(false),
             is_platform_up: Cell::new(true),
+            seen_era: Cell::new(0),
+            restored: Notify::new(),
+            is_confirmed: Cell::new(false),
             seen_epoch: Cell::new(u64::MAX),
             is_listed: Cell::new(false),
             duties: Notify::new(),
@@ -207,6 +216,9 @@
     /// heard: whoever serves has the newest version that any of them knew.
     fn may_serve(&self) -> bool {
         let membership = self.membership.borrow();
+        if membership.alive().any(|m| self.must_confirm(m)) {
+            return false;
+        }
         let newest = membership.alive().map(|m| m.config_version).max();
         let version = self.in_force.borrow().version();
         version.is_some() && version >= newest && !self.agreement.borrow().bounds().is_empty()
--- a/crates/eelgrasspier/src/control/text.rs
+++ b/crates/eelgrasspier/src/control/text.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use eelgrasspier_decide::config::{self, Edit, Submission};
+use eelgrasspier_decide::config::{self, Edit, Offered, Submission};
+use eelgrasspier_decide::history::Position;
+use eelgrasspier_decide::membership::{Member, State};
 use eelgrasspier_decide::prelude::Services;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_operator::{ShownText, SubmitAnswer, Submitted};
@@ -29,6 +31,9 @@
 const PAUSE_MS: (u64, u64) = (100, 3_000);
 /// Time in which another instance must hand over its text.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time over which instances spread that write the text again to a restored platform, in
+/// milliseconds.
+const WRITE_AGAIN_SPREAD_MS: u64 = 500;
 /// Time for which a submission is tried.
 const SUBMIT_TIME: Duration = Duration::from_secs(5);
 
@@ -42,7 +47,10 @@
                 self.store.read(TEXT_OBJECT).await
             } else if self.is_watcher() {
                 let after = self.in_force.borrow().version().unwrap_or(0);
-                self.store.watch(TEXT_OBJECT, after, WATCH_MS).await
+                tokio::select! {
+                    read = self.store.watch(TEXT_OBJECT, after, WATCH_MS) => read,
+                    () = self.restored.notified() => self.store.read(TEXT_OBJECT).await,
+                }
             } else {
                 self.wait_for_poll().await;
                 self.store.read(TEXT_OBJECT).await
@@ -52,8 +60,10 @@
                 Ok(object) => {
                     is_first = false;
                     backoff.reset();
-                    if let Some(Object { version, value }) = object {
-                        self.offer(version, value, "platform");
+                    if let Some(Object { version, value }) = object
+                        && self.offer(version, value, "platform") == Offered::Outdated
+                    {
+                        self.write_again(version).await;
                     }
                 }
                 Err(_) => tokio::time::sleep(backoff.next_pause()).await,
@@ -86,41 +96,88 @@
     }
 
     /// Puts a stored text in force, if it is newer than the one that is.
-    pub(super) fn offer(&self, version: u64, value: Bytes, source: &str) {
-        let current = self.in_force.borrow().version();
-        if current >= Some(version) {
-            if current > Some(version) {
-                let detail = format!("version {version} from {source}, in force {current:?}");
-                self.record(event::TEXT_STALE, &format!("version {version}"), &detail);
-            }
-            return;
+    pub(super) fn offer(&self, version: u64, value: Bytes, source: &str) -> Offered {
+        if self.in_force.borrow().version() == Some(version) {
+            return Offered::Known;
         }
-        let parsed = StoredText::decode(value.clone())
-            .map_err(|e| e.to_string())
-            .and_then(|s| Services::try_from(s.text.as_str()).map_err(|e| e.to_string()));
-        let services = match parsed {
-            Ok(services) => services,
+        let about = format!("version {}", Position::from_number(version));
+        let parsed = StoredText::decode(value.clone()).map_err(|e| e.to_string()).and_then(|s| {
+            Services::try_from(s.text.as_str()).map_err(|e| e.to_string()).map(|r| (s, r))
+        });
+        let (stored, services) = match parsed {
+            Ok(parsed) => parsed,
             Err(errors) => {
-                self.record(event::TEXT_BROKEN, &format!("version {version}"), &errors);
-                return;
+                self.record(event::TEXT_BROKEN, &about, &errors);
+                return Offered::Known;
             }
         };
-        if !self.in_force.borrow_mut().offer(version) {
-            return;
+        let before = self.in_force.borrow().version();
+        let offered = self.in_force.borrow_mut().offer(version, &stored.remembered());
+        match &offered {
+            Offered::Taken { lost } => self.note_lost(lost, &about),
+            Offered::Known => {
+                if before > Some(version) {
+                    let detail = format!("from {source}, in force {before:?}");
+                    self.record(event::TEXT_STALE, &about, &detail);
+                }
+                return offered;
+            }
+            Offered::Outdated => {
+                let detail = format!("from {source}, in force {before:?}: to be written again");
+                self.record(event::TEXT_STALE, &about, &detail);
+                return offered;
+            }
         }
+        let version = self.in_force.borrow().version().unwrap_or(version);
         *self.services.borrow_mut() = Arc::new(services);
         *self.stored.borrow_mut() = Some(value);
         self.membership.borrow_mut().update_own(|m| m.config_version = version);
-        self.record(event::TEXT_IN_FORCE, &format!("version {version}"), source);
+        self.record(event::TEXT_IN_FORCE, &about, source);
         self.publish();
+        offered
+    }
+
+    /// Tells of accepted edits that a text is not made from, with who submitted them.
+    fn note_lost(&self, lost: &[u64], about: &str) {
+        let stored = self.stored.borrow().clone().and_then(|s| StoredText::decode(s).ok());
+        let edits = stored.map(|s| s.edits).unwrap_or_default();
+        for edit in edits.iter().filter(|e| lost.contains(&e.edit_id)) {
+            let detail = format!(
+                "of {}, accepted before a restore of the platform, not in {about}",
+                edit.submitter
+            );
+            self.record(event::EDIT_LOST, &edit.edit_id.to_string(), &detail);
+        }
+    }
+
+    /// Writes the text in force over the older one of a restored platform.
+    ///
+    /// Several may try at once: the condition lets one of them through.
+    async fn write_again(&self, older: u64) {
+        let pause_ms = rand::random_range(0..WRITE_AGAIN_SPREAD_MS);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let Some(value) = self.stored.borrow().clone() else { return };
+        match self.store.update(TEXT_OBJECT, Some(older), value.clone()).await {
+            Ok(version) => {
+                self.offer(version, value, "written again");
+            }
+            Err(error) => self.record(
+                event::TEXT_STALE,
+                &format!("version {}", Position::from_number(older)),
+                &format!("not written again: {error}"),
+            ),
+        }
     }
 
     /// Fetches the text from a member that announces a newer one.
     pub(super) fn fetch_newer_text(self: &Rc<Self>) {
         let own = self.in_force.borrow().version().unwrap_or(0);
         let membership = self.membership.borrow();
-        let newest = membership.alive().max_by_key(|m| m.config_version);
-        let Some(member) = newest.filter(|m| m.config_version > own) else { return };
+        let is_wanted = |m: &&Member| m.config_version > own || self.must_confirm(m);
+        let newest = membership.alive().filter(is_wanted).max_by_key(|m| m.config_version);
+        let Some(member) = newest else { return };
+        // What is known here may be older, whatever its number.
+        let own = if member.config_version > own { own } else { 0 };
         let Ok(addr) = member.peer_addr.parse() else { return };
         if self.is_fetching.replace(true) {
             return;
@@ -133,6 +190,9 @@
                 if text.version > 0 {
                     control.offer(text.version, text.stored, &name);
                 }
+                if !control.is_confirmed.replace(true) {
+                    control.publish();
+                }
             } else {
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS.0)).await;
             }
@@ -143,6 +203,13 @@
         });
     }
 
+    /// Whether this instance starts and has not heard another that serves: a restored platform may
+    /// have an older text than the others have in force.
+    pub(super) fn must_confirm(&self, member: &Member) -> bool {
+        let is_starting = self.state.get() == State::Starting && !self.is_confirmed.get();
+        is_starting && member.state() == State::Ready && member.config_version > 0
+    }
+
     pub(super) fn shown_text(&self) -> Option<ShownText> {
         let stored = self.stored.borrow().clone()?;
         let text = StoredText::decode(stored).ok()?.text;
@@ -177,9 +244,13 @@
         let read = self.store.read(TEXT_OBJECT).await.map_err(|e| e.to_string())?;
         let (version, mut stored) = match read {
             None => (0, StoredText::default()),
-            Some(object) => {
-                let stored = StoredText::decode(object.value).map_err(|e| e.to_string())?;
-                (object.version, stored)
+            Some(Object { version, value }) => {
+                let stored = StoredText::decode(value.clone()).map_err(|e| e.to_string())?;
+                if self.offer(version, value, "platform") == Offered::Outdated {
+                    self.write_again(version).await;
+                    return Err("the restored platform has an older text".to_owned());
+                }
+                (version, stored)
             }
         };
         let edit = Edit { edit_id: submitted.edit_id, base: submitted.base };
--- a/crates/eelgrasspier/src/event.rs
+++ b/crates/eelgrasspier/src/event.rs
@@ -39,6 +39,8 @@
 pub const EDIT_CONFLICT: Event = event(205, Level::Info, "edit in conflict");
 /// The fate of an edit is not known yet.
 pub const EDIT_UNKNOWN: Event = event(206, Level::Warn, "edit not confirmed");
+/// An accepted edit is not part of the text that came into force after a restore.
+pub const EDIT_LOST: Event = event(207, Level::Error, "accepted edit lost");
 /// Another instance was heard of or came back.
 pub const MEMBER_JOINED: Event = event(301, Level::Info, "instance joined");
 /// Another instance did not answer.
@@ -81,9 +83,11 @@
 pub const PLATFORM_DOWN: Event = event(601, Level::Warn, "platform does not answer");
 /// The platform answers again.
 pub const PLATFORM_UP: Event = event(602, Level::Info, "platform answers again");
+/// The platform was restored from a copy.
+pub const RESTORED: Event = event(603, Level::Warn, "platform restored from a copy");
 
 /// All kinds, by number.
-pub const CATALOGUE: [Event; 32] = [
+pub const CATALOGUE: [Event; 34] = [
     STARTED,
     READY,
     LEAVING,
@@ -95,6 +99,7 @@
     EDIT_ACCEPTED,
     EDIT_CONFLICT,
     EDIT_UNKNOWN,
+    EDIT_LOST,
     MEMBER_JOINED,
     MEMBER_SUSPECT,
     MEMBER_DEAD,
@@ -116,4 +121,5 @@
     QUERY_REFUSED,
     PLATFORM_DOWN,
     PLATFORM_UP,
+    RESTORED,
 ];
--- a/crates/operator/src/cli.rs
+++ b/crates/operator/src/cli.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use eelgrasspier_decide::history::Position;
 use eelgrasspier_decide::prelude::Services;
 
 use crate::client::{AdminClient, AdminError};
@@ -37,7 +38,7 @@
         target: Target,
         /// Version that the edit was made from; 0 for the first text
         #[bpaf(long, argument("VERSION"))]
-        base: u64,
+        base: Position,
         /// Who submits, for the record
         #[bpaf(long, argument("NAME"), fallback("operator".to_owned()))]
         submitter: String,
@@ -142,7 +143,7 @@
 
 async fn submit(
     target: &Target,
-    base: u64,
+    base: Position,
     submitter: &str,
     wait: bool,
     file: &Path,
@@ -150,20 +151,22 @@
     check(file)?;
     let edit_id = fresh_id();
     let text = read(file)?;
+    let base = base.to_number();
     let edit = Submitted { edit_id, base, submitter: submitter.to_owned(), text };
     println!("edit {edit_id}");
     let client = target.client();
     match submit_until_known(&client, &edit).await {
         Ok(SubmitAnswer::Accepted { version }) => {
-            println!("accepted as version {version}");
+            println!("accepted as version {}", Position::from_number(version));
             if wait { wait_in_force(&client, version).await } else { Ok(()) }
         }
         Ok(SubmitAnswer::Superseded { version }) => {
-            println!("accepted, and superseded by version {version}");
+            println!("accepted, and superseded by version {}", Position::from_number(version));
             Ok(())
         }
         Ok(SubmitAnswer::Conflict { version }) => {
-            Err(format!("not accepted: the text is at version {version} now; edit from that one"))
+            let now = Position::from_number(version);
+            Err(format!("not accepted: the text is at version {now} now; edit from that one"))
         }
         Ok(SubmitAnswer::Broken { errors }) => Err(errors),
         Ok(SubmitAnswer::Forbidden) => Err("not allowed: token missing or wrong".to_owned()),
@@ -204,12 +207,13 @@
         }
         actix_rt::time::sleep(LOOK_EVERY).await;
     }
+    let version = Position::from_number(version);
     Err(format!("version {version} is not in force on all instances yet"))
 }
 
 async fn show(target: &Target) -> Result<(), String> {
     let shown = target.client().text().await.map_err(|e| e.to_string())?;
-    eprintln!("version {}", shown.version);
+    eprintln!("version {}", Position::from_number(shown.version));
     print!("{}", shown.text);
     Ok(())
 }
--- a/crates/operator/src/messages.rs
+++ b/crates/operator/src/messages.rs
@@ -33,7 +33,7 @@
 /// The operators' text in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShownText {
-    /// Its version.
+    /// Its version, with the platform's era: a `Position` as a number.
     pub version: u64,
     /// The text.
     pub text: String,
--- a/crates/operator/src/output.rs
+++ b/crates/operator/src/output.rs
@@ -2,6 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use eelgrasspier_decide::history::Position;
 use serde::Serialize;
 
 use crate::messages::{InstanceStatus, TimelineEntry};
@@ -33,7 +34,9 @@
     let header = ["instance", "zone", "state", "text", "members", "holders", "agreed", "leaving"];
     row(&mut table, &header.map(str::to_owned));
     for s in all {
-        let version = s.config_version.map_or_else(|| "-".to_owned(), |v| v.to_string());
+        let version = s
+            .config_version
+            .map_or_else(|| "-".to_owned(), |v| Position::from_number(v).to_string());
         let agreed = if s.is_share_agreed { "yes" } else { "no" };
         row(
             &mut table,
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -297,6 +297,22 @@
         put(&format!("http://{}/standin/faults", self.platform.field("addr")), faults).await
     }
 
+    /// Has the platform keep a copy of all objects.
+    ///
+    /// # Errors
+    /// Fails if it does not answer.
+    pub async fn copy_platform(&self) -> Result<(), String> {
+        put(&format!("http://{}/standin/copy", self.platform.field("addr")), &()).await
+    }
+
+    /// Has the platform come back from its copy, and count one era more.
+    ///
+    /// # Errors
+    /// Fails if it does not answer.
+    pub async fn restore_platform(&self) -> Result<(), String> {
+        put(&format!("http://{}/standin/restore", self.platform.field("addr")), &()).await
+    }
+
     /// Calls that the platform has counted, by kind.
     ///
     /// # Errors
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -45,6 +45,10 @@
 #[derive(Debug, Default)]
 struct State {
     objects: BTreeMap<String, Vec<(u64, Bytes)>>,
+    /// What a restore brings back.
+    copy: BTreeMap<String, Vec<(u64, Bytes)>>,
+    /// How often it was restored; told once it is above 0.
+    era: u64,
     faults: Faults,
     listed: Vec<Listed>,
     /// A newer list and when it is to be seen.
@@ -73,11 +77,29 @@
     fn read(&self, name: &str) -> Option<(u64, Bytes)> {
         let state = self.lock();
         let versions = state.objects.get(name)?;
-        let last = versions.len() - 1;
+        let last = versions.len().checked_sub(1)?;
         let shown = if state.faults.is_stale { last.saturating_sub(1) } else { last };
         versions.get(shown).cloned()
     }
 
+    fn restore(&self) {
+        let mut state = self.lock();
+        state.objects = state.copy.clone();
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// The answer with the header that tells of restores.
+    fn mark(&self, mut answer: HttpResponse) -> HttpResponse {
+        let era = self.lock().era;
+        if era > 0 {
+            let name = header::HeaderName::from_static("store-era");
+            answer.headers_mut().insert(name, header::HeaderValue::from(era));
+        }
+        answer
+    }
+
     fn update(&self, name: &str, expected: Option<u64>, value: Bytes) -> Result<u64, ()> {
         const KEPT_VERSIONS: usize = 4;
         let mut state = self.lock();
@@ -113,6 +135,8 @@
             .route("/instances", web::get().to(get_instances))
             .route("/standin/faults", web::put().to(put_faults))
             .route("/standin/instances", web::put().to(put_instances))
+            .route("/standin/copy", web::put().to(put_copy))
+            .route("/standin/restore", web::put().to(put_restore))
             .route("/standin/calls", web::get().to(get_calls))
     })
     .workers(1)
@@ -142,16 +166,17 @@
         return HttpResponse::ServiceUnavailable().finish();
     }
     let Some(after) = watch.watch_after else {
-        return platform.read(&name).map_or_else(|| HttpResponse::NotFound().finish(), found);
+        let read = platform.read(&name);
+        return platform.mark(read.map_or_else(|| HttpResponse::NotFound().finish(), found));
     };
     let until = Instant::now() + Duration::from_millis(watch.wait_ms);
     loop {
         let changed = platform.changed.notified();
         if let Some((version, value)) = platform.read(&name).filter(|(v, _)| *v > after) {
-            return found((version, value));
+            return platform.mark(found((version, value)));
         }
         if tokio::time::timeout_at(until.into(), changed).await.is_err() {
-            return HttpResponse::NotModified().finish();
+            return platform.mark(HttpResponse::NotModified().finish());
         }
         if platform.lock().faults.is_down {
             return HttpResponse::ServiceUnavailable().finish();
@@ -187,12 +212,23 @@
         tokio::time::sleep(LOST).await;
         return HttpResponse::ServiceUnavailable().finish();
     }
-    match updated {
+    platform.mark(match updated {
         Ok(version) => {
             HttpResponse::Ok().insert_header((header::ETAG, format!("\"{version}\""))).finish()
         }
         Err(()) => HttpResponse::PreconditionFailed().finish(),
-    }
+    })
+}
+
+async fn put_copy(platform: PlatformData) -> HttpResponse {
+    let mut state = platform.lock();
+    state.copy = state.objects.clone();
+    HttpResponse::NoContent().finish()
+}
+
+async fn put_restore(platform: PlatformData) -> HttpResponse {
+    platform.restore();
+    HttpResponse::NoContent().finish()
 }
 
 async fn get_instances(platform: PlatformData) -> HttpResponse {
@@ -204,7 +240,9 @@
     if let Some((_, list)) = state.next_list.take_if(|(due, _)| Instant::now() >= *due) {
         state.listed = list;
     }
-    HttpResponse::Ok().json(&state.listed)
+    let answer = HttpResponse::Ok().json(&state.listed);
+    drop(state);
+    platform.mark(answer)
 }
 
 async fn put_faults(faults: Json<Faults>, platform: PlatformData) -> HttpResponse {
--- a/crates/store/src/claims.rs
+++ b/crates/store/src/claims.rs
@@ -30,6 +30,8 @@
 const MOST_RELEASES: usize = 10_000;
 /// Time without any success after which claims are given up at the next failure.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(500);
+/// Time by which callers' clocks, which issue keys, may be ahead, in milliseconds.
+const MOST_AHEAD_MS: u64 = 2_000;
 /// Shortest and longest pause between tries, in milliseconds.
 const PAUSE_MS: (u64, u64) = (10, 1_000);
 
@@ -54,7 +56,11 @@
     waiting: Vec<Waiting>,
     releases: VecDeque<(Key, Nonce)>,
     is_running: bool,
+    /// Whether it is to be written though nobody waits for a claim.
+    must_settle: bool,
     known: Option<(Option<u64>, Bucket)>,
+    /// As last confirmed: what a restored platform may lack.
+    remembered: Bucket,
     last_update: Option<Instant>,
 }
 
@@ -65,6 +71,8 @@
     buckets: Rc<Vec<RefCell<BucketState>>>,
     /// Since when no call to the platform has succeeded.
     failing_since: Rc<Cell<Option<Instant>>>,
+    /// The platform's era, and when it was first seen, in milliseconds since the epoch.
+    era_seen: Rc<Cell<(u64, u64)>>,
 }
 
 impl std::fmt::Debug for Claims {
@@ -87,7 +95,12 @@
     #[must_use]
     pub fn new(store: Rc<dyn ObjectStore>) -> Self {
         let buckets = (0..BUCKETS).map(|_| RefCell::default()).collect();
-        Self { store, buckets: Rc::new(buckets), failing_since: Rc::default() }
+        Self {
+            store,
+            buckets: Rc::new(buckets),
+            failing_since: Rc::default(),
+            era_seen: Rc::default(),
+        }
     }
 
     /// Claims `key` for the own attempt `nonce`; resolved by `until` at the latest.
@@ -145,6 +158,12 @@
         self.start(bucket);
     }
 
+    /// Makes a bucket safe to claim in again after a restore of the platform.
+    pub fn settle(&self, bucket: usize) {
+        self.buckets[bucket].borrow_mut().must_settle = true;
+        self.start(bucket);
+    }
+
     fn start(&self, bucket: usize) {
         let mut state = self.buckets[bucket].borrow_mut();
         if !state.is_running {
@@ -184,7 +203,8 @@
         let mut state = self.buckets[bucket].borrow_mut();
         let now = Instant::now();
         state.waiting.retain(|w| w.until > now && !w.done.is_closed());
-        state.is_running = !state.waiting.is_empty() || !state.releases.is_empty();
+        state.is_running =
+            !state.waiting.is_empty() || !state.releases.is_empty() || state.must_settle;
         state.is_running
     }
 
@@ -198,9 +218,13 @@
     /// One read where needed, and one conditional update of all that waits.
     async fn step(&self, bucket: usize) -> Result<(), ()> {
         let (version, known) = self.known(bucket).await?;
+        let era = known.era;
         self.resolve(bucket, &known);
         let batch = self.batch(bucket);
-        if batch.is_empty() {
+        // What is not there has no claims to lose.
+        let must_settle =
+            std::mem::take(&mut self.buckets[bucket].borrow_mut().must_settle) && version.is_some();
+        if batch.is_empty() && !must_settle {
             return Ok(());
         }
         let mut next = known;
@@ -214,6 +238,7 @@
         match updated {
             Ok(version) => {
                 state.known = Some((Some(version), next.clone()));
+                state.remembered = next.clone();
                 drop(state);
                 self.forget_releases(bucket, &batch);
                 self.resolve(bucket, &next);
@@ -221,28 +246,52 @@
             }
             // The next step reads the bucket again and looks for the nonces.
             Err(UpdateError::Conflict) => Ok(()),
-            Err(UpdateError::NotApplied(_) | UpdateError::Unknown(_)) => Err(()),
+            Err(UpdateError::Unknown(_)) if self.store.era() != era => Ok(()),
+            Err(UpdateError::NotApplied(_) | UpdateError::Unknown(_)) => {
+                state.must_settle = must_settle;
+                Err(())
+            }
         }
     }
 
     async fn known(&self, bucket: usize) -> Result<(Option<u64>, Bucket), ()> {
         let known = self.buckets[bucket].borrow().known.clone();
-        if let Some(known) = known {
+        if let Some(known) = known.filter(|(_, known)| known.era == self.store.era()) {
             return Ok(known);
         }
         let name = stored::bucket_object(bucket);
         let read = self.store.read(&name).await.map_err(|_| ())?;
-        let known = match read {
+        let era = self.store.era();
+        self.note_era(era);
+        let mut known = match read {
             None => (None, Bucket::default()),
             Some(object) => {
                 let decoded = stored::decode_bucket(&object.value).map_err(|_| ())?;
                 (Some(object.version), decoded)
             }
         };
-        self.buckets[bucket].borrow_mut().known = Some(known.clone());
+        let mut state = self.buckets[bucket].borrow_mut();
+        if known.1.era != era {
+            // One that is not there may never have been: then only keys of before this era count.
+            let from_ms = if known.0.is_some() { now_ms() } else { self.era_seen.get().1 };
+            let floor_ms = from_ms + MOST_AHEAD_MS;
+            log::warn!(
+                "bucket {bucket} is of era {}, the platform of {era}: keys before {floor_ms} are refused",
+                known.1.era
+            );
+            known.1.enter(era, floor_ms, &state.remembered);
+        }
+        state.known = Some(known.clone());
         Ok(known)
     }
 
+    /// Notes when an era was first seen here.
+    fn note_era(&self, era: u64) {
+        if self.era_seen.get().0 != era {
+            self.era_seen.set((era, now_ms()));
+        }
+    }
+
     /// Answers the attempts whose outcome the bucket shows.
     fn resolve(&self, bucket: usize, known: &Bucket) {
         let mut state = self.buckets[bucket].borrow_mut();
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,14 +1,19 @@
 //! The object API over HTTP.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{StatusCode, header};
 use awc::{Client, Connector};
 use bytes::Bytes;
+use eelgrasspier_decide::history::{Eras, Position, Told};
 
 use crate::store::{ListedInstance, Object, ObjectStore, ReadError, StoreFuture, UpdateError};
 
+/// Says how often the platform has been restored from a copy.
+const ERA: &str = "store-era";
 /// Largest object that is read, in bytes; the platform holds up to a megabyte.
 const MAX_OBJECT_BYTES: usize = 1 << 20;
 /// Connections to the platform of one process.
@@ -22,6 +27,7 @@
     base: String,
     client: Client,
     timeout_ms: u64,
+    eras: Rc<RefCell<Eras>>,
 }
 
 impl std::fmt::Debug for HttpStore {
@@ -42,7 +48,41 @@
             .connector(connector)
             .timeout(Duration::from_millis(timeout_ms))
             .finish();
-        Self { base: base.trim_end_matches('/').to_owned(), client, timeout_ms }
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            client,
+            timeout_ms,
+            eras: Rc::default(),
+        }
+    }
+
+    /// The version that an answer tells, in its era.
+    ///
+    /// # Errors
+    /// Fails with a text if there is none, or if the answer was made before a restore.
+    fn version_of(&self, headers: &header::HeaderMap, asked_in: u64) -> Result<u64, String> {
+        let etag = headers.get(header::ETAG).and_then(|tag| tag.to_str().ok());
+        let version = etag.and_then(|tag| tag.trim_matches('"').parse().ok());
+        let revision = version.ok_or_else(|| format!("no version in ETag {etag:?}"))?;
+        self.take_era(headers, asked_in)?;
+        Ok(Position { era: self.era(), revision }.to_number())
+    }
+
+    /// Takes in the era that an answer tells.
+    fn take_era(&self, headers: &header::HeaderMap, asked_in: u64) -> Result<(), String> {
+        let text = headers.get(ERA).and_then(|era| era.to_str().ok());
+        let era = text.and_then(|era| era.trim().parse().ok());
+        let before = self.era();
+        match self.eras.borrow_mut().take(era, asked_in, false) {
+            Told::Same => {}
+            Told::Restored => {
+                log::warn!("platform restored from a copy: era {text:?}, before {before}");
+                metrics::counter!("eelgrasspier_platform_restores_total").increment(1);
+            }
+            Told::Late => return Err(format!("answer of era {text:?}, known {before}")),
+            Told::Back => log::debug!("platform tells era {text:?}, known {before}"),
+        }
+        Ok(())
     }
 
     fn object_url(&self, name: &str) -> String {
@@ -50,15 +90,18 @@
     }
 
     async fn get(&self, url: &str, timeout_ms: u64) -> Result<Option<Object>, ReadError> {
+        let asked_in = self.era();
         let sent = self.client.get(url).timeout(Duration::from_millis(timeout_ms)).send().await;
         let mut answer = sent.map_err(|e| ReadError::Unavailable(e.to_string()))?;
         match answer.status() {
             StatusCode::OK => {}
-            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => return Ok(None),
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => {
+                self.take_era(answer.headers(), asked_in).map_err(ReadError::Unavailable)?;
+                return Ok(None);
+            }
             status => return Err(ReadError::Unavailable(format!("status {status}"))),
         }
-        let version = version_of(answer.headers())
-            .ok_or_else(|| ReadError::Malformed("no version in ETag".to_owned()))?;
+        let version = self.version_of(answer.headers(), asked_in).map_err(ReadError::Malformed)?;
         let body = answer.body().limit(MAX_OBJECT_BYTES).await;
         let value = body.map_err(|e| ReadError::Unavailable(e.to_string()))?;
         Ok(Some(Object { version, value }))
@@ -72,14 +115,25 @@
     ) -> Result<u64, UpdateError> {
         let request = self.client.put(self.object_url(name));
         let request = match expected {
-            Some(version) => request.insert_header((header::IF_MATCH, format!("\"{version}\""))),
+            Some(version) => {
+                let revision = Position::from_number(version).revision;
+                request.insert_header((header::IF_MATCH, format!("\"{revision}\"")))
+            }
             None => request.insert_header((header::IF_NONE_MATCH, "*")),
         };
+        let asked_in = self.era();
         let answer = request.send_body(value).await.map_err(|e| update_error(&e))?;
         match answer.status() {
             StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => {
-                version_of(answer.headers())
-                    .ok_or_else(|| UpdateError::Unknown("no version in ETag".to_owned()))
+                let version = self.version_of(answer.headers(), asked_in);
+                let version = version.map_err(UpdateError::Unknown)?;
+                let era = Position::from_number(version).era;
+                let is_other = |expected| Position::from_number(expected).era != era;
+                if expected.is_some_and(is_other) || era != asked_in {
+                    let text = format!("the platform was restored: era {era}");
+                    return Err(UpdateError::Unknown(text));
+                }
+                Ok(version)
             }
             StatusCode::PRECONDITION_FAILED => Err(UpdateError::Conflict),
             status if status.is_client_error() => {
@@ -105,10 +159,6 @@
     }
 }
 
-fn version_of(headers: &header::HeaderMap) -> Option<u64> {
-    headers.get(header::ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
-}
-
 fn count(kind: &'static str) {
     metrics::counter!("eelgrasspier_platform_calls_total", "kind" => kind).increment(1);
 }
@@ -126,6 +176,9 @@
         wait_ms: u64,
     ) -> StoreFuture<'a, Result<Option<Object>, ReadError>> {
         count("watch");
+        // After a restore whatever there is has changed.
+        let Position { era, revision } = Position::from_number(after);
+        let after = if era == self.era() { revision } else { 0 };
         let url = format!("{}?watch_after={after}&wait_ms={wait_ms}", self.object_url(name));
         Box::pin(async move { self.get(&url, wait_ms + WATCH_MARGIN_MS).await })
     }
@@ -140,12 +193,18 @@
         Box::pin(self.put(name, expected, value))
     }
 
+    fn era(&self) -> u64 {
+        self.eras.borrow().current()
+    }
+
     fn instances(&self) -> StoreFuture<'_, Result<Vec<ListedInstance>, ReadError>> {
         count("instances");
         Box::pin(async move {
             let url = format!("{}/instances", self.base);
+            let asked_in = self.era();
             let sent = self.client.get(url).send().await;
             let mut answer = sent.map_err(|e| ReadError::Unavailable(e.to_string()))?;
+            self.take_era(answer.headers(), asked_in).map_err(ReadError::Unavailable)?;
             if answer.status() != StatusCode::OK {
                 return Err(ReadError::Unavailable(format!("status {}", answer.status())));
             }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod stored;
 
 pub use backoff::Backoff;
-pub use claims::{ClaimError, Claims, bucket_of};
+pub use claims::{BUCKETS, ClaimError, Claims, bucket_of};
 pub use collections::{
     Announcement, Answer, CollectionError, Collections, Decode, KeptRequest, Kind,
 };
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+#[cfg(doc)]
+use eelgrasspier_decide::history::Position;
 
 /// A future on the thread that asked for it.
 pub type StoreFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -11,7 +13,8 @@
 /// One version of an object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Object {
-    /// Version, counting up with each update of this object.
+    /// Version, counting up with each update of this object and with each restore of the
+    /// platform: a [`Position`] as a number.
     pub version: u64,
     /// Content.
     pub value: Bytes,
@@ -65,6 +68,9 @@
     ) -> StoreFuture<'a, Result<Option<Object>, ReadError>>;
 
     /// Replaces the object if its version is `expected` (`None`: if there is none).
+    ///
+    /// The platform knows no eras in conditions: a version of an earlier one that was given out
+    /// again matches. An answer of a later era than `expected` therefore is [`UpdateError::Unknown`].
     fn update<'a>(
         &'a self,
         name: &'a str,
@@ -72,6 +78,10 @@
         value: Bytes,
     ) -> StoreFuture<'a, Result<u64, UpdateError>>;
 
+    /// How often the platform has been restored from a copy, as of the last answer; 0 where it
+    /// does not say.
+    fn era(&self) -> u64;
+
     /// Lists the live and leaving instances, with the platform's lag.
     fn instances(&self) -> StoreFuture<'_, Result<Vec<ListedInstance>, ReadError>>;
 }
--- a/crates/store/src/stored.rs
+++ b/crates/store/src/stored.rs
@@ -56,6 +56,8 @@
     floor_ms: u64,
     #[prost(message, repeated, tag = "2")]
     claims: Vec<StoredClaim>,
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -79,7 +81,8 @@
         key_low: low_half(key.0),
         nonce,
     });
-    let stored = StoredBucket { floor_ms: bucket.floor_ms, claims: claims.collect() };
+    let stored =
+        StoredBucket { floor_ms: bucket.floor_ms, claims: claims.collect(), era: bucket.era };
     stored.encode_to_vec().into()
 }
 
@@ -94,7 +97,7 @@
         (Key(key), c.nonce)
     };
     let claims = stored.claims.into_iter().map(claim).collect();
-    Ok(Bucket { floor_ms: stored.floor_ms, claims })
+    Ok(Bucket { floor_ms: stored.floor_ms, claims, era: stored.era })
 }
 
 fn low_half(key: u128) -> u64 {
