Hold second sends back while none of many shards has answered, and let trials end

Change: second sends of four shards or more wait until one has answered; the next trial begins when the last has ended, or after the route's target latency. Evidence: two tests without network, 40 sends in place of the 23 allowed and 24 more trials in place of 3 before, both pass now.

--- a/crates/router/src/gather/caution.rs
+++ b/crates/router/src/gather/caution.rs
@@ -20,6 +20,9 @@
 /// until it is known whether they have ended, some milliseconds. One is lost often.
 const LOST_FROM: usize = 2;
 
+/// Shards of which one answers before second sends are due, as a rule.
+const MANY_SHARDS: usize = 4;
+
 /// Whether a send may go out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Permission {
@@ -62,9 +65,13 @@
     }
 
     /// Whether second sends wait.
+    ///
+    /// Where none of many shards has answered, no single replica is to blame, and a request that
+    /// ends replicas would take the other one of each shard.
     pub(super) fn is_held_back(&self) -> bool {
         let is_answered = self.request.learnt.is_answered.get();
-        !is_answered && (self.is_suspect() || self.unclear_losses() >= LOST_FROM)
+        let has_many = self.shards.len() >= MANY_SHARDS;
+        !is_answered && (has_many || self.is_suspect() || self.unclear_losses() >= LOST_FROM)
     }
 
     /// Notes for how long it is refused, where it is.
@@ -107,20 +114,27 @@
         }
         if self.trials.until_ms == 0 && in_flight > 0 {
             // What was sent before it became suspect shows as much as a trial.
-            self.trials.until_ms = now_ms + self.pace.hedge_ms;
+            self.trials.until_ms = now_ms + self.trial_ms();
             return Permission::Later;
         }
         if self.trials.replicas.len() >= MOST_TRIALS {
             return Permission::Never;
         }
-        if !self.router.begin_trial(self.request, replica, self.pace.hedge_ms) {
+        let trial_ms = self.trial_ms();
+        if !self.router.begin_trial(self.request, replica, trial_ms) {
             return Permission::Later;
         }
         self.trials.replicas.push(Arc::clone(&replica.id));
-        self.trials.until_ms = now_ms + self.pace.hedge_ms;
+        self.trials.until_ms = now_ms + trial_ms;
         Permission::Now
     }
 
+    /// Longest time in which a trial brings a finding: a replica that has just started is slow to
+    /// end as well, and a trial that is given up before proves nothing.
+    fn trial_ms(&self) -> u64 {
+        self.pace.hedge_ms.max(self.route.target_latency_ms)
+    }
+
     /// The shard that is tried next: another one for each request, so that two that are tried at
     /// the same time meet at the same replica but rarely.
     fn next_on_trial(&self) -> Option<usize> {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -61,6 +61,8 @@
     pub arrivals: RefCell<Vec<Arrival>>,
     pub cancelled: Rc<RefCell<u32>>,
     started: RefCell<Option<Instant>>,
+    /// Time that a request which ends replicas runs before it does, in milliseconds, besides one.
+    pub ends_after_ms: Cell<u64>,
 }
 
 impl Script {
@@ -128,9 +130,11 @@
             let bell = script.bell(&replica);
             let ended = bell.notified();
             let answering = act(conduct.unwrap_or(Conduct::Answers(5)), &replica, &attempt);
+            let is_ending = attempt.request.path.path().contains(ENDS);
             let ending = async {
-                if attempt.request.path.path().contains(ENDS) {
-                    tokio::time::sleep(Duration::from_millis(1)).await;
+                if is_ending {
+                    let runs_ms = 1 + script.ends_after_ms.get();
+                    tokio::time::sleep(Duration::from_millis(runs_ms)).await;
                     script.end(&replica);
                 }
                 std::future::pending::<()>().await;
@@ -139,7 +143,7 @@
                 biased;
                 () = ended => Err(PartFailure::Lost("reset".to_owned())),
                 () = ending => unreachable!("it is never ready"),
-                result = answering => result,
+                result = answering, if !is_ending => result,
             };
             guard.finish();
             result
--- a/crates/router/tests/suspects.rs
+++ b/crates/router/tests/suspects.rs
@@ -50,6 +50,48 @@
     });
 }
 
+/// Has the router see some usual requests, so that second sends are due early.
+async fn learn_usual_latency(world: &World) {
+    for number in 0..20 {
+        let what = format!("usual-{number}");
+        assert!(matches!(serve(world, &what, &what).await, Outcome::Merged(_)));
+    }
+}
+
+/// Guards against a wave that ends both replicas of each shard: second sends that are due before
+/// anybody has answered, or has ended.
+#[test]
+fn a_request_that_ends_replicas_late_ends_one_of_each_shard() {
+    in_virtual_time(async {
+        let world = World::new(route(SHARDS), SHARDS);
+        learn_usual_latency(&world).await;
+        let before = arrivals(&world);
+        world.script.ends_after_ms.set(45);
+        serve(&world, "ends", "r1").await;
+        let reached = arrivals(&world) - before;
+        assert!(reached <= SHARDS + 3, "{reached}");
+    });
+}
+
+/// Guards against trials of one request that overlap, so that it reaches more replicas than the
+/// two whose ends would prove enough.
+#[test]
+fn trials_of_a_request_that_ends_replicas_late_follow_one_another() {
+    in_virtual_time(async {
+        let world = World::new(route(SHARDS), SHARDS);
+        learn_usual_latency(&world).await;
+        world.script.ends_after_ms.set(75);
+        serve(&world, "ends", "r1").await;
+        let first = arrivals(&world);
+        for attempt in 0..8 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            world.script.start_all();
+            serve(&world, "ends", &format!("again-{attempt}")).await;
+        }
+        assert!(arrivals(&world) <= first + 3, "{first}, then {}", arrivals(&world));
+    });
+}
+
 #[test]
 fn one_that_goes_to_one_replica_is_refused_after_four() {
     in_virtual_time(async {
