--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -184,6 +184,9 @@
         tally.covered += answer.covered.len() as u64;
         tally.wanted += (answer.covered.len() + answer.missed.len()) as u64;
         tally.full += u64::from(answer.missed.is_empty());
+        for missed in &answer.missed {
+            *tally.missed.entry(missed.reason.clone()).or_default() += 1;
+        }
         for problem in problems(&answer, &self.plan.service, body) {
             tally.violated(format!("request {}: {problem}", answer.request_id));
         }
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -24,6 +24,8 @@
     pub late: u64,
     /// Answers with every shard.
     pub full: u64,
+    /// Missed shards by reason.
+    pub missed: BTreeMap<String, u64>,
     /// Refusals by verdict and kind.
     pub refused: BTreeMap<String, u64>,
     /// Queries that ended without an answer, by error.
@@ -50,6 +52,7 @@
             in_time: 0,
             late: 0,
             full: 0,
+            missed: BTreeMap::new(),
             refused: BTreeMap::new(),
             lost: BTreeMap::new(),
             covered: 0,
@@ -97,6 +100,7 @@
             in_time: self.in_time,
             late: self.late,
             full: self.full,
+            missed: self.missed.clone(),
             refused: self.refused.clone(),
             lost: self.lost.clone(),
             p50_ms: at(&self.latency_us, 0.50),
@@ -127,6 +131,8 @@
     pub late: u64,
     /// Answers with every shard.
     pub full: u64,
+    /// Missed shards by reason.
+    pub missed: BTreeMap<String, u64>,
     /// Refusals by verdict and kind.
     pub refused: BTreeMap<String, u64>,
     /// Queries without any answer.
@@ -151,8 +157,8 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         writeln!(
             f,
-            "offered {}  in time {}  late {}  full {}  refused {:?}  lost {:?}",
-            self.offered, self.in_time, self.late, self.full, self.refused, self.lost
+            "offered {}  in time {}  late {}  full {}  missed {:?}  refused {:?}  lost {:?}",
+            self.offered, self.in_time, self.late, self.full, self.missed, self.refused, self.lost
         )?;
         writeln!(
             f,
