--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -231,17 +231,12 @@
     /// # Errors
     /// Fails if the platform does not answer.
     pub async fn list_instances(&self, lag_ms: u64) -> Result<(), String> {
-        let list: Vec<Listed> = self
-            .instances
-            .iter()
-            .map(|i| Listed {
-                name: i.name.clone(),
-                zone: i.zone.clone(),
-                peer_addr: i.process.field("peer"),
-            })
-            .collect();
-        let addr = self.platform.field("addr");
-        put(&format!("http://{addr}/standin/instances?lag_ms={lag_ms}"), &list).await
+        let listed = |i: &Instance| {
+            let (name, zone) = (i.name.clone(), i.zone.clone());
+            Listed { name, zone, peer_addr: i.process.field("peer") }
+        };
+        let list: Vec<Listed> = self.instances.iter().map(listed).collect();
+        put(&self.platform_url(&format!("instances?lag_ms={lag_ms}")), &list).await
     }
 
     /// A client for the administration API of the instance `at`.
@@ -294,23 +289,19 @@
     /// # Errors
     /// Fails if it does not answer.
     pub async fn platform_faults(&self, faults: &PlatformFaults) -> Result<(), String> {
-        put(&format!("http://{}/standin/faults", self.platform.field("addr")), faults).await
+        put(&self.platform_url("faults"), faults).await
     }
 
-    /// Has the platform keep a copy of all objects.
+    /// Has the platform keep a copy of all objects (`copy`), or come back from it (`restore`).
     ///
     /// # Errors
     /// Fails if it does not answer.
-    pub async fn copy_platform(&self) -> Result<(), String> {
-        put(&format!("http://{}/standin/copy", self.platform.field("addr")), &()).await
+    pub async fn tell_platform(&self, what: &str) -> Result<(), String> {
+        put(&self.platform_url(what), &()).await
     }
 
-    /// Has the platform come back from its copy, and count one era more.
-    ///
-    /// # Errors
-    /// Fails if it does not answer.
-    pub async fn restore_platform(&self) -> Result<(), String> {
-        put(&format!("http://{}/standin/restore", self.platform.field("addr")), &()).await
+    fn platform_url(&self, what: &str) -> String {
+        format!("http://{}/standin/{what}", self.platform.field("addr"))
     }
 
     /// Calls that the platform has counted, by kind.
@@ -318,7 +309,7 @@
     /// # Errors
     /// Fails if it does not answer.
     pub async fn platform_calls(&self) -> Result<BTreeMap<String, u64>, String> {
-        get(&format!("http://{}/standin/calls", self.platform.field("addr"))).await
+        get(&self.platform_url("calls")).await
     }
 
     /// Sets the faults of one replica, by its address.
--- a/crates/standin/tests/restored.rs
+++ b/crates/standin/tests/restored.rs
@@ -49,10 +49,10 @@
 #[actix_web::test]
 async fn a_run_whose_claim_is_lost_does_not_run_again() {
     let fleet = common::fleet(2, 2).await;
-    fleet.copy_platform().await.unwrap();
+    fleet.tell_platform("copy").await.unwrap();
     for _ in 0..3 {
         let key = run_once(&fleet).await;
-        fleet.restore_platform().await.unwrap();
+        fleet.tell_platform("restore").await.unwrap();
         for at in [1, 0] {
             let retry = common::run(&fleet, at, &key, LONG_MS).await.unwrap();
             assert_eq!(retry.status, 409, "{}", retry.text());
@@ -66,11 +66,11 @@
 #[actix_web::test]
 async fn a_run_whose_claim_nobody_remembers_does_not_run_again() {
     let mut fleet = common::fleet(2, 2).await;
-    fleet.copy_platform().await.unwrap();
+    fleet.tell_platform("copy").await.unwrap();
     let key = common::key();
     let first = common::run(&fleet, 0, &key, LONG_MS).await.unwrap();
     assert_eq!(first.status, 200, "{}", first.text());
-    fleet.restore_platform().await.unwrap();
+    fleet.tell_platform("restore").await.unwrap();
     for at in [0, 1] {
         fleet.restart_instance(at).unwrap();
     }
@@ -84,11 +84,11 @@
 #[actix_web::test]
 async fn a_text_that_the_copy_lacks_stays_in_force_and_is_written_again() {
     let mut fleet = common::fleet(3, 2).await;
-    fleet.copy_platform().await.unwrap();
+    fleet.tell_platform("copy").await.unwrap();
     let newer = text_with(&fleet, 7_001);
     accepted(&fleet, 0, &edit(1, 11, &newer)).await;
     until("the text is in force", async || has_everywhere(&fleet, &newer).await).await.unwrap();
-    fleet.restore_platform().await.unwrap();
+    fleet.tell_platform("restore").await.unwrap();
     // One that starts meanwhile must not be ready with the older text.
     fleet.restart_instance(2).unwrap();
     let url = fleet.instances[2].url();
@@ -120,11 +120,11 @@
 #[actix_web::test]
 async fn an_edit_from_a_version_of_before_a_restore_overwrites_nothing() {
     let fleet = common::fleet(2, 2).await;
-    fleet.copy_platform().await.unwrap();
+    fleet.tell_platform("copy").await.unwrap();
     let lost = text_with(&fleet, 7_001);
     let base = accepted(&fleet, 0, &edit(1, 21, &lost)).await;
     until("the text is in force", async || has_everywhere(&fleet, &lost).await).await.unwrap();
-    fleet.restore_platform().await.unwrap();
+    fleet.tell_platform("restore").await.unwrap();
     until("the text is written again", async || {
         fleet.admin(0).text().await.unwrap().version > 1 << 40
     })
