Tell others what a restored store confirms without a change

Cause: an instance told others of a change only if it had an effect on its own copy. After a restore two kinds of changes have none and matter to others: - the deletion of an entry that was known as deleted in the era before. One that doubted the entry and does not watch used it when the time of the doubt was over, until its next poll (0.5 s in the traces, 1.2 s possible here); - an object that is written again as it was, with the same number. One that keeps it since the copy lacks it, and does not watch, dropped it after 2.2 s: a live replica was unused (503) until the next poll, a zone would have been served again though it is evacuated (by the code, not played). And one that heard of the restore by another's list was not told of entries that this one left out, so that it never used them again unless written anew.

Change: Applied::has_news is also true where the present era confirms what was known from an earlier one; Mirror::since tells objects that are left out beside their earlier deletion, so that each receiver leaves them out for its time.

--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -50,9 +50,17 @@
     pub effects: Vec<Effect>,
     /// What was not taken in as it was told.
     pub notes: Vec<Note>,
+    /// Whether the present era confirmed what was known from an earlier one.
+    confirms_earlier: bool,
 }
 
 impl Applied {
+    /// Whether other instances may go wrong if they don't hear of it.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        self.confirms_earlier || !self.effects.is_empty()
+    }
+
     fn note_left_out(&mut self, object: &Versioned, known: Stamp) {
         let (name, told) = (object.name.clone(), object.stamp().at);
         self.notes.push(Note::LeftOut { name, told, known: known.at });
@@ -158,10 +166,16 @@
             }
             self.enter(changes, now_ms);
         }
+        // One that tells of an object that it leaves out tells of its earlier deletion, too.
+        let is_earlier = |deleted: &&Deleted| deleted.era < changes.era;
+        let (earlier, present): (Vec<_>, Vec<_>) = changes.deleted.iter().partition(is_earlier);
+        for deleted in earlier {
+            self.delete(&deleted.name, deleted.stamp(), now_ms, &mut applied);
+        }
         for object in &changes.objects {
             self.set(object, now_ms, &mut applied);
         }
-        for deleted in &changes.deleted {
+        for deleted in present {
             self.delete(&deleted.name, deleted.stamp(), now_ms, &mut applied);
         }
         if changes.is_whole {
@@ -209,7 +223,7 @@
         {
             if stamp.at.era == self.position.era {
                 // What the store has of it is older, and yet it has it.
-                known.is_missing = false;
+                applied.confirms_earlier |= std::mem::take(&mut known.is_missing);
             } else if stamp == known.stamp {
                 known.is_missing |= object.is_missing;
             }
@@ -247,6 +261,7 @@
         let content = object.content.clone();
         let known = Known { stamp: object.stamp(), content, is_missing: object.is_missing };
         let before = self.objects.insert(name.clone(), known);
+        applied.confirms_earlier |= before.as_ref().is_some_and(|b| b.stamp.at.era < object.era);
         if before.is_none_or(|before| before.content != object.content) {
             applied.effects.push(Effect::Set(name.clone(), object.content.clone()));
         }
@@ -267,6 +282,7 @@
         }
         let removed = self.objects.remove(name);
         let before = self.deleted.get(name).copied();
+        applied.confirms_earlier |= before.is_some_and(|before| before.at.era < deletion.at.era);
         // Also what never was here: an instance that read the store between the two changes has
         // it, hears of the deletion from this one only, and would keep it until its next poll.
         if removed.is_some() || before.is_none() {
@@ -361,7 +377,9 @@
         // What this era has not confirmed yet has no place in it by which it could be asked for.
         let is_wanted =
             |at: Position| !is_silent && (is_whole || is_ahead || at.era < era || at > position);
-        let objects = self.objects.iter().filter(|(_, known)| is_wanted(known.stamp.at));
+        let known = self.objects.iter().filter(|(_, known)| is_wanted(known.stamp.at));
+        let known = known.map(|(name, known)| to_versioned(name, known));
+        let doubted = self.doubted.values().filter(|object| is_wanted(object.stamp().at)).cloned();
         let deleted = self.deleted.iter().filter(|(_, deletion)| is_wanted(deletion.at));
         let to_deleted = |(name, deletion): (&String, &Stamp)| {
             let Stamp { at: Position { era, revision }, edition } = *deletion;
@@ -370,7 +388,7 @@
         Changes {
             as_of: revision,
             is_whole,
-            objects: objects.map(|(name, known)| to_versioned(name, known)).collect(),
+            objects: known.chain(doubted).collect(),
             deleted: deleted.map(to_deleted).collect(),
             era,
         }
--- a/crates/router/src/control/take.rs
+++ b/crates/router/src/control/take.rs
@@ -26,7 +26,7 @@
         let has_entered = before.is_some_and(|before| before.era < after.era);
         // Told even where nothing changes here, such as an entry that is kept for a while:
         // the others would hear of it only by their next poll.
-        let has_news = is_first || has_entered || !applied.effects.is_empty();
+        let has_news = is_first || has_entered || applied.has_news();
         if is_first {
             // One line in place of one for each: a fleet that starts wrote most of its lines here.
             log::info!(
