Let copies of a restored store end as it is, also by news only

Cause, each found by a property over drawn histories (copies of which two watch and two hear of news only) or by a longer run of the one that was there: - an object that a peer told as missing counted as listed, so that one with a newer edition of it kept it for good; - one that the store had in an older edition and that was deleted in the new era was kept for good by a whole list after the time of keeping; - a whole list did not end the doubt of what it lacks, so that this was used once the doubt was over; - an entry that a replica wrote in the new era with the number of before was left out where it had been known as deleted, and nobody else was told; - an object told as missing was doubted, and used without end afterwards; - an object that the store has in an older edition was told with its place of the era before: one that knew of a deletion in between left it out for good.

Change: `delete_missing` looks at what is not missing, for kept and doubted objects alike; only what came with the copy is doubted (`entered`); what the store has in this era counts with a place in it (`confirmed`).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod allowance;
+mod applied;
 pub mod budget;
 pub mod changes;
 pub mod claim;
--- a/crates/decide/src/mirror.rs
+++ b/crates/decide/src/mirror.rs
@@ -10,63 +10,13 @@
 
 use bytes::Bytes;
 
+pub use crate::applied::{Applied, Effect, Note};
 pub use crate::changes::{Changes, Deleted, Versioned};
 use crate::history::{Position, Stamp};
 
 /// Deletions that are remembered for other instances; at 60 bytes each about 60 KB.
 const MOST_DELETIONS: usize = 1000;
 
-/// What a change did to the copy.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Effect {
-    /// The object has this content now.
-    Set(String, Bytes),
-    /// The object is gone, if it ever was here.
-    Gone(String),
-}
-
-/// What was told and not taken in as it is.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Note {
-    /// A change of the object was left out, since the `known` one is newer.
-    LeftOut {
-        /// Name of the object.
-        name: String,
-        /// Place of the change.
-        told: Position,
-        /// Place of the one that is known.
-        known: Position,
-    },
-    /// The restored store lacks the object; it is kept until it is written again, for a while.
-    Kept(String),
-    /// The restored store has the object though it had been deleted; it is left out for a while.
-    Doubted(String),
-}
-
-/// What became of changes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Applied {
-    /// What they did to the copy.
-    pub effects: Vec<Effect>,
-    /// What was not taken in as it was told.
-    pub notes: Vec<Note>,
-    /// Whether the present era confirmed what was known from an earlier one.
-    confirms_earlier: bool,
-}
-
-impl Applied {
-    /// Whether other instances may go wrong if they don't hear of it.
-    #[must_use]
-    pub fn has_news(&self) -> bool {
-        self.confirms_earlier || !self.effects.is_empty()
-    }
-
-    fn note_left_out(&mut self, object: &Versioned, known: Stamp) {
-        let (name, told) = (object.name.clone(), object.stamp().at);
-        self.notes.push(Note::LeftOut { name, told, known: known.at });
-    }
-}
-
 /// What becomes of objects that a restored store lacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Retention {
@@ -106,6 +56,8 @@
     horizon: u64,
     /// Place up to which the copy is complete.
     position: Position,
+    /// Place of the list by which it entered this era.
+    entered: Position,
     /// Whether a whole list was ever taken in.
     is_filled: bool,
     /// Until when objects of earlier eras are kept, in milliseconds, while they are.
@@ -125,6 +77,7 @@
             doubted: BTreeMap::new(),
             horizon: 0,
             position: Position::default(),
+            entered: Position::default(),
             is_filled: false,
             kept_until_ms: None,
             doubted_until_ms: None,
@@ -189,6 +142,7 @@
 
     fn enter(&mut self, changes: &Changes, now_ms: u64) {
         self.position = Position { era: changes.era, revision: 0 };
+        self.entered = changes.position();
         self.horizon = changes.as_of;
         self.doubted.clear();
         self.doubted_until_ms = Some(now_ms + self.settling.doubt_ms);
@@ -233,8 +187,9 @@
             return;
         }
         if let Some(&deletion) = self.deleted.get(&object.name) {
-            if stamp.is_back_after(&deletion) && self.is_in_doubt(now_ms) {
-                self.doubted.insert(object.name.clone(), object.clone());
+            let stamp = self.confirmed(stamp, object.is_missing);
+            if stamp.is_back_after(&deletion) && self.is_in_doubt(stamp.at, now_ms) {
+                self.doubt(object.clone());
                 return applied.notes.push(Note::Doubted(object.name.clone()));
             }
             if deletion.at >= stamp.at {
@@ -250,8 +205,22 @@
         is_always || self.kept_until_ms.is_some_and(|until_ms| now_ms < until_ms)
     }
 
-    fn is_in_doubt(&self, now_ms: u64) -> bool {
-        self.doubted_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    /// Whether what was made at `at` came with the copy, and its writer may be gone.
+    fn is_in_doubt(&self, at: Position, now_ms: u64) -> bool {
+        at <= self.entered && self.doubted_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
+    /// The stamp of an object with its least place in this era, if the store has it in this era.
+    fn confirmed(&self, Stamp { at, edition }: Stamp, is_missing: bool) -> Stamp {
+        let start = Position { era: self.position.era, revision: 0 };
+        Stamp { at: if is_missing { at } else { at.max(start) }, edition }
+    }
+
+    /// Leaves an object out until the time of the doubt is over, if the store has it.
+    fn doubt(&mut self, object: Versioned) {
+        if !object.is_missing {
+            self.doubted.insert(object.name.clone(), object);
+        }
     }
 
     fn insert(&mut self, object: &Versioned, applied: &mut Applied) {
@@ -268,14 +237,17 @@
     }
 
     fn delete(&mut self, name: &str, deletion: Stamp, now_ms: u64, applied: &mut Applied) {
-        if let Some(known) = self.objects.get(name).filter(|known| known.stamp.at > deletion.at) {
-            if known.stamp.is_back_after(&deletion) && self.is_in_doubt(now_ms) {
-                self.doubted.insert(name.to_owned(), to_versioned(name, known));
+        if let Some(known) = self.objects.get(name) {
+            let stamp = self.confirmed(known.stamp, known.is_missing);
+            if stamp.is_back_after(&deletion) && self.is_in_doubt(stamp.at, now_ms) {
+                self.doubt(to_versioned(name, known));
                 self.objects.remove(name);
                 self.deleted.insert(name.to_owned(), deletion);
-                applied.effects.push(Effect::Gone(name.to_owned()));
+                return applied.effects.push(Effect::Gone(name.to_owned()));
+            }
+            if stamp.at > deletion.at {
+                return;
             }
-            return;
         }
         if deletion.at.era == self.position.era {
             self.doubted.remove(name);
@@ -308,20 +280,24 @@
     }
 
     fn delete_missing(&mut self, changes: &Changes, now_ms: u64, applied: &mut Applied) {
-        let listed: BTreeSet<&str> = changes.objects.iter().map(|o| o.name.as_str()).collect();
+        let listed = changes.objects.iter().filter(|object| !object.is_missing);
+        let listed: BTreeSet<&str> = listed.map(|object| object.name.as_str()).collect();
         let as_of = changes.position();
+        let keeps_earlier = self.keeps_earlier(now_ms);
         let mut deleted = Vec::new();
         for (name, known) in &mut self.objects {
             if listed.contains(name.as_str()) || known.stamp.at > as_of {
                 continue;
             }
-            if known.stamp.at.era == changes.era {
+            if known.stamp.at.era == changes.era || !keeps_earlier {
                 deleted.push(name.clone());
             } else if !known.is_missing {
                 known.is_missing = true;
                 applied.notes.push(Note::Kept(name.clone()));
             }
         }
+        self.doubted
+            .retain(|name, object| listed.contains(name.as_str()) || object.stamp().at > as_of);
         for name in deleted {
             self.delete(&name, Stamp { at: as_of, edition: None }, now_ms, applied);
         }
--- a/crates/decide/tests/history.rs
+++ b/crates/decide/tests/history.rs
@@ -1,32 +1,12 @@
 //! The order of changes and the copy of the store, where the store is restored from a copy.
 
-use bytes::Bytes;
-use eelgrasspier_decide::history::{Edition, Eras, Position, Told};
-use eelgrasspier_decide::mirror::{
-    Changes, Deleted, Effect, Mirror, Note, Retention, Settling, Versioned,
-};
-
-const KEPT_MS: u64 = 2_000;
-const DOUBT_MS: u64 = 4_000;
-
-fn copy(retention: Retention) -> Mirror {
-    Mirror::new(Settling { retention, doubt_ms: DOUBT_MS })
-}
-
-fn of_replicas() -> Mirror {
-    copy(Retention::ForMs(KEPT_MS))
-}
+mod copies;
 
-/// An object whose content is its edition.
-fn object(name: &str, revision: u64, edition: u64) -> Versioned {
-    let content = Bytes::from(format!("{name}:{edition}"));
-    let edition = Some(Edition { born_ms: 0, number: edition });
-    Versioned { name: name.to_owned(), revision, content, edition, ..Versioned::default() }
-}
+use bytes::Bytes;
+use eelgrasspier_decide::history::{Eras, Position, Told};
+use eelgrasspier_decide::mirror::{Changes, Deleted, Effect, Mirror, Note, Retention, Versioned};
 
-fn whole((era, as_of): (u64, u64), objects: Vec<Versioned>) -> Changes {
-    Changes { as_of, is_whole: true, objects, ..Changes::default() }.in_era(era)
-}
+use copies::{DOUBT_MS, KEPT_MS, copy, object, of_replicas, whole};
 
 fn events((era, as_of): (u64, u64), objects: Vec<Versioned>) -> Changes {
     Changes { as_of, objects, ..Changes::default() }.in_era(era)
@@ -258,69 +238,6 @@
     }
 }
 
-/// Whatever is written, lost and told, all copies end as the store is, and the newest version is
-/// never given up.
-#[test]
-fn copies_end_as_the_store_is() {
-    arbtest::arbtest(|u| {
-        let mut store: Vec<Versioned> = Vec::new();
-        let (mut era, mut revision, mut edition) = (1, 1, 1);
-        let mut saved = (store.clone(), revision);
-        let mut mirrors = [of_replicas(), of_replicas()];
-        let mut newest = copy(Retention::Always);
-        let mut now_ms = 0;
-        for _ in 0..u.int_in_range(1..=24)? {
-            now_ms += u.int_in_range(0..=1_500)?;
-            let name = *u.choose(&["a", "b", "c"])?;
-            match u.int_in_range(0..=6)? {
-                0 => saved = (store.clone(), revision),
-                1 => {
-                    (store, revision) = saved.clone();
-                    era += 1;
-                }
-                2 => {
-                    store.retain(|o| o.name != name);
-                    revision += 1;
-                }
-                3 | 4 => {
-                    (revision, edition) = (revision + 1, edition + 1);
-                    store.retain(|o| o.name != name);
-                    store.push(object(name, revision, edition));
-                }
-                5 => {
-                    let from: usize = u.int_in_range(0..=1)?;
-                    let told = mirrors[from].since(mirrors[1 - from].position());
-                    mirrors[1 - from].apply(&told, now_ms);
-                }
-                _ => {
-                    let at: usize = u.int_in_range(0..=1)?;
-                    mirrors[at].apply(&whole((era, revision), store.clone()), now_ms);
-                }
-            }
-            let known = newest.since(Position::default()).objects;
-            newest.apply(&whole((era, revision), store.clone()), now_ms);
-            for before in known {
-                let kept = newest.since(Position::default()).objects;
-                let kept = kept.iter().find(|o| o.name == before.name);
-                assert!(kept.is_none_or(|o| o.edition >= before.edition), "{before:?} {kept:?}");
-            }
-            for mirror in &mut mirrors {
-                mirror.expire(now_ms);
-            }
-        }
-        let mut listed: Vec<String> = store.iter().map(|o| o.name.clone()).collect();
-        listed.sort_unstable();
-        for mirror in &mut mirrors {
-            mirror.apply(&whole((era, revision), store.clone()), now_ms);
-            mirror.expire(now_ms + DOUBT_MS);
-            let names: Vec<String> =
-                mirror.since(Position::default()).objects.into_iter().map(|o| o.name).collect();
-            assert_eq!(names, listed);
-        }
-        Ok(())
-    });
-}
-
 #[test]
 fn an_answer_tells_of_a_restore_once_and_of_the_past_never() {
     let mut eras = Eras::default();
