Add the types of customers, fleet-wide limits and their messages

Customers with hashed keys, the ownership of a limited key and the token buckets of customers are pure decisions; the cold limit now takes its ownership rules from the same module.

--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -73,5 +73,11 @@
         R::CrashesReplicas => (StatusCode::SERVICE_UNAVAILABLE, "ends-replicas"),
         R::BackendRefused(_) => (StatusCode::BAD_GATEWAY, "backend-refused"),
         R::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        R::UnknownKey => (StatusCode::UNAUTHORIZED, "unknown-key"),
+        R::KeyUnconfirmed => (StatusCode::SERVICE_UNAVAILABLE, "key-unconfirmed"),
+        R::CustomerLimit(_) => (StatusCode::TOO_MANY_REQUESTS, "customer-limit"),
+        R::LimitUnavailable(_) => (StatusCode::SERVICE_UNAVAILABLE, "limit-unavailable"),
+        R::RetryBudget => (StatusCode::SERVICE_UNAVAILABLE, "retry-budget"),
+        R::LowPriority => (StatusCode::SERVICE_UNAVAILABLE, "low-priority"),
     }
 }
--- a/crates/decide/src/cold_limit.rs
+++ b/crates/decide/src/cold_limit.rs
@@ -4,26 +4,16 @@
 //! the whole fleet in every sliding second, even while instances cannot reach each other. Neither
 //! equal shares (most instances send nothing) nor a gossiped count would achieve this. So each cold
 //! replica has one coordinator, which counts the requests to it; other instances ask the
-//! coordinator for permission. While two instances both consider themselves the coordinator, each
+//! coordinator for permission; [`crate::fleet_limit`] tells who that is. While two instances both consider themselves the coordinator, each
 //! uses at most half of the limit.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use crate::fleet_limit::MAX_OWNERS;
+
 /// Length of the sliding window, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
-/// Time for which the coordinators of a zone wait after a membership change, in milliseconds.
-///
-/// By then the requests of the previous coordinator have left the window, and other instances have
-/// learned of the change.
-const SETTLE_DELAY_MS: u64 = 1_000;
-/// Time without messages after which an instance may be partitioned, in milliseconds.
-///
-/// This is three probe rounds. Other instances then replace it, and it must not continue as
-/// coordinator.
-const PARTITION_TIMEOUT_MS: u64 = 1_500;
-/// Maximum number of instances that consider themselves the coordinator of one replica at a time.
-const MAX_COORDINATORS: u64 = 2;
 const MILLI: u64 = 1000;
 
 /// Tolerance above the rate limit of a cold replica, as set by the operators.
@@ -51,7 +41,7 @@
         return None;
     }
     let max_milli = rate_milli * bounds.rate_factor_milli / MILLI + bounds.slack * MILLI;
-    let limit_milli = rate_milli.max(MILLI).min(max_milli / MAX_COORDINATORS);
+    let limit_milli = rate_milli.max(MILLI).min(max_milli / MAX_OWNERS);
     Some(usize::try_from(limit_milli / MILLI).unwrap_or(usize::MAX))
 }
 
@@ -89,46 +79,3 @@
         self.sent_at_ms.retain(|_, sent| sent.back().is_some_and(is_counted));
     }
 }
-
-/// Potential coordinators of each zone and the time of their last change.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CoordinatorStability {
-    zones: BTreeMap<Arc<str>, (Vec<u64>, u64)>,
-}
-
-impl CoordinatorStability {
-    /// Updates the keys of the potential coordinators of each zone, given in any order.
-    pub fn update(&mut self, mut keys: BTreeMap<Arc<str>, Vec<u64>>, now_ms: u64) {
-        for zone in self.zones.keys() {
-            keys.entry(Arc::clone(zone)).or_default();
-        }
-        for (zone, mut keys) in keys {
-            keys.sort_unstable();
-            let previous = self.zones.entry(zone).or_insert_with(|| (Vec::new(), now_ms));
-            if previous.0 != keys {
-                *previous = (keys, now_ms);
-            }
-        }
-    }
-
-    /// Returns true if the potential coordinators have not changed for the settle delay.
-    ///
-    /// `zone` is `None` for all zones, whose instances stand in for a zone that has none.
-    #[must_use]
-    pub fn is_stable(&self, zone: Option<&str>, now_ms: u64) -> bool {
-        let mut counted = self.zones.iter().filter(|(name, _)| zone.is_none_or(|z| z == &***name));
-        counted.all(|(_, (_, since_ms))| now_ms >= since_ms + SETTLE_DELAY_MS)
-    }
-}
-
-/// Returns true if an instance is connected well enough to be a coordinator.
-///
-/// `last_received_ms` is the time of the last message from another instance, if there was any.
-/// `fleet` is the number of all instances, including those that it does not know: an instance that
-/// starts while partitioned knows no others, but is not alone.
-#[must_use]
-pub fn is_connected(fleet: u64, last_received_ms: Option<u64>, now_ms: u64) -> bool {
-    fleet <= 1
-        || last_received_ms
-            .is_some_and(|last_received_ms| now_ms < last_received_ms + PARTITION_TIMEOUT_MS)
-}
--- /dev/null
+++ b/crates/decide/src/fleet_limit.rs
@@ -0,0 +1,134 @@
+//! Which instance may grant permissions that are limited over the whole fleet.
+//!
+//! Each limited key (a cold replica, a customer) has an owner among the instances that gather, by
+//! rendezvous hashing. Ownership rests on each instance's own view of the members, so two instances
+//! may both consider themselves the owner for a moment, and each side of a partition has one. What
+//! an instance may grant therefore depends on its [`Standing`].
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::gatherers::Candidate;
+use crate::rendezvous;
+
+/// Time for which owners wait or grant less after a membership change, in milliseconds.
+///
+/// By then the permissions of the previous owner have left a window of a second, and other
+/// instances have learned of the change.
+const SETTLE_DELAY_MS: u64 = 1_000;
+/// Time without messages after which an instance may be partitioned, in milliseconds.
+///
+/// This is three probe rounds. Other instances then replace it, and it must not continue as owner.
+const PARTITION_TIMEOUT_MS: u64 = 1_500;
+/// Maximum number of instances that consider themselves the owner of one key at a time.
+pub const MAX_OWNERS: u64 = 2;
+
+/// Instances that gather, by zone, and the time of their last change.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CoordinatorStability {
+    zones: BTreeMap<Arc<str>, (Vec<u64>, u64)>,
+}
+
+impl CoordinatorStability {
+    /// Updates the keys of the potential owners of each zone, given in any order.
+    pub fn update(&mut self, mut keys: BTreeMap<Arc<str>, Vec<u64>>, now_ms: u64) {
+        for zone in self.zones.keys() {
+            keys.entry(Arc::clone(zone)).or_default();
+        }
+        for (zone, mut keys) in keys {
+            keys.sort_unstable();
+            let previous = self.zones.entry(zone).or_insert_with(|| (Vec::new(), now_ms));
+            if previous.0 != keys {
+                *previous = (keys, now_ms);
+            }
+        }
+    }
+
+    /// Returns true if the potential owners have not changed for the settle delay.
+    ///
+    /// `zone` is `None` for all zones, whose instances stand in for a zone that has none.
+    #[must_use]
+    pub fn is_stable(&self, zone: Option<&str>, now_ms: u64) -> bool {
+        now_ms >= self.settled_at_ms(zone)
+    }
+
+    /// Returns the time from which the potential owners count as unchanged, in milliseconds.
+    #[must_use]
+    pub fn settled_at_ms(&self, zone: Option<&str>) -> u64 {
+        let counted = self.zones.iter().filter(|(name, _)| zone.is_none_or(|z| z == &***name));
+        counted.map(|(_, (_, since_ms))| since_ms + SETTLE_DELAY_MS).max().unwrap_or(0)
+    }
+}
+
+/// Returns true if an instance is connected well enough to be an owner.
+///
+/// `last_received_ms` is the time of the last message from another instance, if there was any.
+/// `fleet` is the number of all instances, including those that it does not know: an instance that
+/// starts while partitioned knows no others, but is not alone.
+#[must_use]
+pub fn is_connected(fleet: u64, last_received_ms: Option<u64>, now_ms: u64) -> bool {
+    fleet <= 1
+        || last_received_ms
+            .is_some_and(|last_received_ms| now_ms < last_received_ms + PARTITION_TIMEOUT_MS)
+}
+
+/// Returns the positions of the candidates for a key, the owner first.
+///
+/// Each candidate owns a share of the keys in proportion to its CPU capacity.
+#[must_use]
+pub fn ranking(key: &str, candidates: &[Candidate]) -> Vec<usize> {
+    let key = rendezvous::hash(key);
+    let distance = |c: &Candidate| rendezvous::distance(key, c.key, c.capacity_milli);
+    let mut ranked: Vec<usize> = (0..candidates.len()).collect();
+    ranked.sort_by(|&a, &b| {
+        let (a, b) = (&candidates[a], &candidates[b]);
+        distance(a).total_cmp(&distance(b)).then(a.key.cmp(&b.key))
+    });
+    ranked
+}
+
+/// An instance's view of its own position for one key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// Position in the ranking of the key, 0 for the owner.
+    pub rank: usize,
+    /// True if it hears from other instances; see [`is_connected`].
+    pub is_connected: bool,
+    /// Number of live instances that it knows, itself included.
+    pub known_instances: u64,
+    /// Number of all instances, including those that it does not know.
+    pub fleet_size: u64,
+    /// Time from which the set of candidates counts as unchanged, in milliseconds.
+    pub settled_at_ms: u64,
+}
+
+/// What an instance may grant for a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// The whole limit; at half of the rate before the given time, in milliseconds.
+    Owner {
+        /// Time from which no other instance considers itself the owner.
+        settled_at_ms: u64,
+    },
+    /// A small part of the tolerance above the limit.
+    Deputy,
+    /// Nothing.
+    Denied,
+}
+
+impl Standing {
+    /// Returns the role that follows from the standing.
+    ///
+    /// Without a majority the instance may be on the smaller side of a partition, with another
+    /// owner on the other side.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        let knows_majority = 2 * self.known_instances > self.fleet_size;
+        match self.rank {
+            _ if !self.is_connected => Role::Denied,
+            0 if knows_majority => Role::Owner { settled_at_ms: self.settled_at_ms },
+            0 | 1 => Role::Deputy,
+            _ => Role::Denied,
+        }
+    }
+}
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use crate::customers::Customers;
+
 /// Service in a weighted split.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WeightedService {
@@ -50,6 +52,8 @@
     pub min_coverage: f64,
     /// Regions in which its requests may run; empty for no restriction.
     pub home_regions: Arc<[Arc<str>]>,
+    /// True if its requests need no API key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -116,6 +120,8 @@
     pub services: BTreeMap<Arc<str>, ServiceLimits>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Customers; `None` if requests need no API key.
+    pub customers: Option<Arc<Customers>>,
 }
 
 /// Routes by host, with the longest prefix first.
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -57,6 +57,18 @@
     BackendRefused(String),
     /// the instance is stopping
     Stopping,
+    /// the API key is missing or unknown
+    UnknownKey,
+    /// the API key can't be checked now
+    KeyUnconfirmed,
+    /// customer {0} is beyond its rate limit
+    CustomerLimit(String),
+    /// the rate limit of customer {0} can't be checked now
+    LimitUnavailable(String),
+    /// the retry budget does not suffice to complete the request
+    RetryBudget,
+    /// more urgent requests need the capacity
+    LowPriority,
 }
 
 /// Refusal of a request, with a retry-after time.
--- a/crates/decide/tests/cold_limit.rs
+++ b/crates/decide/tests/cold_limit.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use eelgrasspier_decide::cold_limit::{
-    ColdTolerance, CoordinatorStability, SlidingWindows, coordinator_limit, is_connected,
-};
+use eelgrasspier_decide::cold_limit::{ColdTolerance, SlidingWindows, coordinator_limit};
+use eelgrasspier_decide::fleet_limit::{CoordinatorStability, is_connected};
 
 const BOUNDS: ColdTolerance = ColdTolerance { rate_factor_milli: 1_500, slack: 5 };
 
--- a/crates/decide/tests/routes.rs
+++ b/crates/decide/tests/routes.rs
@@ -21,6 +21,7 @@
         top_k: 5,
         min_coverage: 0.89,
         home_regions: [].into(),
+        is_public: false,
     })
 }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -1,11 +1,13 @@
 //! Length-prefixed messages between instances.
 
 mod gather;
+mod limit;
 
 use prost::Message;
 use tokio_util::codec::LengthDelimitedCodec;
 
 pub use gather::{Busy, ColdSendRequest, GatherRequest, Gathered, Header, Signed};
+pub use limit::{LimitAnswer, LimitOutcome, LimitRequest};
 
 /// Maximum size of a frame in bytes; leaves ample room for the operators' text.
 const MAX_FRAME_BYTES: usize = 8 << 20;
@@ -22,7 +24,7 @@
     /// Request or answer.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     pub body: Option<Body>,
 }
@@ -106,6 +108,12 @@
     /// take such a [`Body::ChangesAbove`] for a request for another kind.
     #[prost(message, tag = "26")]
     EvacuationsAfter(eelgrasspier_decide::history::Position),
+    /// Request for tokens of a customer's rate limit.
+    #[prost(message, tag = "27")]
+    Limit(LimitRequest),
+    /// Answer to [`Body::Limit`].
+    #[prost(message, tag = "28")]
+    LimitAnswer(LimitAnswer),
 }
 
 /// Records of all instances, and the reports that a starting instance needs.
--- a/crates/peer/src/wire/gather.rs
+++ b/crates/peer/src/wire/gather.rs
@@ -80,6 +80,12 @@
     /// Regions in which the request may run; empty if there is no restriction.
     #[prost(string, repeated, tag = "21")]
     pub home_regions: Vec<String>,
+    /// Name of the customer; empty if unknown. The API key stays at the entry instance.
+    #[prost(string, tag = "22")]
+    pub customer: String,
+    /// Priority of the request; 0 is the most urgent.
+    #[prost(uint32, tag = "23")]
+    pub priority: u32,
 }
 
 /// State of a busy or slow replica, as seen by an instance.
@@ -134,6 +140,14 @@
     /// Sender's report on replicas that crashed while running the request.
     #[prost(message, optional, tag = "8")]
     pub report: Option<eelgrasspier_decide::quarantine::Report>,
+    /// Retry delay in milliseconds if nothing was started because the customer is beyond its rate
+    /// limit; 0 otherwise.
+    #[prost(uint64, tag = "9")]
+    pub limited_ms: u64,
+    /// Retry delay in milliseconds if nothing was started because the customer's rate limit can't
+    /// be checked; 0 otherwise.
+    #[prost(uint64, tag = "10")]
+    pub limit_unavailable_ms: u64,
 }
 
 /// Request for permission to send to a cold replica.
--- a/crates/router/src/cold_limiter.rs
+++ b/crates/router/src/cold_limiter.rs
@@ -5,6 +5,7 @@
 
 use eelgrasspier_decide::cold_limit::{self, ColdTolerance, SlidingWindows};
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::fleet_limit;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_peer::wire::{Body, ColdSendRequest};
 
@@ -85,7 +86,7 @@
             }
             Some(_) => {
                 let is_coordinator = view.gatherer_stability.is_stable(zone, now_ms)
-                    && cold_limit::is_connected(
+                    && fleet_limit::is_connected(
                         view.fleet_size,
                         self.shared.last_contact_ms(),
                         now_ms,
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -19,9 +19,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_decide::cold_limit::CoordinatorStability;
 use eelgrasspier_decide::directory::ReplicaDirectory;
 use eelgrasspier_decide::evacuations::Evacuations;
+use eelgrasspier_decide::fleet_limit::CoordinatorStability;
 use eelgrasspier_decide::history::{EraTracker, Position};
 use eelgrasspier_decide::membership::{InstanceState, Member, Membership, OutgoingDatagram};
 use eelgrasspier_decide::mirror::{Changes, Mirror};
--- a/crates/router/src/control/views.rs
+++ b/crates/router/src/control/views.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use eelgrasspier_decide::cold_limit::CoordinatorStability;
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::fleet_limit::CoordinatorStability;
 use eelgrasspier_decide::mirror::Mirror;
 use eelgrasspier_store::CollectionKind;
 
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -296,6 +296,8 @@
             sent_ms: now_ms.max(1),
             report: self.router.report_on(request.fingerprint()),
             home_regions: self.route.home_regions.iter().map(ToString::to_string).collect(),
+            customer: request.customer.as_deref().unwrap_or_default().to_owned(),
+            priority: self.route.priority,
         })
     }
 }
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -120,6 +120,7 @@
             left_out,
             refused_ms,
             report,
+            ..
         } = answer;
         if has_all_shards && refused_ms > 0 && !may_have_run {
             self.gathered.refused_ms = Some(refused_ms);
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -24,7 +24,7 @@
     pub host: String,
     /// Path and query as received.
     pub path: PathAndQuery,
-    /// Headers to forward.
+    /// Headers to forward, without the credential.
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
@@ -32,10 +32,38 @@
     pub arrived: Instant,
     /// Time that the caller waits, in milliseconds; `None` if unspecified.
     pub deadline_ms: Option<u64>,
+    /// Credential that the caller sent; never forwarded.
+    pub credential: Credential,
+    /// Name of the customer, once it is known; replicas receive it.
+    pub customer: Option<Arc<str>>,
     /// State gathered while the request is served.
     pub progress: RequestProgress,
 }
 
+/// Credential of a caller's request.
+///
+/// Its `Debug` output does not contain the key.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// No API key was sent.
+    #[default]
+    None,
+    /// An API key.
+    Key(Bytes),
+    /// Something that is no API key, such as another scheme or two keys.
+    Malformed,
+}
+
+impl std::fmt::Debug for Credential {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::None => "None",
+            Self::Key(_) => "Key",
+            Self::Malformed => "Malformed",
+        })
+    }
+}
+
 /// State gathered while a request is served.
 #[derive(Debug, Default)]
 pub struct RequestProgress {
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -61,6 +61,12 @@
         RefusalReason::CrashesReplicas => "ends_replicas",
         RefusalReason::NotReady => "not_ready",
         RefusalReason::UnknownRoute(_) => "unknown_route",
+        RefusalReason::UnknownKey => "unknown_key",
+        RefusalReason::KeyUnconfirmed => "key_unconfirmed",
+        RefusalReason::CustomerLimit(_) => "customer_limit",
+        RefusalReason::LimitUnavailable(_) => "limit_unavailable",
+        RefusalReason::RetryBudget => "retry_budget",
+        RefusalReason::LowPriority => "low_priority",
         _ => "other",
     }
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::gather::{Deadlines, Gather, Gathered, Requester};
-use crate::model::{Request, RequestProgress};
+use crate::model::{Credential, Request, RequestProgress};
 use crate::route_state::RouteState;
 use crate::router::{InFlightGuard, PEER_SLOTS, Router, UNHEALTHY_PEER_COST, peer_key};
 use crate::traffic_metrics::{self, TrafficCause};
@@ -204,10 +204,11 @@
         attempts: to_usize(peer_request.attempts),
         timeout_ms: peer_request.time_left_ms,
         target_latency_ms: peer_request.target_latency_ms,
-        priority: 0,
+        priority: peer_request.priority,
         top_k: to_usize(peer_request.top_k),
         min_coverage: 0.0,
         home_regions: peer_request.home_regions.iter().map(|r| r.as_str().into()).collect(),
+        is_public: false,
     }
 }
 
@@ -227,6 +228,8 @@
         body: peer_request.body,
         arrived: Instant::now(),
         deadline_ms: Some(peer_request.time_left_ms),
+        credential: Credential::None,
+        customer: Some(peer_request.customer).filter(|c| !c.is_empty()).map(Into::into),
         progress: RequestProgress::default(),
     })
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasspier_decide::cold_limit::ColdTolerance;
+use eelgrasspier_decide::customer_limits::LimitTolerance;
 use eelgrasspier_decide::regions::Regions;
 use eelgrasspier_decide::retry_budget::RetryLimits;
 
@@ -40,4 +41,8 @@
     pub is_evacuation_enabled: bool,
     /// Tolerance above the rate limit of cold replicas.
     pub cold_tolerance: ColdTolerance,
+    /// Tolerance above the rate limits of customers.
+    pub limit_tolerance: LimitTolerance,
+    /// Time without a confirmed configuration after which API keys are refused; `None` for never.
+    pub revocation_timeout: Option<Duration>,
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 use arc_swap::ArcSwap;
-use eelgrasspier_decide::cold_limit::CoordinatorStability;
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::fleet_limit::CoordinatorStability;
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::retry_budget;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use eelgrasspier_decide::retry_budget::RetryLimits;
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
 use eelgrasspier_router::{
-    Attempt, Backend, BackendFuture, Outcome, Reply, Request, RequestProgress,
+    Attempt, Backend, BackendFuture, Credential, Outcome, Reply, Request, RequestProgress,
 };
 use eelgrasspier_router::{Router, SharedState, View};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -239,6 +239,7 @@
         top_k: 5,
         min_coverage: 0.75,
         home_regions: [].into(),
+        is_public: false,
     }
 }
 
@@ -282,6 +283,8 @@
         body: Bytes::new(),
         arrived: Instant::now(),
         deadline_ms: Some(deadline_ms),
+        credential: Credential::None,
+        customer: None,
         progress: RequestProgress::default(),
     }
 }
