Decide by API key and freshness whether a request may run

The time without confirmation of an instance that doesn't watch the store jumped to the age of its own last answer, up to minutes, as soon as no other instance reached the store; with strict revocation it would have refused every key at that moment. The sources now keep the time of the last confirmation by another instance. They also know an outdated configuration, and reports of other instances count only three probe rounds after a silence. A time close to the largest integer no longer overflows.

--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -21,22 +21,64 @@
     pub peer_heard_ms: Option<u64>,
     /// True if some live instance reports that it reaches the store.
     pub has_peer_with_store: bool,
+    /// Time at which another instance last confirmed the configuration, in milliseconds.
+    ///
+    /// This is the last message that came while some live instance reached the store. Instances
+    /// that don't watch the store are confirmed by others only; if the store is lost for all, their
+    /// own last answer may be a minute old.
+    pub peer_confirmed_ms: Option<u64>,
+    /// True if the configuration in force is known not to be the latest.
+    ///
+    /// Another instance has a newer one, or the store was restored and has not been read since.
+    pub is_outdated: bool,
 }
 
 impl ConfigurationSources {
     /// Returns true if the configuration in force is known to be current.
     #[must_use]
     pub fn is_current(&self, now_ms: u64) -> bool {
-        let is_recent = |at_ms: Option<u64>, ttl_ms| at_ms.is_some_and(|at| now_ms < at + ttl_ms);
-        is_recent(self.store_answered_ms, STORE_TTL_MS)
-            || (self.has_peer_with_store && is_recent(self.peer_heard_ms, PEER_TTL_MS))
+        let is_recent =
+            |at_ms: Option<u64>, ttl_ms| at_ms.is_some_and(|at| now_ms.saturating_sub(at) < ttl_ms);
+        let is_confirmed = is_recent(self.store_answered_ms, STORE_TTL_MS)
+            || (self.has_peer_with_store && is_recent(self.peer_heard_ms, PEER_TTL_MS));
+        is_confirmed && !self.is_outdated
     }
 
     /// Returns the time for which the configuration has not been confirmed, in milliseconds.
+    ///
+    /// An instance that was never confirmed counts from its start.
     #[must_use]
     pub fn unconfirmed_ms(&self, now_ms: u64) -> u64 {
-        let by_peer_ms = self.peer_heard_ms.filter(|_| self.has_peer_with_store);
-        let confirmed_ms = self.store_answered_ms.max(by_peer_ms).unwrap_or(0);
+        let confirmed_ms = self.store_answered_ms.max(self.peer_confirmed_ms).unwrap_or(0);
         now_ms.saturating_sub(confirmed_ms)
     }
 }
+
+/// Whether the reports of other instances are recent.
+///
+/// After a start, a pause of the process or a partition, the first messages may be old ones that
+/// waited in the socket, and the known records of other instances may name the configuration from
+/// before. Their reports count again after three probe rounds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PeerReports {
+    last_heard_ms: Option<u64>,
+    recent_from_ms: u64,
+}
+
+impl PeerReports {
+    /// Records a message of another instance; returns true if it ends a silence.
+    pub fn record_message(&mut self, now_ms: u64) -> bool {
+        let last_ms = self.last_heard_ms.replace(now_ms);
+        let ends_silence = last_ms.is_none_or(|at| now_ms.saturating_sub(at) >= PEER_TTL_MS);
+        if ends_silence {
+            self.recent_from_ms = now_ms.saturating_add(PEER_TTL_MS);
+        }
+        ends_silence
+    }
+
+    /// Returns true if the reports are recent; false before the first message.
+    #[must_use]
+    pub fn are_recent(&self, now_ms: u64) -> bool {
+        self.last_heard_ms.is_some() && now_ms >= self.recent_from_ms
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 mod apply_result;
+pub mod authentication;
 pub mod changes;
 pub mod claim;
 pub mod cold_limit;
