Track which sources confirm the configuration in force

An unknown key may get 401 only from a current configuration. The control thread now records the store's answers on the configuration, polls excepted, whether a live instance reaches the store, and whether a newer configuration or a restore is known. The traffic thread reads this before the view, so that a confirmation never vouches for an older view.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -69,12 +69,16 @@
                 self.wait_until_joined().await;
             }
             let (call_started, sent_in_era) = (Instant::now(), self.era());
+            let started_ms = self.shared.now_ms();
+            let mut hold_ms = 0;
             let restored = self.store_restored.notified();
             let mut may_be_stale = false;
             let result = match since {
                 None => self.store.list(kind, false).await,
                 Some(since) if self.is_watcher() => {
-                    let watch = self.store.watch(kind, since.revision, self.watch_timeout());
+                    let timeout = self.watch_timeout();
+                    hold_ms = u64::try_from(timeout.as_millis()).unwrap_or(0);
+                    let watch = self.store.watch(kind, since.revision, timeout);
                     tokio::select! {
                         answer = watch => answer,
                         () = restored => continue,
@@ -98,7 +102,10 @@
                     backoff.reset();
                     self.record_store_answer();
                     match self.apply_answer(request, answer) {
-                        AnswerOutcome::Applied => must_list = false,
+                        AnswerOutcome::Applied => {
+                            must_list = false;
+                            self.record_confirmation(request, started_ms + hold_ms);
+                        }
                         AnswerOutcome::ListRequired => continue,
                         AnswerOutcome::Outdated => {}
                     }
@@ -229,6 +236,17 @@
         }
     }
 
+    /// Records that the store has confirmed the configuration in force.
+    ///
+    /// The store answered at `latest_ms` at the latest. An answer that waited in the socket of a
+    /// paused process is read much later and confirms nothing for the time of the pause. A poll
+    /// confirms nothing either, since its answer may be a few seconds old.
+    fn record_confirmation(&self, request: StoreRequest, latest_ms: u64) {
+        if request.kind == CollectionKind::Configuration && !request.may_be_stale {
+            self.shared.record_store_confirmation(self.shared.now_ms().min(latest_ms));
+        }
+    }
+
     fn record_store_answer(&self) {
         let now_ms = self.shared.now_ms();
         let silent_ms = now_ms.saturating_sub(self.store_answered_ms.replace(now_ms));
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -36,6 +36,10 @@
 ) {
     while let Some((datagram, from)) = received.next().await {
         let now_ms = control.shared.now_ms();
+        if control.peer_reports.borrow_mut().record_message(now_ms) {
+            // Before the contact is recorded, so that it confirms nothing with old reports.
+            control.update_confirmation();
+        }
         control.shared.record_peer_contact();
         let sends = control.membership.borrow_mut().receive(now_ms, from, &datagram);
         control.send(sends);
@@ -112,6 +116,7 @@
             self.roles_changed.notify_waiters();
         }
         self.detect_peer_outage();
+        self.update_confirmation();
         self.fetch_newer(CollectionKind::Configuration);
         self.fetch_newer(CollectionKind::Replicas);
         if self.identity.is_evacuation_enabled {
@@ -141,6 +146,23 @@
         }
     }
 
+    /// Updates what the other instances say about the configuration in force here.
+    pub(super) fn update_confirmation(&self) {
+        let known = self.complete_position(CollectionKind::Configuration);
+        let known_era = known.filter(|at| at.era == self.era()).map(|at| at.era);
+        let version = self.configuration.borrow().as_ref().map_or(0, |c| c.version);
+        let membership = self.membership.borrow();
+        let is_behind = |m: &Member| {
+            m.config_version > version || known_era.is_some_and(|era| m.configuration_era > era)
+        };
+        // A starting instance reports that it reaches the store before its first call.
+        let reaches_store = |m: &Member| m.is_store_reached && m.state() != InstanceState::Starting;
+        let is_outdated = known_era.is_none() || membership.live_peers().any(is_behind);
+        let has_peer_with_store = self.peer_reports.borrow().are_recent(self.shared.now_ms())
+            && membership.live_peers().any(reaches_store);
+        self.shared.record_peer_state(has_peer_with_store, is_outdated);
+    }
+
     /// Announces the positions and the configuration version of this instance.
     pub(super) fn announce_positions(&self) {
         // The other instances fetch from these. When each instance announced each change, that cost
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -22,6 +22,7 @@
 use eelgrasspier_decide::directory::ReplicaDirectory;
 use eelgrasspier_decide::evacuations::Evacuations;
 use eelgrasspier_decide::fleet_limit::CoordinatorStability;
+use eelgrasspier_decide::freshness::PeerReports;
 use eelgrasspier_decide::history::{EraTracker, Position};
 use eelgrasspier_decide::membership::{InstanceState, Member, Membership, OutgoingDatagram};
 use eelgrasspier_decide::mirror::{Changes, Mirror};
@@ -103,6 +104,8 @@
     store_restored: Notify,
     /// True once another instance has sent what a restored store may lack, or that wait timed out.
     is_confirmed: Cell<bool>,
+    /// Whether other instances confirm the configuration in force.
+    peer_reports: RefCell<PeerReports>,
     /// Number of other instances that report the store as reachable.
     peers_reaching_store: Cell<usize>,
     /// Signalled when the store becomes reachable for another instance after being so for none.
@@ -168,6 +171,7 @@
             regressed_era: Cell::new(None),
             store_restored: Notify::new(),
             is_confirmed: Cell::new(is_bootstrap),
+            peer_reports: RefCell::default(),
             peers_reaching_store: Cell::new(0),
             peer_reached_store: Notify::new(),
             has_peer_without_store: Cell::new(false),
--- a/crates/router/src/control/restore.rs
+++ b/crates/router/src/control/restore.rs
@@ -145,6 +145,8 @@
         // Entries of live replicas may be missing, or may lapse because the backup predates their
         // last renewals.
         self.directory.borrow_mut().on_store_recovered(self.shared.now_ms());
+        // The configuration in force is not confirmed before the restored store has been read.
+        self.update_confirmation();
         self.store_restored.notify_waiters();
     }
 
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -3,13 +3,14 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::time::Instant;
 
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fleet_limit::CoordinatorStability;
+use eelgrasspier_decide::freshness::ConfigurationSources;
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::retry_budget;
@@ -173,6 +174,15 @@
     }
 }
 
+/// Confirmations of the configuration in force; times are in milliseconds, 0 for never.
+#[derive(Debug, Default)]
+struct Confirmation {
+    store_answered_ms: AtomicU64,
+    peer_confirmed_ms: AtomicU64,
+    has_peer_with_store: AtomicBool,
+    is_outdated: AtomicBool,
+}
+
 /// State shared by the threads of one process.
 #[derive(Debug)]
 pub struct SharedState {
@@ -182,6 +192,7 @@
     pub(crate) view_changed: Notify,
     /// Time of the last message from another instance, in milliseconds; 0 for never.
     last_contact_ms: AtomicU64,
+    confirmation: Confirmation,
     started: Instant,
 }
 
@@ -199,12 +210,13 @@
             view: ArcSwap::default(),
             view_changed: Notify::new(),
             last_contact_ms: AtomicU64::new(0),
+            confirmation: Confirmation::default(),
             started: Instant::now(),
         }
     }
 
     /// Records that a message from another instance has arrived.
-    pub(crate) fn record_peer_contact(&self) {
+    pub fn record_peer_contact(&self) {
         self.last_contact_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
@@ -213,6 +225,45 @@
         Some(self.last_contact_ms.load(Ordering::Relaxed)).filter(|&contact_ms| contact_ms > 0)
     }
 
+    /// Records an answer of the store on the configuration, which the published view includes.
+    ///
+    /// `answered_ms` is a time at which the store's answer was current.
+    pub fn record_store_confirmation(&self, answered_ms: u64) {
+        // 0 stands for never. Release: a reader that sees the confirmation sees the view as well.
+        self.confirmation.store_answered_ms.fetch_max(answered_ms.max(1), Ordering::Release);
+    }
+
+    /// Records what the other instances say about the configuration in force.
+    ///
+    /// `has_peer_with_store` is true if some live instance reports that it reaches the store,
+    /// `is_outdated` if the configuration in force is known not to be the latest.
+    pub fn record_peer_state(&self, has_peer_with_store: bool, is_outdated: bool) {
+        let confirmation = &self.confirmation;
+        if has_peer_with_store && !is_outdated {
+            let heard_ms = self.last_contact_ms().unwrap_or(0);
+            confirmation.peer_confirmed_ms.fetch_max(heard_ms, Ordering::Release);
+        }
+        confirmation.has_peer_with_store.store(has_peer_with_store, Ordering::Release);
+        confirmation.is_outdated.store(is_outdated, Ordering::Release);
+    }
+
+    /// Returns the confirmations of the configuration.
+    ///
+    /// They must be read before the view. With the opposite order, a configuration confirmed in
+    /// between would vouch for the older one that was read.
+    #[must_use]
+    pub fn configuration_sources(&self) -> ConfigurationSources {
+        let confirmation = &self.confirmation;
+        let time = |at_ms: &AtomicU64| Some(at_ms.load(Ordering::Acquire)).filter(|&at| at > 0);
+        ConfigurationSources {
+            store_answered_ms: time(&confirmation.store_answered_ms),
+            peer_heard_ms: self.last_contact_ms(),
+            has_peer_with_store: confirmation.has_peer_with_store.load(Ordering::Acquire),
+            peer_confirmed_ms: time(&confirmation.peer_confirmed_ms),
+            is_outdated: confirmation.is_outdated.load(Ordering::Acquire),
+        }
+    }
+
     /// Returns the milliseconds since this process started.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
