Check API keys before a request is routed

With customers in the configuration, the entry instance authenticates each request, removes the credential and a claimed customer name, and applies the customer's priority. The router removes the headers itself, with names given by the platform folder, because a configuration may change after a request was read. Replicas receive the customer's name. Without customers, requests and log lines are as before.

--- a/crates/router/src/control/apply.rs
+++ b/crates/router/src/control/apply.rs
@@ -5,7 +5,7 @@
 use eelgrasspier_decide::directory::EntryChange;
 use eelgrasspier_decide::evacuations::ZoneChange;
 use eelgrasspier_decide::mirror::{ApplyResult, Changes, Deviation, Effect};
-use eelgrasspier_decide::route::RouteTable;
+use eelgrasspier_decide::route::{Configuration, RouteTable};
 use eelgrasspier_store::CollectionKind;
 
 use super::Control;
@@ -43,6 +43,10 @@
             self.rebuild_replicas();
             self.publish();
         }
+        if kind == CollectionKind::Configuration {
+            // Only now: the view must include what is confirmed.
+            self.update_confirmation();
+        }
         if must_announce {
             self.announce_positions();
         }
@@ -145,6 +149,7 @@
             return false;
         }
         let routes = configuration.routes.len();
+        log_unusable_keys(&configuration);
         *self.route_table.borrow_mut() = Arc::new(RouteTable::from(&configuration));
         *self.configuration.borrow_mut() = Some(Arc::new(configuration));
         log::info!(
@@ -154,6 +159,22 @@
     }
 }
 
+/// Logs the customers whose keys are not all accepted.
+fn log_unusable_keys(configuration: &Configuration) {
+    /// Maximum number of names in the line.
+    const MAX_NAMES: usize = 32;
+    let customers = configuration.customers.as_ref();
+    let names = customers.map(|c| c.with_unusable_keys()).unwrap_or_default();
+    if !names.is_empty() {
+        log::error!(
+            "event=keys_unusable version={} count={} customers=[{}]",
+            configuration.version,
+            names.len(),
+            names[..names.len().min(MAX_NAMES)].join(",")
+        );
+    }
+}
+
 /// Logs a change that was not applied as received.
 fn log_deviation(kind: CollectionKind, deviation: &Deviation, source: &str) {
     match deviation {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -153,6 +153,7 @@
         settings.retry_limits,
     );
     router.set_cold_tolerance(settings.cold_tolerance);
+    router.set_revocation_timeout(settings.revocation_timeout);
     router.set_regions(settings.regions.clone());
     actix_rt::spawn(Rc::clone(&router).follow_views());
     actix_rt::spawn(Rc::clone(&router).send_pending_reports(control.clone()));
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -89,6 +89,8 @@
     event(782, "object_doubted"),
     event(783, "not_confirmed"),
     event(784, "requests_kept_again"),
+    event(785, "key_refused"),
+    event(786, "keys_unusable"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 //! traffic thread routes by the latest one. A request goes to one replica, or to one replica of
 //! each shard. Both use the same scatter-gather code, with one shard or many.
 
+mod authentication;
 mod backend;
 mod cold_limiter;
 mod control;
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::prelude::Refusal;
-use http::header::HeaderValue;
+use http::header::{HeaderName, HeaderValue};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -24,15 +24,20 @@
     pub host: String,
     /// Path and query as received.
     pub path: PathAndQuery,
-    /// Headers to forward, without the credential.
+    /// Headers to forward; without `identity_headers` if the configuration has customers.
     pub headers: HeaderMap,
+    /// Names of the headers that state the caller's identity, such as the credential.
+    ///
+    /// The router removes them when it checks the credential: whoever parses the request may see
+    /// another configuration than the one that the request is served by.
+    pub identity_headers: &'static [HeaderName],
     /// Complete body.
     pub body: Bytes,
     /// Time at which the request head was read.
     pub arrived: Instant,
     /// Time that the caller waits, in milliseconds; `None` if unspecified.
     pub deadline_ms: Option<u64>,
-    /// Credential that the caller sent; never forwarded.
+    /// Credential that the caller sent; not forwarded if the configuration has customers.
     pub credential: Credential,
     /// Name of the customer, once it is known; replicas receive it.
     pub customer: Option<Arc<str>>,
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -6,6 +6,7 @@
 
 use crate::gather::Gathered;
 use crate::model::{Merged, Outcome, Request};
+use crate::view::View;
 
 /// Retry delay sent to callers if no replica is known, in milliseconds.
 ///
@@ -71,8 +72,13 @@
     }
 }
 
-/// Logs the outcome of a request and updates its metrics.
-pub(crate) fn record_outcome(request: &Request, route: &str, version: u64, outcome: &Outcome) {
+/// Logs the outcome of a request and updates its metrics; returns its metric label.
+pub(crate) fn record_outcome(
+    request: &Request,
+    route: Option<&Route>,
+    view: &View,
+    outcome: &Outcome,
+) -> &'static str {
     let took = request.arrived.elapsed();
     let (name, detail) = match outcome {
         Outcome::Relayed(reply) => ("relayed", format!("status={}", reply.status.as_u16())),
@@ -97,5 +103,21 @@
         .record(took.as_secs_f64());
     let id = request.id_text();
     let took_ms = took.as_millis();
-    log::info!("event={name} id={id} route={route} version={version} {detail} took_ms={took_ms}");
+    let version = view.configuration.as_ref().map_or(0, |c| c.version);
+    let identity = identity_fields(request, route, view);
+    let route = route.map_or("-", |r| &r.name);
+    log::info!(
+        "event={name} id={id} route={route} version={version} {identity}{detail} took_ms={took_ms}"
+    );
+    name
+}
+
+/// Returns the log fields for the customer; empty if the configuration has no customers.
+fn identity_fields(request: &Request, route: Option<&Route>, view: &View) -> String {
+    let configuration = view.configuration.as_ref();
+    let Some(route) = route.filter(|_| configuration.is_some_and(|c| c.customers.is_some())) else {
+        return String::new();
+    };
+    let customer = request.customer.as_deref().unwrap_or("-");
+    format!("customer={customer} priority={} ", route.priority)
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -225,6 +225,7 @@
         host: peer_request.host,
         path: peer_request.path.parse().ok()?,
         headers,
+        identity_headers: &[],
         body: peer_request.body,
         arrived: Instant::now(),
         deadline_ms: Some(peer_request.time_left_ms),
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -1,8 +1,8 @@
 //! Settings that change while the process runs.
 //!
-//! Retry limits, the cold limits, the regions and the grace period follow the file. Addresses, name
-//! and zone are fixed for the life of a process, since other instances know it by them. A change of
-//! those is logged and takes effect at the next start.
+//! Retry limits, the cold limits, the revocation timeout, the regions and the grace period follow
+//! the file. Addresses, name and zone are fixed for the life of a process, since other instances
+//! know it by them. A change of those is logged and takes effect at the next start.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -92,6 +92,7 @@
         );
         self.router.set_retry_limits(limits);
         self.router.set_cold_tolerance(settings.cold_tolerance);
+        self.router.set_revocation_timeout(settings.revocation_timeout);
         self.router.set_regions(settings.regions);
         self.grace_period.set(settings.grace_period);
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,6 +19,7 @@
 use eelgrasspier_peer::PeerConnections;
 use tokio::time::Instant;
 
+use crate::authentication::Authentication;
 use crate::backend::{Attempt, Backend, Reply};
 use crate::cold_limiter::ColdLimiter;
 use crate::gather::{Deadlines, Gather, Requester};
@@ -74,6 +75,7 @@
     pub(crate) quarantine_state: QuarantineState,
     pub(crate) cold_limiter: ColdLimiter,
     regions: RefCell<Regions>,
+    pub(crate) authentication: Authentication,
 }
 
 impl std::fmt::Debug for Router {
@@ -108,6 +110,7 @@
             quarantine_state: QuarantineState::default(),
             cold_limiter: ColdLimiter::default(),
             regions: RefCell::default(),
+            authentication: Authentication::default(),
         })
     }
 
@@ -119,18 +122,24 @@
     }
 
     /// Serves one request; dropping the future cancels everything that is in flight.
-    pub async fn serve(self: &Rc<Self>, request: Request) -> Outcome {
+    pub async fn serve(self: &Rc<Self>, mut request: Request) -> Outcome {
+        // Before the view, so that the sources confirm no newer configuration than the view's.
+        let sources = self.shared.configuration_sources();
         let view = self.shared.view.load_full();
-        let version = view.configuration.as_ref().map_or(0, |c| c.version);
-        let request = Rc::new(request);
-        let (route, outcome) = match self.resolve_route(&view, &request) {
+        let (route, result) = match self.resolve_route(&view, &request) {
             Ok(route) => {
-                let outcome = self.serve_route(&view, &route, &request).await;
-                (Arc::clone(&route.name), outcome)
+                let result = self.authenticate(&view, &sources, &route, &mut request);
+                (Some(result.clone().unwrap_or(route)), result)
             }
-            Err(refusal) => ("-".into(), Outcome::Refused(refusal)),
+            Err(refusal) => (None, Err(refusal)),
+        };
+        let request = Rc::new(request);
+        let outcome = match result {
+            Ok(route) => self.serve_route(&view, &route, &request).await,
+            Err(refusal) => Outcome::Refused(refusal),
         };
-        record_outcome(&request, &route, version, &outcome);
+        let name = record_outcome(&request, route.as_deref(), &view, &outcome);
+        self.count_customer_outcome(&request, name);
         outcome
     }
 
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -18,6 +18,7 @@
     Attempt, Backend, BackendFuture, Credential, Outcome, Reply, Request, RequestProgress,
 };
 use eelgrasspier_router::{Router, SharedState, View};
+use http::header::{AUTHORIZATION, HeaderName};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -48,6 +49,8 @@
     pub id: String,
     pub at_ms: u64,
     pub time_left: Duration,
+    pub headers: HeaderMap,
+    pub customer: Option<Arc<str>>,
 }
 
 /// Scripted replicas.
@@ -125,6 +128,8 @@
             id: attempt.request.id_text().to_owned(),
             at_ms: u64::try_from(started.elapsed().as_millis()).unwrap(),
             time_left: attempt.time_left,
+            headers: attempt.request.headers.clone(),
+            customer: attempt.request.customer.clone(),
         });
         let mut guard = CancelGuard(Rc::clone(&replicas.cancelled), false);
         let replicas = Rc::clone(replicas);
@@ -265,6 +270,9 @@
     }
 }
 
+/// Headers that state the caller's identity.
+pub static IDENTITY_HEADERS: [HeaderName; 2] = [AUTHORIZATION, HeaderName::from_static("x-name")];
+
 /// Part of the path of requests that crash each replica that runs them, after 1 ms.
 pub const CRASH_PATH: &str = "ends";
 
@@ -280,6 +288,7 @@
         host: "h".to_owned(),
         path: format!("/q/{path}").parse().unwrap(),
         headers: HeaderMap::new(),
+        identity_headers: &IDENTITY_HEADERS,
         body: Bytes::new(),
         arrived: Instant::now(),
         deadline_ms: Some(deadline_ms),
