Keep refill remainders and bursts in the buckets of customers

Frequent requests dropped fractions of a thousandth of a token at each refill, so a customer that was refused often got less than its rate. Idle buckets were removed although a new one starts without the burst, and a return of tokens to an empty bucket postponed the next caller's retry time.

The remainder of a refill is kept, only buckets of customers without a limit are removed, and requests that need no token are always granted.

--- a/crates/decide/src/customer_limits.rs
+++ b/crates/decide/src/customer_limits.rs
@@ -16,6 +16,8 @@
 
 const TOKEN_MILLI: Milli = 1_000;
 const MS_PER_S: u64 = 1_000;
+/// Divisor of the accrued amount, which is computed in half milliseconds.
+const ACCRUAL_DIVISOR: u128 = 2_000;
 /// Divisor of the tolerance that gives the balance of a new owner.
 ///
 /// It is also added to the burst: requests that are within the limit by the caller's clock arrive
@@ -32,7 +34,7 @@
 const MAX_RETRY_AFTER_MS: u64 = 2_000;
 /// `Retry-After` of a request whose limit can't be checked, in milliseconds: a new owner is known
 /// about this long after the previous one was lost.
-const UNAVAILABLE_RETRY_MS: u64 = 500;
+pub const UNAVAILABLE_RETRY_MS: u64 = 500;
 /// Lifetime of a token that is held in advance, in milliseconds.
 const ADVANCE_TTL_MS: u64 = 2_000;
 /// Maximum number of tokens that one instance holds in advance per customer.
@@ -104,6 +106,8 @@
 struct Bucket {
     balance_milli: Milli,
     updated_ms: u64,
+    /// Accrued part below a thousandth of a token, in units of [`ACCRUAL_DIVISOR`].
+    remainder: u128,
     /// Burst of the limit by which the balance was computed.
     burst: u64,
     /// Time of the last token that was announced to a refused caller, in milliseconds.
@@ -149,14 +153,14 @@
         }
     }
 
-    /// Returns the tokens that accrue from `from_ms` to `to_ms`, in thousandths.
-    fn accrued_milli(&self, from_ms: u64, to_ms: u64) -> Milli {
+    /// Returns the tokens that accrue from `from_ms` to `to_ms`, in thousandths, and the remainder.
+    fn accrued_milli(&self, from_ms: u64, to_ms: u64, remainder: u128) -> (Milli, u128) {
         let unsettled_ms = self.settled_at_ms.clamp(from_ms, to_ms.max(from_ms)) - from_ms;
         let settled_ms = to_ms.saturating_sub(from_ms) - unsettled_ms;
-        let accrued = u128::from(self.rate_milli)
-            * (u128::from(settled_ms) + u128::from(unsettled_ms) / 2)
-            / u128::from(MS_PER_S);
-        Milli::try_from(accrued).unwrap_or(Milli::MAX)
+        let half_ms = 2 * u128::from(settled_ms) + u128::from(unsettled_ms);
+        let accrued = u128::from(self.rate_milli).saturating_mul(half_ms).saturating_add(remainder);
+        let whole = Milli::try_from(accrued / ACCRUAL_DIVISOR).unwrap_or(Milli::MAX);
+        (whole, accrued % ACCRUAL_DIVISOR)
     }
 }
 
@@ -185,13 +189,15 @@
         let bucket = buckets.entry(Arc::clone(customer)).or_insert(Bucket {
             balance_milli: size.start_milli,
             updated_ms: now_ms,
+            remainder: 0,
             burst: limit.burst,
             announced_ms: now_ms,
         });
         bucket.refill(&size, limit.burst, now_ms);
         bucket.add(i64::from(request.returned) * TOKEN_MILLI, &size);
         let needed_milli = i64::from(request.needed) * TOKEN_MILLI;
-        if bucket.balance_milli < needed_milli && !request.is_forced {
+        let is_short = request.needed > 0 && bucket.balance_milli < needed_milli;
+        if is_short && !request.is_forced {
             if !is_owner {
                 return TokenAnswer::Unavailable { retry_after_ms: UNAVAILABLE_RETRY_MS };
             }
@@ -217,11 +223,20 @@
         self.owned.retain(|customer, _| is_owner(customer));
     }
 
-    /// Removes buckets that were not used for two windows.
-    pub fn remove_idle(&mut self, tolerance: &LimitTolerance, now_ms: u64) {
-        let is_used = |b: &Bucket| now_ms < b.updated_ms + 2 * tolerance.window_ms;
-        self.owned.retain(|_, b| is_used(b));
-        self.reserves.retain(|_, b| is_used(b));
+    /// Removes buckets of customers without a limit that were not used for two windows.
+    ///
+    /// The other buckets stay: a new one starts without the customer's burst.
+    pub fn remove_idle(
+        &mut self,
+        tolerance: &LimitTolerance,
+        is_limited: impl Fn(&str) -> bool,
+        now_ms: u64,
+    ) {
+        let is_kept = |customer: &str, bucket: &Bucket| {
+            is_limited(customer) || now_ms < bucket.updated_ms + 2 * tolerance.window_ms
+        };
+        self.owned.retain(|customer, bucket| is_kept(customer, bucket));
+        self.reserves.retain(|customer, bucket| is_kept(customer, bucket));
     }
 
     /// Returns the number of buckets.
@@ -239,14 +254,13 @@
 
 impl Bucket {
     fn refill(&mut self, size: &BucketSize, burst: u64, now_ms: u64) {
-        let accrued = size.accrued_milli(self.updated_ms, now_ms);
+        // The remainder is kept: with frequent requests, up to half of a slow refill would be lost.
+        let (accrued, remainder) = size.accrued_milli(self.updated_ms, now_ms, self.remainder);
+        self.remainder = remainder;
+        self.updated_ms = self.updated_ms.max(now_ms);
         // A raised burst is available at once; a lowered one takes effect by the smaller capacity.
         let raised = burst.saturating_sub(std::mem::replace(&mut self.burst, burst));
         let raised = to_milli(raised.saturating_mul(1_000));
-        // Nothing is lost below the resolution: the time moves only if something accrued.
-        if accrued > 0 || now_ms >= self.updated_ms + MS_PER_S {
-            self.updated_ms = now_ms;
-        }
         self.add(accrued.saturating_add(raised), size);
     }
 
--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -123,12 +123,17 @@
     /// owner on the other side.
     #[must_use]
     pub fn role(&self) -> Role {
-        let knows_majority = 2 * self.known_instances > self.fleet_size;
         match self.rank {
             _ if !self.is_connected => Role::Denied,
-            0 if knows_majority => Role::Owner { settled_at_ms: self.settled_at_ms },
+            0 if self.knows_majority() => Role::Owner { settled_at_ms: self.settled_at_ms },
             0 | 1 => Role::Deputy,
             _ => Role::Denied,
         }
     }
+
+    /// Returns true if the instance knows more than half of the fleet.
+    #[must_use]
+    pub fn knows_majority(&self) -> bool {
+        2 * self.known_instances > self.fleet_size
+    }
 }
