Take a token of the customer's rate limit before a request is sent

The limits of customers were configured but not enforced.

The instance that gathers a whole request takes a token: a held one, or one of the customer's owner or its deputy. Refusals become 429 or 503, also through a delegate. A request that did not run gives its token back, and one whose delegate is lost takes a forced token afterwards. Instances answer each other's requests for tokens by their own view and configuration.

--- /dev/null
+++ b/crates/router/src/customer_limiter/log_budget.rs
@@ -0,0 +1,41 @@
+//! Bound on the log lines of a decision that may occur hundreds of times a second.
+
+use std::cell::Cell;
+
+/// Lines per second; enough to show the affected customers.
+const MAX_LINES_PER_S: u32 = 10;
+const WINDOW_MS: u64 = 1_000;
+
+/// Number of lines that may still be written in the current second.
+#[derive(Debug, Default)]
+pub(super) struct LogBudget {
+    state: Cell<State>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct State {
+    window_end_ms: u64,
+    written: u32,
+    skipped: u64,
+}
+
+impl LogBudget {
+    /// Takes a line; returns the number of lines skipped since the previous one, or `None` if this
+    /// line must be skipped too.
+    pub(super) fn try_take(&self, now_ms: u64) -> Option<u64> {
+        let mut state = self.state.get();
+        if now_ms >= state.window_end_ms {
+            (state.window_end_ms, state.written) = (now_ms + WINDOW_MS, 0);
+        }
+        let is_allowed = state.written < MAX_LINES_PER_S;
+        let skipped = if is_allowed {
+            state.written += 1;
+            Some(std::mem::take(&mut state.skipped))
+        } else {
+            state.skipped += 1;
+            None
+        };
+        self.state.set(state);
+        skipped
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -153,8 +153,10 @@
         settings.retry_limits,
     );
     router.set_cold_tolerance(settings.cold_tolerance);
+    router.set_limit_tolerance(settings.limit_tolerance);
     router.set_regions(settings.regions.clone());
     actix_rt::spawn(Rc::clone(&router).follow_views());
+    actix_rt::spawn(Rc::clone(&router).maintain_limits());
     actix_rt::spawn(Rc::clone(&router).send_pending_reports(control.clone()));
     actix_rt::spawn(Rc::clone(&router).receive_reports(reports));
     let peer_handler = Rc::new(PeerRequestHandler::new(Rc::clone(&router), control.clone()));
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -89,6 +89,9 @@
     event(782, "object_doubted"),
     event(783, "not_confirmed"),
     event(784, "requests_kept_again"),
+    event(787, "limit_refused"),
+    event(788, "limit_unavailable"),
+    event(789, "limit_role"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -7,6 +7,7 @@
 mod send;
 mod send_permission;
 mod shard;
+mod token_state;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 use relay::{Probe, RelayResult};
 use send_permission::Trials;
 use shard::{Shard, ShardState};
+use token_state::TokenState;
 
 pub(crate) use shard::{Gathered, MergedParts};
 
@@ -130,6 +132,8 @@
     event_sender: mpsc::UnboundedSender<Event>,
     /// Liveness probes that are scheduled for instances with relayed shards.
     probes: Vec<Probe>,
+    /// Token of the customer's rate limit.
+    token: TokenState,
     /// True once late shards have been retried.
     has_retried_late: bool,
     /// Isolated trials of a request during which replicas have crashed.
@@ -169,6 +173,7 @@
             events,
             event_sender,
             probes: Vec::new(),
+            token: TokenState::default(),
             has_retried_late: false,
             trials: Trials::default(),
             gathered: Gathered::default(),
@@ -186,7 +191,7 @@
     pub(crate) async fn run(mut self, requester: Requester) -> Gathered {
         self.trials.run_locally =
             !matches!(requester, Requester::Peer { has_all_shards: false, .. });
-        if self.is_quarantined() || !self.start(requester) {
+        if self.is_quarantined() || !self.take_token_and_start(requester).await {
             self.record_quarantine();
             return self.gathered;
         }
@@ -208,9 +213,14 @@
         };
         // A request that is in flight may still run, so it must not be reported as not run.
         self.gathered.may_have_run |= self.write_flags.iter().any(DispatchFlag::is_set);
+        self.token.settle(self.gathered.may_have_run);
         if !is_given_up {
             self.tasks.detach_sends();
         }
+        if self.gathered.limit_refusal.is_some() && !self.gathered.may_have_run {
+            // A customer may be refused a hundred times a second; the shards' names explain nothing.
+            return self.gathered;
+        }
         self.gathered.missing = self.services(|state| state != ShardState::Covered);
         self.gathered.failed = self.services(|state| state == ShardState::Failed);
         self.gathered.left_out = self.services(|state| state == ShardState::LeftOut);
@@ -219,10 +229,27 @@
         self.gathered
     }
 
+    /// Takes the customer's token and sends or relays all shards; returns false if nothing is sent.
+    ///
+    /// The instance that gathers the whole request takes the token, a delegate if there is one.
+    async fn take_token_and_start(&mut self, requester: Requester) -> bool {
+        let delegate = match requester {
+            Requester::Caller if !self.has_enough_replicas() => return false,
+            Requester::Caller => self.delegate().cloned(),
+            Requester::Peer { .. } => None,
+        };
+        let is_part = matches!(requester, Requester::Peer { has_all_shards: false, .. });
+        let takes_token = delegate.is_none() && !is_part;
+        if takes_token && !self.take_token().await {
+            return false;
+        }
+        self.start(requester, delegate)
+    }
+
     /// Sends or relays all shards; returns false if nothing is sent.
-    fn start(&mut self, requester: Requester) -> bool {
+    fn start(&mut self, requester: Requester, delegate: Option<Peer>) -> bool {
         match requester {
-            Requester::Caller => self.start_for_caller(),
+            Requester::Caller => self.start_for_caller(delegate),
             Requester::Peer { is_retry, max_omitted, may_leave_out, has_all_shards } => {
                 // The requesting instance accepts partial results.
                 self.required_shards =
@@ -238,11 +265,8 @@
         }
     }
 
-    fn start_for_caller(&mut self) -> bool {
-        if !self.has_enough_replicas() {
-            return false;
-        }
-        if let Some(peer) = self.delegate().cloned() {
+    fn start_for_caller(&mut self, delegate: Option<Peer>) -> bool {
+        if let Some(peer) = delegate {
             // The delegate knows the replicas' load better and does the admission control as well.
             self.delegate_to(&peer);
             return true;
--- a/crates/router/src/gather/relay.rs
+++ b/crates/router/src/gather/relay.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_backend::DispatchFlag;
 use eelgrasspier_decide::admission;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::gatherers::{self, Candidate};
@@ -15,6 +14,7 @@
 use eelgrasspier_peer::wire::{self, Body};
 
 use super::shard::{Shard, ShardState};
+use super::token_state::TokenState;
 use super::{Event, Gather};
 use crate::view::Peer;
 
@@ -84,6 +84,7 @@
     pub(super) fn delegate_to(&mut self, peer: &Peer) {
         let all = (0..self.shards.len()).collect();
         let may_leave_out = self.max_omitted();
+        self.token = TokenState::AtDelegate;
         self.relay_shards(
             peer,
             all,
@@ -211,8 +212,7 @@
         self.probes.push(Probe { peer: peer.clone(), shards: shards.clone(), at_ms });
         let peer_request = self.peer_request(&shards, now_ms, options);
         let time_left = Duration::from_millis(self.deadlines.limit_at_ms.saturating_sub(now_ms));
-        let dispatched = DispatchFlag::default();
-        self.write_flags.push(dispatched.clone());
+        let dispatched = self.begin_send();
         let answer = Rc::clone(self.router).send_to_peer(
             peer.clone(),
             peer_request,
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -61,6 +61,7 @@
         shards: &[usize],
         is_retry: bool,
     ) -> Vec<usize> {
+        self.token.on_delegate_lost();
         let is_pending = |i: &&usize| self.shards[**i].state == ShardState::Pending;
         let pending: Vec<usize> = shards.iter().filter(is_pending).copied().collect();
         if !self.view.is_delegating(zone) || self.is_suspect() {
@@ -120,11 +121,15 @@
             left_out,
             refused_ms,
             report,
-            ..
+            limited_ms,
+            limit_unavailable_ms,
         } = answer;
         if has_all_shards && refused_ms > 0 && !may_have_run {
             self.gathered.refused_ms = Some(refused_ms);
         }
+        if has_all_shards {
+            self.apply_limit_refusal(limited_ms, limit_unavailable_ms);
+        }
         self.router.record_slow(&slow);
         let services = shards.iter().map(|&i| &self.shards[i].service);
         self.router.record_busy(self.view, services, &busy);
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasspier_backend::{DispatchFlag, PartFailure};
+use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::Verdict;
 
@@ -125,6 +125,7 @@
     /// Starts a send to `replica` without further checks.
     fn spawn_send(&mut self, index: usize, replica: Arc<ReplicaEntry>, now_ms: u64) {
         let hedge_delay_ms = self.router.hedge_delay_ms(self.view, &self.timing, &replica);
+        let dispatched = self.begin_send();
         let shard = &mut self.shards[index];
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
@@ -132,8 +133,6 @@
         shard.hedge_at_ms = can_hedge.then_some(now_ms + hedge_delay_ms);
         self.gathered.cross_zone_sends += u32::from(replica.zone != self.router.zone);
         let left_ms = self.deadlines.limit_at_ms.saturating_sub(now_ms);
-        let dispatched = DispatchFlag::default();
-        self.write_flags.push(dispatched.clone());
         let attempt = Attempt {
             dispatched: dispatched.clone(),
             max_connections: self
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -8,6 +8,7 @@
 use eelgrasspier_decide::relays;
 
 use crate::backend::Reply;
+use crate::customer_limiter::LimitRefusal;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ShardState {
@@ -90,6 +91,10 @@
     pub(crate) failure: Option<Reply>,
     /// Retry delay if the request was refused before anything was sent, in milliseconds.
     pub(crate) refused_ms: Option<u64>,
+    /// Refusal by the customer's rate limit, before anything was sent.
+    pub(crate) limit_refusal: Option<LimitRefusal>,
+    /// Origin of the customer's token; `None` without a limit and if a delegate takes the token.
+    pub(crate) limit_source: Option<&'static str>,
     /// Remaining refusal time of a request that crashes replicas, in milliseconds.
     pub(crate) quarantined_ms: Option<u64>,
     /// True if a replica may have run any part of the request.
@@ -121,6 +126,9 @@
         if let Some(retry_after_ms) = self.refused_ms.filter(|_| !self.may_have_run) {
             return Refusal::not_run(RefusalReason::Overloaded, Some(retry_after_ms));
         }
+        if let Some(limit_refusal) = self.limit_refusal.as_ref().filter(|_| !self.may_have_run) {
+            return limit_refusal.to_refusal();
+        }
         if let Some(retry_after_ms) = self.quarantined_ms.filter(|_| !self.may_have_run) {
             return Refusal::not_run(RefusalReason::CrashesReplicas, Some(retry_after_ms));
         }
@@ -145,9 +153,10 @@
         } = self;
         let [missing, failed, left_out] =
             [&self.missing, &self.failed, &self.left_out].map(|shards| shards.join(","));
+        let limit = self.limit_source.map_or_else(String::new, |source| format!(" limit={source}"));
         format!(
             "repeats={extra_sends} unpaid={denied_extra_sends} far={cross_zone_sends} cold={cold_sends} \
-             relays={relay_requests} missing=[{missing}] failed=[{failed}] left_out=[{left_out}]"
+             relays={relay_requests} missing=[{missing}] failed=[{failed}] left_out=[{left_out}]{limit}"
         )
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold_limiter;
 mod control;
 mod crash_detection;
+mod customer_limiter;
 mod daemon;
 pub mod events;
 mod gather;
--- a/crates/router/src/peer_requests.rs
+++ b/crates/router/src/peer_requests.rs
@@ -118,6 +118,7 @@
                 Body::ColdSend(request) => {
                     Body::ColdSendAllowed(self.router.grant_cold_send(&request))
                 }
+                Body::Limit(request) => Body::LimitAnswer(self.router.answer_limit(&request)),
                 Body::Alive(empty) => Body::Alive(empty),
                 _ => Body::Refused("not a question for a router".to_owned()),
             }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -15,6 +15,7 @@
 use prost::Message;
 use tokio::time::Instant;
 
+use crate::customer_limiter::LimitRefusal;
 use crate::gather::{Deadlines, Gather, Gathered, Requester};
 use crate::model::{Credential, Request, RequestProgress};
 use crate::route_state::RouteState;
@@ -251,10 +252,14 @@
         parts.extend(merged.parts.into_iter().map(signed));
     }
     let records = greatest.into_bytes().into();
+    let limit_refusal = gathered.limit_refusal.as_ref();
+    let (limited_ms, limit_unavailable_ms) = limit_refusal.map_or((0, 0), LimitRefusal::to_wire_ms);
     wire::Gathered {
         records,
         parts,
         may_have_run: gathered.may_have_run,
+        limited_ms,
+        limit_unavailable_ms,
         refused_ms: gathered.refused_ms.unwrap_or(0),
         ..wire::Gathered::default()
     }
--- a/crates/router/src/reload.rs
+++ b/crates/router/src/reload.rs
@@ -1,6 +1,6 @@
 //! Settings that change while the process runs.
 //!
-//! Retry limits, the cold limits, the regions and the grace period follow the file. Addresses, name
+//! Retry limits, the cold limits, the tolerance of customers' limits, the regions and the grace period follow the file. Addresses, name
 //! and zone are fixed for the life of a process, since other instances know it by them. A change of
 //! those is logged and takes effect at the next start.
 
@@ -92,6 +92,7 @@
         );
         self.router.set_retry_limits(limits);
         self.router.set_cold_tolerance(settings.cold_tolerance);
+        self.router.set_limit_tolerance(settings.limit_tolerance);
         self.router.set_regions(settings.regions);
         self.grace_period.set(settings.grace_period);
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -21,6 +21,7 @@
 
 use crate::backend::{Attempt, Backend, Reply};
 use crate::cold_limiter::ColdLimiter;
+use crate::customer_limiter::CustomerLimiter;
 use crate::gather::{Deadlines, Gather, Requester};
 use crate::model::{Outcome, Request};
 use crate::outcome::{merged_outcome, record_outcome, single_outcome};
@@ -73,6 +74,7 @@
     pub(crate) lost_sends: RefCell<LostSends>,
     pub(crate) quarantine_state: QuarantineState,
     pub(crate) cold_limiter: ColdLimiter,
+    pub(crate) customer_limiter: CustomerLimiter,
     regions: RefCell<Regions>,
 }
 
@@ -107,6 +109,7 @@
             lost_sends: RefCell::default(),
             quarantine_state: QuarantineState::default(),
             cold_limiter: ColdLimiter::default(),
+            customer_limiter: CustomerLimiter::default(),
             regions: RefCell::default(),
         })
     }
