--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -91,6 +91,9 @@
     event(784, "requests_kept_again"),
     event(785, "key_refused"),
     event(786, "keys_unusable"),
+    event(787, "limit_refused"),
+    event(788, "limit_unavailable"),
+    event(789, "limit_role"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
