--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -27,7 +27,8 @@
     /// Returns true if the configuration in force is known to be current.
     #[must_use]
     pub fn is_current(&self, now_ms: u64) -> bool {
-        let is_recent = |at_ms: Option<u64>, ttl_ms| at_ms.is_some_and(|at| now_ms < at + ttl_ms);
+        let is_recent =
+            |at_ms: Option<u64>, ttl_ms| at_ms.is_some_and(|at| now_ms.saturating_sub(at) < ttl_ms);
         is_recent(self.store_answered_ms, STORE_TTL_MS)
             || (self.has_peer_with_store && is_recent(self.peer_heard_ms, PEER_TTL_MS))
     }
