Keep the limit of customers through pauses, changes and rounding

A paused owner resumed with a second burst, and old and new owners together refilled at 1.5 times the rate, because the old one learns of the change last. Restarted instances that do not know the members yet all granted as deputies. A burst that was lowered and raised again was granted each time. Rounding at each request refused customers at their limit's rate, idle customers lost their burst, and extreme clocks overflowed.

An instance now grants after it has been connected for a second, a new owner refills once settled, a deputy has a twelfth of the tolerance, raises count once per window, balances are kept in millionths, and the owner refreshes idle customers.

--- a/crates/decide/src/customer_limits.rs
+++ b/crates/decide/src/customer_limits.rs
@@ -11,10 +11,12 @@
 use crate::customers::RateLimit;
 use crate::fleet_limit::Role;
 
-/// Tokens in thousandths.
-type Milli = i64;
+/// Tokens in millionths: a rate in thousandths per second accrues a whole number of them in each
+/// millisecond, so that no part of a token is lost to rounding.
+type Micro = i128;
 
-const TOKEN_MILLI: Milli = 1_000;
+const TOKEN_MICRO: Micro = 1_000_000;
+const MICRO_PER_MILLI: Micro = 1_000;
 const MS_PER_S: u64 = 1_000;
 /// Divisor of the tolerance that gives the balance of a new owner.
 ///
@@ -23,9 +25,10 @@
 const OWNER_TOLERANCE_DIVISOR: u64 = 8;
 /// Divisor of the tolerance that gives the capacity of a deputy's bucket.
 ///
-/// The bucket refills once per window, so that two deputies grant at most half of the tolerance in
-/// a window.
-const DEPUTY_TOLERANCE_DIVISOR: u64 = 8;
+/// The bucket refills once per window and starts full again after a restart. The deputies of both
+/// sides of a partition, three at most, therefore grant at most three quarters of the tolerance in
+/// a window, even if all instances restart in it.
+const DEPUTY_TOLERANCE_DIVISOR: u64 = 12;
 /// Maximum `Retry-After` of a request beyond the limit, in milliseconds.
 ///
 /// Callers honor at most a third of their deadline, which is some seconds at most.
@@ -57,12 +60,9 @@
     /// thousandths.
     #[must_use]
     pub fn extra_milli(&self, limit: RateLimit) -> u64 {
-        let in_window_milli = limit
-            .rate_milli
-            .saturating_mul(self.window_ms)
-            .saturating_div(MS_PER_S)
-            .saturating_add(limit.burst.saturating_mul(1_000));
-        let over = u128::from(in_window_milli) * u128::from(self.over_milli) / 1_000;
+        let by_rate = u128::from(limit.rate_milli) * u128::from(self.window_ms);
+        let in_window_milli = by_rate / u128::from(MS_PER_S) + u128::from(limit.burst) * 1_000;
+        let over = in_window_milli.saturating_mul(self.over_milli.into()) / 1_000;
         u64::try_from(over).unwrap_or(u64::MAX).saturating_add(self.slack.saturating_mul(1_000))
     }
 }
@@ -102,10 +102,11 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
-    balance_milli: Milli,
+    balance_micro: Micro,
     updated_ms: u64,
-    /// Burst of the limit by which the balance was computed.
-    burst: u64,
+    /// Highest burst of the last window, and the time when it was last in force, in milliseconds.
+    highest_burst: u64,
+    highest_burst_ms: u64,
     /// Time of the last token that was announced to a refused caller, in milliseconds.
     announced_ms: u64,
 }
@@ -113,10 +114,12 @@
 /// Capacity and refill of a bucket in one role.
 #[derive(Debug, Clone, Copy)]
 struct BucketSize {
-    capacity_milli: Milli,
+    capacity_micro: Micro,
     rate_milli: u64,
-    start_milli: Milli,
-    /// Time before which the refill is halved, in milliseconds.
+    start_micro: Micro,
+    /// Time from which a new bucket is refilled, in milliseconds.
+    ///
+    /// The previous owner refills its bucket at the full rate until it learns of the change.
     settled_at_ms: u64,
 }
 
@@ -125,23 +128,23 @@
         let extra_milli = tolerance.extra_milli(limit);
         match role {
             Role::Owner { settled_at_ms } => {
-                let start = to_milli(extra_milli / OWNER_TOLERANCE_DIVISOR);
-                let burst = to_milli(limit.burst.saturating_mul(1_000));
+                let start = to_micro(extra_milli / OWNER_TOLERANCE_DIVISOR);
+                let burst = Micro::from(limit.burst) * TOKEN_MICRO;
                 Some(Self {
-                    capacity_milli: burst.saturating_add(start).max(TOKEN_MILLI),
+                    capacity_micro: burst.saturating_add(start).max(TOKEN_MICRO),
                     rate_milli: limit.rate_milli,
-                    start_milli: start,
+                    start_micro: start,
                     settled_at_ms,
                 })
             }
             Role::Deputy => {
                 let capacity = extra_milli / DEPUTY_TOLERANCE_DIVISOR;
                 let rate_milli = capacity.saturating_mul(MS_PER_S) / tolerance.window_ms.max(1);
-                let capacity_milli = to_milli(capacity);
+                let capacity_micro = to_micro(capacity);
                 Some(Self {
-                    capacity_milli,
+                    capacity_micro,
                     rate_milli: rate_milli.min(limit.rate_milli),
-                    start_milli: capacity_milli,
+                    start_micro: capacity_micro,
                     settled_at_ms: 0,
                 })
             }
@@ -149,14 +152,10 @@
         }
     }
 
-    /// Returns the tokens that accrue from `from_ms` to `to_ms`, in thousandths.
-    fn accrued_milli(&self, from_ms: u64, to_ms: u64) -> Milli {
-        let unsettled_ms = self.settled_at_ms.clamp(from_ms, to_ms.max(from_ms)) - from_ms;
-        let settled_ms = to_ms.saturating_sub(from_ms) - unsettled_ms;
-        let accrued = u128::from(self.rate_milli)
-            * (u128::from(settled_ms) + u128::from(unsettled_ms) / 2)
-            / u128::from(MS_PER_S);
-        Milli::try_from(accrued).unwrap_or(Milli::MAX)
+    /// Returns the tokens that accrue from `from_ms` to `to_ms`, in millionths.
+    fn accrued_micro(&self, from_ms: u64, to_ms: u64) -> Micro {
+        let accrued = u128::from(self.rate_milli) * u128::from(to_ms.saturating_sub(from_ms));
+        Micro::try_from(accrued).unwrap_or(Micro::MAX)
     }
 }
 
@@ -177,39 +176,61 @@
         request: TokenRequest,
         now_ms: u64,
     ) -> TokenAnswer {
+        if !matches!(role, Role::Owner { .. }) {
+            // Another owner may grant from here on; a later term starts with a new bucket.
+            self.owned.remove(customer);
+        }
         let Some(size) = BucketSize::new(limit, tolerance, role) else {
             return TokenAnswer::Unavailable { retry_after_ms: UNAVAILABLE_RETRY_MS };
         };
         let is_owner = matches!(role, Role::Owner { .. });
         let buckets = if is_owner { &mut self.owned } else { &mut self.reserves };
         let bucket = buckets.entry(Arc::clone(customer)).or_insert(Bucket {
-            balance_milli: size.start_milli,
-            updated_ms: now_ms,
-            burst: limit.burst,
+            balance_micro: size.start_micro,
+            updated_ms: now_ms.max(size.settled_at_ms),
+            highest_burst: limit.burst,
+            highest_burst_ms: now_ms,
             announced_ms: now_ms,
         });
-        bucket.refill(&size, limit.burst, now_ms);
-        bucket.add(i64::from(request.returned) * TOKEN_MILLI, &size);
-        let needed_milli = i64::from(request.needed) * TOKEN_MILLI;
-        if bucket.balance_milli < needed_milli && !request.is_forced {
+        bucket.refill(&size, now_ms);
+        let raised = bucket.raise_burst(limit.burst, tolerance.window_ms, now_ms);
+        bucket.add(Micro::from(raised) * TOKEN_MICRO, &size);
+        bucket.add(Micro::from(request.returned) * TOKEN_MICRO, &size);
+        let needed_micro = Micro::from(request.needed) * TOKEN_MICRO;
+        if bucket.balance_micro < needed_micro && !request.is_forced {
             if !is_owner {
                 return TokenAnswer::Unavailable { retry_after_ms: UNAVAILABLE_RETRY_MS };
             }
-            let missing_milli = needed_milli - bucket.balance_milli;
+            let missing_micro = needed_micro - bucket.balance_micro;
             return TokenAnswer::Limited {
-                retry_after_ms: bucket.announce(missing_milli, size.rate_milli, now_ms),
+                retry_after_ms: bucket.announce(missing_micro, size.rate_milli, now_ms),
             };
         }
-        bucket.balance_milli -= needed_milli;
+        bucket.balance_micro -= needed_micro;
         let may_advance = is_owner
             && request.wants_advance
-            && bucket.balance_milli >= (size.capacity_milli / 2).max(TOKEN_MILLI);
+            && bucket.balance_micro >= (size.capacity_micro / 2).max(TOKEN_MICRO);
         if may_advance {
-            bucket.balance_milli -= TOKEN_MILLI;
+            bucket.balance_micro -= TOKEN_MICRO;
         }
         TokenAnswer::Granted { advance: u32::from(may_advance) }
     }
 
+    /// Starts or refills the bucket of a customer that sends nothing.
+    ///
+    /// A bucket starts with a small balance and is removed when it is idle. The owner calls this
+    /// for each configured customer at least once per window; otherwise a customer that has been
+    /// idle would not get its burst.
+    pub fn refresh(
+        &mut self,
+        customer: &Arc<str>,
+        limit: (RateLimit, &LimitTolerance),
+        role: Role,
+        now_ms: u64,
+    ) {
+        self.answer(customer, limit, role, TokenRequest::default(), now_ms);
+    }
+
     /// Drops the buckets of customers that this instance no longer owns.
     ///
     /// Meanwhile another instance grants their tokens; a later term starts with a new bucket.
@@ -219,7 +240,9 @@
 
     /// Removes buckets that were not used for two windows.
     pub fn remove_idle(&mut self, tolerance: &LimitTolerance, now_ms: u64) {
-        let is_used = |b: &Bucket| now_ms < b.updated_ms + 2 * tolerance.window_ms;
+        let is_used = |b: &Bucket| {
+            now_ms.saturating_sub(b.updated_ms) < tolerance.window_ms.saturating_mul(2)
+        };
         self.owned.retain(|_, b| is_used(b));
         self.reserves.retain(|_, b| is_used(b));
     }
@@ -238,41 +261,49 @@
 }
 
 impl Bucket {
-    fn refill(&mut self, size: &BucketSize, burst: u64, now_ms: u64) {
-        let accrued = size.accrued_milli(self.updated_ms, now_ms);
-        // A raised burst is available at once; a lowered one takes effect by the smaller capacity.
-        let raised = burst.saturating_sub(std::mem::replace(&mut self.burst, burst));
-        let raised = to_milli(raised.saturating_mul(1_000));
-        // Nothing is lost below the resolution: the time moves only if something accrued.
-        if accrued > 0 || now_ms >= self.updated_ms + MS_PER_S {
-            self.updated_ms = now_ms;
+    fn refill(&mut self, size: &BucketSize, now_ms: u64) {
+        let accrued = size.accrued_micro(self.updated_ms, now_ms);
+        self.updated_ms = self.updated_ms.max(now_ms);
+        self.add(accrued, size);
+    }
+
+    /// Returns the tokens by which the burst is raised; they are available at once.
+    ///
+    /// A burst that is lowered and raised again within a window was already granted; a lowered one
+    /// takes effect by the smaller capacity.
+    fn raise_burst(&mut self, burst: u64, window_ms: u64, now_ms: u64) -> u64 {
+        let raised = burst.saturating_sub(self.highest_burst);
+        let is_forgotten = now_ms.saturating_sub(self.highest_burst_ms) >= window_ms;
+        if burst >= self.highest_burst || is_forgotten {
+            (self.highest_burst, self.highest_burst_ms) = (burst, now_ms);
         }
-        self.add(accrued.saturating_add(raised), size);
+        raised
     }
 
-    fn add(&mut self, tokens: Milli, size: &BucketSize) {
-        let balance = self.balance_milli.saturating_add(tokens);
-        self.balance_milli = balance.min(size.capacity_milli);
+    fn add(&mut self, tokens: Micro, size: &BucketSize) {
+        let balance = self.balance_micro.saturating_add(tokens);
+        self.balance_micro = balance.min(size.capacity_micro);
     }
 
     /// Returns the time until a token is due for one more refused caller, in milliseconds.
     ///
     /// Each refused caller is told a later token, so that they don't return together.
-    fn announce(&mut self, missing_milli: Milli, rate_milli: u64, now_ms: u64) -> u64 {
-        let ms_for = |tokens: Milli| {
-            let tokens = u64::try_from(tokens).unwrap_or(0);
-            tokens.saturating_mul(MS_PER_S).div_ceil(rate_milli.max(1))
+    fn announce(&mut self, missing_micro: Micro, rate_milli: u64, now_ms: u64) -> u64 {
+        let ms_for = |tokens: Micro| {
+            let tokens = u128::try_from(tokens).unwrap_or(0);
+            u64::try_from(tokens.div_ceil(rate_milli.max(1).into())).unwrap_or(u64::MAX)
         };
-        let first_ms = now_ms.saturating_add(ms_for(missing_milli));
-        let next_ms = self.announced_ms.saturating_add(ms_for(TOKEN_MILLI));
-        let due_ms = first_ms.max(next_ms).min(now_ms + MAX_RETRY_AFTER_MS);
+        let first_ms = now_ms.saturating_add(ms_for(missing_micro));
+        let next_ms = self.announced_ms.saturating_add(ms_for(TOKEN_MICRO));
+        let due_ms = first_ms.max(next_ms).min(now_ms.saturating_add(MAX_RETRY_AFTER_MS));
         self.announced_ms = due_ms;
         due_ms - now_ms
     }
 }
 
-fn to_milli(value: u64) -> Milli {
-    Milli::try_from(value).unwrap_or(Milli::MAX)
+/// Converts thousandths to millionths.
+fn to_micro(milli: u64) -> Micro {
+    Micro::from(milli) * MICRO_PER_MILLI
 }
 
 /// Tokens of one instance that asks the owners.
@@ -293,7 +324,7 @@
     pub fn record_request(&mut self, customer: &Arc<str>, now_ms: u64) -> bool {
         let held = self.by_customer.entry(Arc::clone(customer)).or_default();
         let previous_ms = held.last_request_ms.replace(now_ms);
-        previous_ms.is_some_and(|at_ms| now_ms < at_ms + ADVANCE_INTERVAL_MS)
+        previous_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < ADVANCE_INTERVAL_MS)
     }
 
     /// Takes a held token; returns false if there is none.
@@ -310,7 +341,7 @@
         let held = self.by_customer.entry(Arc::clone(customer)).or_default();
         let has_room = held.expires_at_ms.len() < MAX_HELD_TOKENS;
         if has_room {
-            held.expires_at_ms.push(now_ms + ADVANCE_TTL_MS);
+            held.expires_at_ms.push(now_ms.saturating_add(ADVANCE_TTL_MS));
         }
         has_room
     }
@@ -325,7 +356,7 @@
             if count > 0 {
                 expired.push((Arc::clone(customer), count));
             }
-            let is_recent = |at_ms: u64| now_ms < at_ms + ADVANCE_INTERVAL_MS;
+            let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < ADVANCE_INTERVAL_MS;
             !held.expires_at_ms.is_empty() || held.last_request_ms.is_some_and(is_recent)
         });
         expired
--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -56,7 +56,10 @@
     #[must_use]
     pub fn settled_at_ms(&self, zone: Option<&str>) -> u64 {
         let counted = self.zones.iter().filter(|(name, _)| zone.is_none_or(|z| z == &***name));
-        counted.map(|(_, (_, since_ms))| since_ms + SETTLE_DELAY_MS).max().unwrap_or(0)
+        counted
+            .map(|(_, (_, since_ms))| since_ms.saturating_add(SETTLE_DELAY_MS))
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -68,8 +71,36 @@
 #[must_use]
 pub fn is_connected(fleet: u64, last_received_ms: Option<u64>, now_ms: u64) -> bool {
     fleet <= 1
-        || last_received_ms
-            .is_some_and(|last_received_ms| now_ms < last_received_ms + PARTITION_TIMEOUT_MS)
+        || last_received_ms.is_some_and(|last_received_ms| {
+            now_ms.saturating_sub(last_received_ms) < PARTITION_TIMEOUT_MS
+        })
+}
+
+/// Messages from other instances, as a condition for granting.
+///
+/// An instance that was paused or has just started still has its previous view of the members, or
+/// none. Others may have replaced it and learn of its return within the settle delay.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Connection {
+    since_ms: u64,
+    last_received_ms: Option<u64>,
+}
+
+impl Connection {
+    /// Records a message from another instance.
+    pub fn record_message(&mut self, now_ms: u64) {
+        if !is_connected(u64::MAX, self.last_received_ms, now_ms) {
+            self.since_ms = now_ms;
+        }
+        self.last_received_ms = self.last_received_ms.max(Some(now_ms));
+    }
+
+    /// Returns true if the instance has been connected for the settle delay; see [`is_connected`].
+    #[must_use]
+    pub fn is_settled(&self, fleet: u64, now_ms: u64) -> bool {
+        let is_recent = now_ms.saturating_sub(self.since_ms) < SETTLE_DELAY_MS;
+        fleet <= 1 || (!is_recent && is_connected(fleet, self.last_received_ms, now_ms))
+    }
 }
 
 /// Returns the positions of the candidates for a key, the owner first.
@@ -92,7 +123,8 @@
 pub struct Standing {
     /// Position in the ranking of the key, 0 for the owner.
     pub rank: usize,
-    /// True if it hears from other instances; see [`is_connected`].
+    /// True if it hears from other instances and has done so for a while; see
+    /// [`Connection::is_settled`].
     pub is_connected: bool,
     /// Number of live instances that it knows, itself included.
     pub known_instances: u64,
@@ -105,9 +137,9 @@
 /// What an instance may grant for a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// The whole limit; at half of the rate before the given time, in milliseconds.
+    /// The whole limit; a new owner's bucket is not refilled before the given time.
     Owner {
-        /// Time from which no other instance considers itself the owner.
+        /// Time from which no other instance considers itself the owner, in milliseconds.
         settled_at_ms: u64,
     },
     /// A small part of the tolerance above the limit.
