--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -14,7 +14,7 @@
     HeldTokens, LimitLedger, LimitTolerance, TokenAnswer, TokenRequest, UNAVAILABLE_RETRY_MS,
 };
 use eelgrasspier_decide::customers::RateLimit;
-use eelgrasspier_decide::fleet_limit::{self, Standing};
+use eelgrasspier_decide::fleet_limit::{self, Role, Standing};
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_peer::wire::{LimitAnswer, LimitOutcome, LimitRequest};
@@ -46,6 +46,9 @@
     refused_lines: LogBudget,
     unavailable_lines: LogBudget,
     last_role_line: Cell<RoleLine>,
+    /// Time from which this instance may grant as an owner after it knew no majority, in
+    /// milliseconds.
+    majority_settled_at_ms: Cell<u64>,
 }
 
 /// State that the last line about this instance's role reported.
@@ -276,20 +279,39 @@
     }
 
     fn standing(&self, view: &View, rank: usize) -> Standing {
-        let now_ms = self.shared.now_ms();
+        let connection = self.shared.connection();
+        let majority_settled_at_ms = self.customer_limiter.majority_settled_at_ms.get();
         Standing {
             rank,
-            is_connected: fleet_limit::is_connected(
-                view.fleet_size,
-                self.shared.last_contact_ms(),
-                now_ms,
-            ),
-            known_instances: u64::try_from(view.peers.len()).unwrap_or(u64::MAX).saturating_add(1),
+            is_connected: connection.is_settled(view.fleet_size, self.shared.now_ms()),
+            known_instances: known_instances(view),
             fleet_size: view.fleet_size,
-            settled_at_ms: view.gatherer_stability.settled_at_ms(None),
+            settled_at_ms: view
+                .gatherer_stability
+                .settled_at_ms(None)
+                .max(connection.settled_at_ms())
+                .max(majority_settled_at_ms),
         }
     }
 
+    /// Updates what this instance may grant after a change of the view, and from time to time.
+    ///
+    /// Buckets are dropped where another instance may grant from now on. While this instance knows
+    /// no majority, there may be another owner on the other side of a partition.
+    pub(crate) fn update_limit_roles(&self, view: &View) {
+        let now_ms = self.shared.now_ms();
+        if !self.standing(view, 0).knows_majority() {
+            let settled_at_ms = now_ms + fleet_limit::SETTLE_DELAY_MS;
+            self.customer_limiter.majority_settled_at_ms.set(settled_at_ms);
+        }
+        let own = view.gatherers.len();
+        let is_owner = |customer: &str| {
+            let is_first = self.limit_ranking(view, customer).first() == Some(&own);
+            is_first && matches!(self.standing(view, 0).role(), Role::Owner { .. })
+        };
+        self.customer_limiter.ledger.borrow_mut().retain_owned(is_owner);
+    }
+
     /// Logs when this instance gains or loses what it needs to grant tokens.
     fn log_role(&self, standing: &Standing, now_ms: u64) {
         let last = self.customer_limiter.last_role_line.get();
@@ -312,13 +334,6 @@
         );
     }
 
-    /// Drops the buckets of customers that another instance owns by the view.
-    pub(crate) fn retain_owned_limits(&self, view: &View) {
-        let own = view.gatherers.len();
-        let is_owner = |customer: &str| self.limit_ranking(view, customer).first() == Some(&own);
-        self.customer_limiter.ledger.borrow_mut().retain_owned(is_owner);
-    }
-
     /// Returns unused tokens and removes idle buckets, from time to time.
     pub(crate) async fn maintain_limits(self: Rc<Self>) {
         loop {
@@ -334,6 +349,7 @@
             self.schedule_return(&customer, count);
         }
         let view = self.shared.view.load_full();
+        self.update_limit_roles(&view);
         for (name, returned) in limiter.pending_returns.take() {
             // Without a limit there is no bucket to which the tokens could return.
             if let Some(limit) = customer_limit(&view, &name) {
@@ -374,6 +390,10 @@
     view.configuration.as_ref()?.customers.as_ref()?.named(customer)?.limit
 }
 
+fn known_instances(view: &View) -> u64 {
+    u64::try_from(view.peers.len()).unwrap_or(u64::MAX).saturating_add(1)
+}
+
 fn to_wire(answer: TokenAnswer) -> LimitAnswer {
     let (outcome, retry_after_ms, advance) = match answer {
         TokenAnswer::Granted { advance } => (LimitOutcome::Granted, 0, advance),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
 use eelgrasspier_decide::directory::ReplicaEntry;
-use eelgrasspier_decide::fleet_limit::CoordinatorStability;
+use eelgrasspier_decide::fleet_limit::{Connection, CoordinatorStability};
 use eelgrasspier_decide::freshness::ConfigurationSources;
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::rendezvous;
@@ -192,6 +192,8 @@
     pub(crate) view_changed: Notify,
     /// Time of the last message from another instance, in milliseconds; 0 for never.
     last_contact_ms: AtomicU64,
+    /// Time since which messages have arrived without a longer pause, in milliseconds.
+    connected_since_ms: AtomicU64,
     confirmation: Confirmation,
     started: Instant,
 }
@@ -210,6 +212,7 @@
             view: ArcSwap::default(),
             view_changed: Notify::new(),
             last_contact_ms: AtomicU64::new(0),
+            connected_since_ms: AtomicU64::new(0),
             confirmation: Confirmation::default(),
             started: Instant::now(),
         }
@@ -217,7 +220,17 @@
 
     /// Records that a message from another instance has arrived.
     pub fn record_peer_contact(&self) {
-        self.last_contact_ms.store(self.now_ms(), Ordering::Relaxed);
+        let now_ms = self.now_ms();
+        let mut connection = self.connection();
+        connection.record_message(now_ms);
+        self.connected_since_ms.store(connection.since_ms(), Ordering::Relaxed);
+        self.last_contact_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Returns since when and until when messages from other instances have arrived.
+    pub(crate) fn connection(&self) -> Connection {
+        let since_ms = self.connected_since_ms.load(Ordering::Relaxed);
+        Connection::new(since_ms, self.last_contact_ms())
     }
 
     /// Returns the time of the last message from another instance, in milliseconds, if any.
