Count one crash of a replica once as proof against a request

Two instances tried an innocent request on the same replica at the moment at which the request that crashes replicas ran there. The one crash ended both trials and counted as two proofs, because proofs were identified by the send, so the innocent request was quarantined.

CrashedSend and LostSend now carry a crash_id, made from the incarnation of the replica, and isolated trials are counted by it. Replicas without a start time keep the id of the send: their second crash would look like the first.

The new test in crates/decide/tests/quarantine.rs failed before the change (refused instead of tried) and passes now.

--- a/crates/decide/src/lost_sends.rs
+++ b/crates/decide/src/lost_sends.rs
@@ -24,6 +24,8 @@
     pub request: Fingerprint,
     /// Id of the send.
     pub send_id: u32,
+    /// Id of the crash that may have ended the send, see [`CrashedSend::crash_id`].
+    pub crash_id: u32,
     /// True if the send was a trial on this one replica.
     pub is_trial: bool,
 }
@@ -35,6 +37,10 @@
     pub request: Fingerprint,
     /// Id of the send.
     pub send_id: u32,
+    /// Id of the crash, the same at all instances whose sends it ended.
+    ///
+    /// It equals `send_id` where the runs of a server can't be told apart.
+    pub crash_id: u32,
     /// True if the send was a trial and no other unanswered request was lost in the crash.
     pub is_isolated: bool,
 }
@@ -79,8 +85,9 @@
         match server_losses.has_crashed {
             // Another send was lost in the same crash.
             Some(true) => {
-                let LostSend { request, send_id, .. } = lost;
-                ServerState::Crashed(CrashedSend { request, send_id, is_isolated: false })
+                let LostSend { request, send_id, crash_id, .. } = lost;
+                let is_isolated = false;
+                ServerState::Crashed(CrashedSend { request, send_id, crash_id, is_isolated })
             }
             Some(false) => ServerState::Running,
             None => {
@@ -106,9 +113,10 @@
         lost.dedup_by_key(|l| l.request);
         lost.retain(|_| has_crashed);
         let is_only = lost.len() == 1;
-        let ended = |LostSend { request, send_id, is_trial }| CrashedSend {
+        let ended = |LostSend { request, send_id, crash_id, is_trial }| CrashedSend {
             request,
             send_id,
+            crash_id,
             is_isolated: is_trial && is_only,
         };
         lost.into_iter().map(ended).collect()
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! answer of any kind clears the request. A request without an answer whose replicas crashed twice
 //! is tried on one replica at a time, which costs an innocent request one extra exchange. It is
 //! refused for some minutes only if, twice, a replica crashes in such a trial with no other
-//! unanswered request on it.
+//! unanswered request on it. Trials of several instances that end with one crash count once.
 //!
 //! Instances exchange [`Report`]s, which are merged: all instances reach the same state, in
 //! whatever order and however often the reports arrive.
@@ -80,7 +80,10 @@
     /// counts as further evidence.
     #[prost(fixed32, repeated, tag = "2")]
     pub ended: Vec<u32>,
-    /// Subset of `ended` that were isolated trials.
+    /// Ids of the crashes that ended isolated trials.
+    ///
+    /// Trials of two instances on one replica may end with the same crash, which is one proof.
+    /// Earlier versions write the ids of the sends here: then a crash counts once per send.
     #[prost(fixed32, repeated, tag = "3")]
     pub ended_alone: Vec<u32>,
     /// Remaining time of the refusal, in milliseconds; 0 if the request is not refused.
@@ -209,14 +212,14 @@
 
     /// Records that a replica crashed while it ran a request that had no answer yet.
     pub fn record_crash(&mut self, ended: CrashedSend, now_ms: u64) -> EvidenceEffect {
-        let CrashedSend { request, send_id, is_isolated } = ended;
+        let CrashedSend { request, send_id, crash_id, is_isolated } = ended;
         self.update(request, now_ms, |record| {
             if record.is_cleared() {
                 // A crash after an answer: start over with new evidence.
                 *record = Record::default();
             }
-            let is_new = add_send(&mut record.ended, send_id);
-            let is_new_isolated = is_isolated && add_send(&mut record.ended_alone, send_id);
+            let is_new = add_id(&mut record.ended, send_id);
+            let is_new_isolated = is_isolated && add_id(&mut record.ended_alone, crash_id);
             record.refuse_if_proven(is_new_isolated, now_ms);
             record.extend_retention(now_ms);
             is_new || is_new_isolated
@@ -341,10 +344,10 @@
     }
 }
 
-fn add_send(sends: &mut Vec<u32>, send_id: u32) -> bool {
-    let is_new = !sends.contains(&send_id) && sends.len() < MAX_CRASHES_PER_REQUEST;
+fn add_id(ids: &mut Vec<u32>, id: u32) -> bool {
+    let is_new = !ids.contains(&id) && ids.len() < MAX_CRASHES_PER_REQUEST;
     if is_new {
-        sends.push(send_id);
+        ids.push(id);
     }
     is_new
 }
@@ -365,11 +368,11 @@
     }
     let mut has_changed = false;
     for &send_id in &report.ended {
-        has_changed |= add_send(&mut record.ended, send_id);
+        has_changed |= add_id(&mut record.ended, send_id);
     }
     let mut has_new_isolated_crash = false;
-    for &send_id in &report.ended_alone {
-        has_new_isolated_crash |= add_send(&mut record.ended_alone, send_id);
+    for &crash_id in &report.ended_alone {
+        has_new_isolated_crash |= add_id(&mut record.ended_alone, crash_id);
     }
     let until_ms = now_ms + report.refused_ms.min(FIRST_REFUSAL_MS << MAX_REFUSAL_DOUBLINGS);
     let is_extended =
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -15,7 +15,7 @@
 const MINUTE_MS: u64 = 60_000;
 
 fn crashed(request: Fingerprint, send_id: u32, is_isolated: bool) -> CrashedSend {
-    CrashedSend { request, send_id, is_isolated }
+    CrashedSend { request, send_id, crash_id: send_id, is_isolated }
 }
 
 /// Records the simultaneous crash of all replicas of a request to `shards` shards.
@@ -122,6 +122,29 @@
     }
 }
 
+/// Guards against an innocent request being refused because one crash ended the trials of two
+/// instances on the same replica.
+#[test]
+fn a_crash_that_ends_the_trials_of_several_instances_counts_once() {
+    let trial = |send_id, crash_id| CrashedSend { crash_id, ..crashed(INNOCENT, send_id, true) };
+    let mut all: Vec<Quarantine> = vec![Quarantine::default(); 3];
+    for (send_id, quarantine) in (21..).zip(&mut all) {
+        record_crash_wave(quarantine, INNOCENT, 3);
+        quarantine.record_crash(trial(send_id, 7), 0);
+    }
+    let reports: Vec<Report> = all.iter().map(|q| q.report(INNOCENT, 0).unwrap()).collect();
+    for (turn, quarantine) in all.iter_mut().enumerate() {
+        let mut order = reports.clone();
+        order.rotate_left(turn);
+        for report in &order {
+            quarantine.merge_report(report, 1);
+        }
+        assert_eq!(quarantine.treatment(INNOCENT, 2), Treatment::OneReplicaAtATime);
+    }
+    // A second crash, of another replica or of this one after its restart, is the second proof.
+    assert_eq!(all[0].record_crash(trial(31, 8), 3), EvidenceEffect::Refused);
+}
+
 /// Guards against reports without new information circulating forever.
 #[test]
 fn a_report_has_an_effect_only_once() {
@@ -223,7 +246,7 @@
 }
 
 fn lost(request: Fingerprint, is_trial: bool) -> LostSend {
-    LostSend { request, send_id: 7, is_trial }
+    LostSend { request, send_id: 7, crash_id: 7, is_trial }
 }
 
 #[test]
--- a/crates/decide/tests/report_exchange.rs
+++ b/crates/decide/tests/report_exchange.rs
@@ -20,7 +20,10 @@
 fn refused_report(request: Fingerprint) -> Report {
     let mut quarantine = Quarantine::default();
     for send_id in 0..4 {
-        quarantine.record_crash(CrashedSend { request, send_id, is_isolated: send_id > 1 }, 0);
+        quarantine.record_crash(
+            CrashedSend { request, send_id, crash_id: send_id, is_isolated: send_id > 1 },
+            0,
+        );
     }
     quarantine.report(request, 0).unwrap()
 }
@@ -29,7 +32,10 @@
 fn suspect_report(request: Fingerprint) -> Report {
     let mut quarantine = Quarantine::default();
     for send_id in 0..2 {
-        quarantine.record_crash(CrashedSend { request, send_id, is_isolated: false }, 0);
+        quarantine.record_crash(
+            CrashedSend { request, send_id, crash_id: send_id, is_isolated: false },
+            0,
+        );
     }
     quarantine.report(request, 0).unwrap()
 }
--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -88,7 +88,12 @@
         self.loss_count.set(self.loss_count.get() + 1);
         let (server, addr) = (replica.spec.id, replica.spec.addr);
         let send_id = relays::replica_hash(&format!("{} {server}", self.request_id));
-        let lost = LostSend { request: self.fingerprint, send_id, is_trial: self.is_trial.get() };
+        let lost = LostSend {
+            request: self.fingerprint,
+            send_id,
+            crash_id: replica.crash_id().unwrap_or(send_id),
+            is_trial: self.is_trial.get(),
+        };
         if self.shared.record_loss(server, lost) != ServerState::Unknown {
             return;
         }
