Take the id of a crash from the replica's entry, and test it

The test of the counting sets the ids of crashes by hand, so nothing checked that instances agree on them. ReplicaEntry::crash_id replaces the expression in the router; a test covers restarts and entries without a start time.

--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::history::Edition;
+use crate::relays;
 
 /// Time in milliseconds after an outage of the store for which lapsed entries are retained.
 ///
@@ -45,6 +46,14 @@
 }
 
 impl ReplicaEntry {
+    /// Returns the id of the crash that would end this run of the replica.
+    ///
+    /// `None` if its id has no start time: its second crash would look like the first.
+    #[must_use]
+    pub fn crash_id(&self) -> Option<u32> {
+        (self.id != self.name).then(|| relays::replica_hash(&self.id))
+    }
+
     /// Returns true if the entries differ at most in report number and remaining warm-up time.
     fn is_equivalent(&self, other: &Self) -> bool {
         let (report, cold_left_ms) = (other.report, other.cold_left_ms);
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -4,7 +4,9 @@
 //! nothing is remembered about it, and requests that merely ran at the same time being refused with
 //! it because only the crash of their replica is remembered.
 
+use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fingerprint::Fingerprint;
+use eelgrasspier_decide::history::Edition;
 use eelgrasspier_decide::lost_sends::{CrashedSend, LostSend, LostSends, ServerState};
 use eelgrasspier_decide::quarantine::{EvidenceEffect, Quarantine, Report, Treatment};
 use prost::Message;
@@ -145,6 +147,28 @@
     assert_eq!(all[0].record_crash(trial(31, 8), 3), EvidenceEffect::Refused);
 }
 
+/// Guards against instances that give one crash several ids, and against a restarted replica whose
+/// next crash is taken for the first.
+#[test]
+fn crashes_are_identified_by_the_run_of_the_replica() {
+    let replica = |id: &str| ReplicaEntry {
+        id: id.into(),
+        name: "a".into(),
+        report: Edition { born_ms: 0, number: 1 },
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 1,
+        is_draining: false,
+        cold_left_ms: 0,
+    };
+    let first_run = replica("a@1").crash_id();
+    assert!(first_run.is_some());
+    assert_eq!(first_run, ReplicaEntry { cold_left_ms: 9, ..replica("a@1") }.crash_id());
+    assert_ne!(first_run, replica("a@2").crash_id());
+    assert_eq!(replica("a").crash_id(), None);
+}
+
 /// Guards against reports without new information circulating forever.
 #[test]
 fn a_report_has_an_effect_only_once() {
--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -21,12 +21,10 @@
             return;
         }
         let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
-        // Without a start time, the second crash of a restarted replica looks like the first.
-        let has_start_time = replica.id != replica.name;
         let lost = LostSend {
             request: request.fingerprint(),
             send_id,
-            crash_id: if has_start_time { relays::replica_hash(&replica.id) } else { send_id },
+            crash_id: replica.crash_id().unwrap_or(send_id),
             is_trial: request.progress.isolated_trials.borrow().contains(&replica.id),
         };
         let replica_hash = rendezvous::hash(&replica.id);
