--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -20,9 +20,11 @@
         if request.progress.is_answered.get() {
             return;
         }
+        let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
         let lost = LostSend {
             request: request.fingerprint(),
-            send_id: relays::replica_hash(&format!("{} {}", request.id_text(), replica.id)),
+            send_id,
+            crash_id: replica.crash_id().unwrap_or(send_id),
             is_trial: request.progress.isolated_trials.borrow().contains(&replica.id),
         };
         let replica_hash = rendezvous::hash(&replica.id);
