Let a restarted owner grant tokens as soon as it hears from others

After a restart of all instances no customer was served for 1.3 s: owners waited until they had heard from others for a second. That wait is needed only after a pause, when an instance still has buckets and an old view. A process that has just started begins with a sixteenth of the tolerance and refills at up to an eighth of it per second until the previous owner has surely learned of the change. The random walks of the model showed that larger parts exceed the bound after two restarts of all within a window, so that a deputy now has a sixteenth too.

--- a/crates/decide/src/customer_limits.rs
+++ b/crates/decide/src/customer_limits.rs
@@ -18,17 +18,25 @@
 const TOKEN_MICRO: Micro = 1_000_000;
 const MICRO_PER_MILLI: Micro = 1_000;
 const MS_PER_S: u64 = 1_000;
-/// Divisor of the tolerance that gives the balance of a new owner.
+/// Divisor of the tolerance that gives the balance of a new owner's bucket.
 ///
-/// It is also added to the burst: requests that are within the limit by the caller's clock arrive
-/// somewhat closer together here.
+/// After a restart of all instances in a partition, several instances start such a bucket.
+const NEW_OWNER_TOLERANCE_DIVISOR: u64 = 16;
+/// Divisor of the tolerance that gives the addition to the burst.
+///
+/// Requests that are within the limit by the caller's clock arrive somewhat closer together here.
 const OWNER_TOLERANCE_DIVISOR: u64 = 8;
+/// Divisor of the tolerance that gives the maximum refill per second of a new owner's bucket until
+/// the previous owner has surely learned of the change.
+///
+/// The previous owner may refill its bucket at the full rate during this time.
+const UNSETTLED_TOLERANCE_DIVISOR: u64 = 8;
 /// Divisor of the tolerance that gives the capacity of a deputy's bucket.
 ///
 /// The bucket refills once per window and starts full again after a restart. The deputies of both
-/// sides of a partition, three at most, therefore grant at most three quarters of the tolerance in
+/// sides of a partition, three at most, therefore grant at most nine sixteenths of the tolerance in
 /// a window, even if all instances restart in it.
-const DEPUTY_TOLERANCE_DIVISOR: u64 = 12;
+const DEPUTY_TOLERANCE_DIVISOR: u64 = 16;
 /// Maximum `Retry-After` of a request beyond the limit, in milliseconds.
 ///
 /// Callers honor at most a third of their deadline, which is some seconds at most.
@@ -107,6 +115,8 @@
 struct Bucket {
     balance_micro: Micro,
     updated_ms: u64,
+    /// Time before which the bucket is refilled slowly, in milliseconds.
+    settled_at_ms: u64,
     /// Highest burst of the last window, and the time when it was last in force, in milliseconds.
     highest_burst: u64,
     highest_burst_ms: u64,
@@ -119,10 +129,10 @@
 struct BucketSize {
     capacity_micro: Micro,
     rate_milli: u64,
+    /// Rate of a new bucket before it is settled.
+    unsettled_rate_milli: u64,
     start_micro: Micro,
-    /// Time from which a new bucket is refilled, in milliseconds.
-    ///
-    /// The previous owner refills its bucket at the full rate until it learns of the change.
+    /// Time from which no previous owner grants, in milliseconds.
     settled_at_ms: u64,
 }
 
@@ -131,11 +141,15 @@
         let extra_milli = tolerance.extra_milli(limit);
         match role {
             Role::Owner { settled_at_ms } => {
-                let start = to_micro(extra_milli / OWNER_TOLERANCE_DIVISOR);
+                let extra = to_micro(extra_milli / OWNER_TOLERANCE_DIVISOR);
+                let start = to_micro(extra_milli / NEW_OWNER_TOLERANCE_DIVISOR);
                 let burst = Micro::from(limit.burst) * TOKEN_MICRO;
                 Some(Self {
-                    capacity_micro: burst.saturating_add(start).max(TOKEN_MICRO),
+                    capacity_micro: burst.saturating_add(extra).max(TOKEN_MICRO),
                     rate_milli: limit.rate_milli,
+                    unsettled_rate_milli: limit
+                        .rate_milli
+                        .min(extra_milli / UNSETTLED_TOLERANCE_DIVISOR),
                     start_micro: start,
                     settled_at_ms,
                 })
@@ -147,6 +161,7 @@
                 Some(Self {
                     capacity_micro,
                     rate_milli: rate_milli.min(limit.rate_milli),
+                    unsettled_rate_milli: 0,
                     start_micro: capacity_micro,
                     settled_at_ms: 0,
                 })
@@ -155,10 +170,15 @@
         }
     }
 
-    /// Returns the tokens that accrue from `from_ms` to `to_ms`, in millionths.
-    fn accrued_micro(&self, from_ms: u64, to_ms: u64) -> Micro {
-        let accrued = u128::from(self.rate_milli) * u128::from(to_ms.saturating_sub(from_ms));
-        Micro::try_from(accrued).unwrap_or(Micro::MAX)
+    /// Returns the tokens that accrue from `from_ms` to `to_ms` in a bucket that is settled at
+    /// `settled_at_ms`, in millionths.
+    fn accrued_micro(&self, from_ms: u64, to_ms: u64, settled_at_ms: u64) -> Micro {
+        let total_ms = to_ms.saturating_sub(from_ms);
+        let unsettled_ms = settled_at_ms.saturating_sub(from_ms).min(total_ms);
+        let accrue = |rate_milli: u64, ms: u64| u128::from(rate_milli) * u128::from(ms);
+        let unsettled = accrue(self.unsettled_rate_milli, unsettled_ms);
+        let settled = accrue(self.rate_milli, total_ms - unsettled_ms);
+        Micro::try_from(unsettled.saturating_add(settled)).unwrap_or(Micro::MAX)
     }
 }
 
@@ -191,7 +211,8 @@
         let bucket = buckets.entry(Arc::clone(customer)).or_insert(Bucket {
             balance_micro: size.start_micro,
             // No other instance has granted since then, so the refill since then is due.
-            updated_ms: if is_owner { size.settled_at_ms } else { now_ms },
+            updated_ms: if is_owner { size.settled_at_ms.min(now_ms) } else { now_ms },
+            settled_at_ms: size.settled_at_ms,
             highest_burst: limit.burst,
             highest_burst_ms: now_ms,
             announced_ms: now_ms,
@@ -260,7 +281,7 @@
 
 impl Bucket {
     fn refill(&mut self, size: &BucketSize, now_ms: u64) {
-        let accrued = size.accrued_micro(self.updated_ms, now_ms);
+        let accrued = size.accrued_micro(self.updated_ms, now_ms, self.settled_at_ms);
         self.updated_ms = self.updated_ms.max(now_ms);
         self.add(accrued, size);
     }
--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -78,20 +78,31 @@
 
 /// Messages from other instances, as a condition for granting.
 ///
-/// An instance that was paused or has just started still has its previous view of the members, or
-/// none. Others may have replaced it and learn of its return within the settle delay.
+/// An instance that was paused still has its previous view of the members. Others may have replaced
+/// it and learn of its return within the settle delay. One that has just started has granted
+/// nothing yet, and what it may grant before the delay is over is limited otherwise.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Connection {
     since_ms: u64,
     last_received_ms: Option<u64>,
+    /// True if no messages arrived for a while since the first one.
+    was_interrupted: bool,
 }
 
 impl Connection {
     /// Returns the connection of an instance that has heard from others without a longer pause
     /// since `since_ms`, and last at `last_received_ms`.
+    ///
+    /// `was_interrupted` is true if there was a longer pause before.
+    #[must_use]
+    pub fn new(since_ms: u64, last_received_ms: Option<u64>, was_interrupted: bool) -> Self {
+        Self { since_ms, last_received_ms, was_interrupted }
+    }
+
+    /// Returns true if there was a longer pause since the first message.
     #[must_use]
-    pub fn new(since_ms: u64, last_received_ms: Option<u64>) -> Self {
-        Self { since_ms, last_received_ms }
+    pub fn was_interrupted(&self) -> bool {
+        self.was_interrupted
     }
 
     /// Returns the time since which messages have arrived without a longer pause, in milliseconds.
@@ -110,15 +121,18 @@
     pub fn record_message(&mut self, now_ms: u64) {
         if !is_connected(u64::MAX, self.last_received_ms, now_ms) {
             self.since_ms = now_ms;
+            self.was_interrupted = self.last_received_ms.is_some();
         }
         self.last_received_ms = self.last_received_ms.max(Some(now_ms));
     }
 
-    /// Returns true if the instance has been connected for the settle delay; see [`is_connected`].
+    /// Returns true if the instance is connected, and has been for the settle delay after an
+    /// interruption; see [`is_connected`].
     #[must_use]
     pub fn is_settled(&self, fleet: u64, now_ms: u64) -> bool {
         let is_recent = now_ms.saturating_sub(self.since_ms) < SETTLE_DELAY_MS;
-        fleet <= 1 || (!is_recent && is_connected(fleet, self.last_received_ms, now_ms))
+        let must_wait = is_recent && self.was_interrupted;
+        fleet <= 1 || (!must_wait && is_connected(fleet, self.last_received_ms, now_ms))
     }
 }
 
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -194,6 +194,8 @@
     last_contact_ms: AtomicU64,
     /// Time since which messages have arrived without a longer pause, in milliseconds.
     connected_since_ms: AtomicU64,
+    /// True if there was a longer pause before.
+    was_interrupted: AtomicBool,
     confirmation: Confirmation,
     started: Instant,
 }
@@ -213,6 +215,7 @@
             view_changed: Notify::new(),
             last_contact_ms: AtomicU64::new(0),
             connected_since_ms: AtomicU64::new(0),
+            was_interrupted: AtomicBool::new(false),
             confirmation: Confirmation::default(),
             started: Instant::now(),
         }
@@ -224,13 +227,15 @@
         let mut connection = self.connection();
         connection.record_message(now_ms);
         self.connected_since_ms.store(connection.since_ms(), Ordering::Relaxed);
+        self.was_interrupted.store(connection.was_interrupted(), Ordering::Relaxed);
         self.last_contact_ms.store(now_ms, Ordering::Relaxed);
     }
 
     /// Returns since when and until when messages from other instances have arrived.
     pub(crate) fn connection(&self) -> Connection {
         let since_ms = self.connected_since_ms.load(Ordering::Relaxed);
-        Connection::new(since_ms, self.last_contact_ms())
+        let was_interrupted = self.was_interrupted.load(Ordering::Relaxed);
+        Connection::new(since_ms, self.last_contact_ms(), was_interrupted)
     }
 
     /// Returns the time of the last message from another instance, in milliseconds, if any.
