Start a new bucket after any view without a majority

Cause: a request between two views dropped the owner's bucket while no majority was known, but only the follower of views recorded that time. If the majority returned before it ran, the new bucket had the refill of the whole term, which another owner may have granted. Change: the time is recorded wherever the standing is computed. The role is computed once per update instead of once per bucket.

--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -278,37 +278,38 @@
         fleet_limit::ranking(customer, &candidates)
     }
 
+    /// Returns what this instance knows about its own position in a ranking.
+    ///
+    /// While it knows no majority, there may be another owner on the other side of a partition.
     fn standing(&self, view: &View, rank: usize) -> Standing {
+        let now_ms = self.shared.now_ms();
         let connection = self.shared.connection();
-        let majority_settled_at_ms = self.customer_limiter.majority_settled_at_ms.get();
-        Standing {
+        let majority_settled_at_ms = &self.customer_limiter.majority_settled_at_ms;
+        let mut standing = Standing {
             rank,
-            is_connected: connection.is_settled(view.fleet_size, self.shared.now_ms()),
+            is_connected: connection.is_settled(view.fleet_size, now_ms),
             known_instances: known_instances(view),
             fleet_size: view.fleet_size,
             settled_at_ms: view
                 .gatherer_stability
                 .settled_at_ms(None)
-                .max(connection.settled_at_ms())
-                .max(majority_settled_at_ms),
+                .max(connection.settled_at_ms()),
+        };
+        if !standing.knows_majority() {
+            majority_settled_at_ms.set(now_ms + fleet_limit::SETTLE_DELAY_MS);
         }
+        standing.settled_at_ms = standing.settled_at_ms.max(majority_settled_at_ms.get());
+        standing
     }
 
     /// Updates what this instance may grant after a change of the view, and from time to time.
     ///
-    /// Buckets are dropped where another instance may grant from now on. While this instance knows
-    /// no majority, there may be another owner on the other side of a partition.
+    /// Buckets are dropped where another instance may grant from now on.
     pub(crate) fn update_limit_roles(&self, view: &View) {
-        let now_ms = self.shared.now_ms();
-        if !self.standing(view, 0).knows_majority() {
-            let settled_at_ms = now_ms + fleet_limit::SETTLE_DELAY_MS;
-            self.customer_limiter.majority_settled_at_ms.set(settled_at_ms);
-        }
+        let may_own = matches!(self.standing(view, 0).role(), Role::Owner { .. });
         let own = view.gatherers.len();
-        let is_owner = |customer: &str| {
-            let is_first = self.limit_ranking(view, customer).first() == Some(&own);
-            is_first && matches!(self.standing(view, 0).role(), Role::Owner { .. })
-        };
+        let is_owner =
+            |customer: &str| may_own && self.limit_ranking(view, customer).first() == Some(&own);
         self.customer_limiter.ledger.borrow_mut().retain_owned(is_owner);
     }
 
@@ -335,7 +336,7 @@
     }
 
     /// Returns unused tokens and removes idle buckets, from time to time.
-    pub(crate) async fn maintain_limits(self: Rc<Self>) {
+    pub async fn maintain_limits(self: Rc<Self>) {
         loop {
             tokio::time::sleep(UPKEEP_INTERVAL).await;
             self.maintain_limits_once();
