Ask an owner again that was silent for a moment

Cause: answers to requests for tokens never ended a series of failures, so that each later timeout counted as one of a long series and kept the owner unasked for two seconds. Meanwhile customers below their limit were refused once the deputy's reserve was exhausted. Change: an answer ends the series. While the owner seems unhealthy, the deputy is asked first, and the owner if the deputy does not grant. Result: a customer is refused only if neither of them answers.

--- a/crates/decide/src/replica_stats.rs
+++ b/crates/decide/src/replica_stats.rs
@@ -216,6 +216,14 @@
         self.penalty_at_ms = now_ms;
     }
 
+    /// Records a response that says nothing about the latency of requests.
+    ///
+    /// The next failure is then the first one again. The penalty of earlier ones keeps decaying,
+    /// because other kinds of requests may still fail.
+    pub fn record_response(&mut self) {
+        self.consecutive_failures = 0;
+    }
+
     /// Records that another replica answered at the address of this one.
     ///
     /// A replica id stands for one incarnation, so this replica has ended and never returns, even
--- a/crates/router/src/customer_limiter/asks.rs
+++ b/crates/router/src/customer_limiter/asks.rs
@@ -133,6 +133,8 @@
     }
 
     /// Asks the owner, and the deputy if the owner does not grant or refuse.
+    ///
+    /// The deputy is asked first while the owner seems unhealthy.
     async fn ask(
         &self,
         view: &View,
@@ -141,17 +143,21 @@
         request_id: &[u8],
     ) -> Result<Settled, Failures> {
         let mut failures = Failures::default();
-        for (rank, target) in self.limit_targets(view, &customer.name).into_iter().enumerate() {
+        let mut targets: Vec<(usize, AskTarget)> =
+            self.limit_targets(view, &customer.name).into_iter().enumerate().collect();
+        if let [(_, AskTarget::Peer(owner)), _] = &targets[..]
+            && self.is_unhealthy(owner)
+        {
+            count_ask("unhealthy");
+            targets.reverse();
+        }
+        for (rank, target) in targets {
             let answer = match &target {
                 AskTarget::Own { standing } => {
                     // Tokens in advance only save messages.
                     let request = TokenRequest { wants_advance: false, ..request };
                     Ok(self.answer_from_ledger(&customer.name, customer.limit, *standing, request))
                 }
-                AskTarget::Peer(peer) if rank == 0 && self.is_unhealthy(peer) => {
-                    count_ask("unhealthy");
-                    Err("unhealthy".to_owned())
-                }
                 AskTarget::Peer(peer) => {
                     self.send_limit_request(peer, &customer.name, request, request_id).await
                 }
@@ -194,6 +200,9 @@
             request_id: request_id.to_vec().into(),
         });
         let answer = self.peer_connections.request(peer.addr, peer_request, LIMIT_TIMEOUT).await;
+        if answer.is_ok() {
+            self.stats(&peer_key(&peer.name)).borrow_mut().record_response();
+        }
         let result = match answer {
             Ok(Body::LimitAnswer(answer)) => Ok(from_wire(answer)),
             // An older version does not know the message; the instance itself is healthy.
--- a/crates/router/tests/customer_limits.rs
+++ b/crates/router/tests/customer_limits.rs
@@ -242,6 +242,25 @@
     });
 }
 
+/// Guards against refusing a customer below its limit because its owner was silent for a moment:
+/// answers did not end that state, and the owner was not asked where the deputy had no reserve.
+#[test]
+fn an_owner_that_answers_again_is_asked_again() {
+    in_real_time(async {
+        let ([owner, deputy], peers) = start_owner_and_deputy().await;
+        owner.answer.set(None);
+        let fixture = entry_instance(service_route(), peers);
+        let serve = |id| assert_served(&fixture, id);
+        tokio::join!(serve("1"), serve("2"), serve("3"), serve("4"), serve("5"));
+        owner.answer.set(Some(granted(0)));
+        deputy.answer.set(Some(UNAVAILABLE));
+        assert_served(&fixture, "6").await;
+        let asks = deputy.asks();
+        assert_served(&fixture, "7").await;
+        assert_eq!(deputy.asks(), asks, "the owner is known to answer");
+    });
+}
+
 /// Guards against a second burst from an owner that had no majority between two of its views: the
 /// tokens of the time without majority were due at once, although another owner had granted them.
 #[test]
