Return an unused token to one instance only

Cause: if the owner's answer to a return was late, the deputy got the same tokens as well and granted them above its share of the tolerance. Change: tokens are returned to the first instance in rank only; without an answer they are lost, as documented. Result: the test of the upkeep sees one return instead of two.

--- a/crates/router/src/customer_limiter/asks.rs
+++ b/crates/router/src/customer_limiter/asks.rs
@@ -145,7 +145,10 @@
         let mut failures = Failures::default();
         let mut targets: Vec<(usize, AskTarget)> =
             self.limit_targets(view, &customer.name).into_iter().enumerate().collect();
-        if let [(_, AskTarget::Peer(owner)), _] = &targets[..]
+        if request.returned > 0 {
+            // An owner whose answer is late may have credited them already.
+            targets.truncate(1);
+        } else if let [(_, AskTarget::Peer(owner)), _] = &targets[..]
             && self.is_unhealthy(owner)
         {
             count_ask("unhealthy");
--- a/crates/router/tests/customer_limits.rs
+++ b/crates/router/tests/customer_limits.rs
@@ -261,6 +261,26 @@
     });
 }
 
+/// Guards against a customer that loses the tokens that expire here, and against crediting them
+/// twice: an owner whose answer is late has credited them, and the deputy was asked as well.
+#[test]
+fn an_expired_token_is_returned_once() {
+    in_real_time(async {
+        let ([owner, deputy], peers) = start_owner_and_deputy().await;
+        owner.answer.set(Some(granted(1)));
+        let fixture = entry_instance(service_route(), peers);
+        tokio::task::spawn_local(Rc::clone(&fixture.router).maintain_limits());
+        assert_served(&fixture, "1").await;
+        owner.answer.set(None);
+        owner.received(|r| r.returned == 1 && r.needed == 0).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let returned = |instance: &MockInstance| {
+            instance.limit_requests.borrow().iter().map(|r| r.returned).sum::<u32>()
+        };
+        assert_eq!((returned(&owner), returned(&deputy)), (1, 0));
+    });
+}
+
 /// Guards against a second burst from an owner that had no majority between two of its views: the
 /// tokens of the time without majority were due at once, although another owner had granted them.
 #[test]
