Read the connection to other instances consistently

Cause: several threads write the time of the last message and the time since which messages arrive. A reader could see the message that ends a pause without the pause, and a delayed writer could put the earlier time back; an instance that returns would then have granted at once. Change: neither time goes back, and the last message is written after and read before the start of the connection. The race is too short for a test. Result: an instance that sees the message sees the pause as well.

--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -223,19 +223,22 @@
         let now_ms = self.now_ms();
         let mut connection = self.connection();
         connection.record_message(now_ms);
-        self.connected_since_ms.store(connection.since_ms(), Ordering::Relaxed);
-        self.last_contact_ms.store(now_ms, Ordering::Relaxed);
+        // Neither time goes back if a thread is delayed here. Release: a reader that sees the
+        // message also sees whether it ended a pause.
+        self.connected_since_ms.fetch_max(connection.since_ms(), Ordering::Relaxed);
+        self.last_contact_ms.fetch_max(now_ms, Ordering::Release);
     }
 
     /// Returns since when and until when messages from other instances have arrived.
     pub(crate) fn connection(&self) -> Connection {
-        let since_ms = self.connected_since_ms.load(Ordering::Relaxed);
-        Connection::new(since_ms, self.last_contact_ms())
+        // Read in this order: otherwise the message that ends a pause may be seen without it.
+        let last_contact_ms = self.last_contact_ms();
+        Connection::new(self.connected_since_ms.load(Ordering::Relaxed), last_contact_ms)
     }
 
     /// Returns the time of the last message from another instance, in milliseconds, if any.
     pub(crate) fn last_contact_ms(&self) -> Option<u64> {
-        Some(self.last_contact_ms.load(Ordering::Relaxed)).filter(|&contact_ms| contact_ms > 0)
+        Some(self.last_contact_ms.load(Ordering::Acquire)).filter(|&contact_ms| contact_ms > 0)
     }
 
     /// Records an answer of the store on the configuration, which the published view includes.
