Ask for one token in advance at a time

Cause: concurrent requests of a customer each got a token in advance, of which an instance holds one. The others were unusable until they had returned, and took the places of other instances. Change: a request asks for a token in advance only if no other one does. Result: three concurrent requests ask for one instead of three.

--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -136,13 +136,14 @@
         let now_ms = self.shared.now_ms();
         let limiter = &self.customer_limiter;
         let is_active = limiter.held.borrow_mut().record_request(&customer.name, now_ms);
+        let renewal = if is_active { self.start_renewal(&customer.name) } else { None };
         if self.try_take_held(&customer.name) {
-            if is_active {
-                self.renew_held(view, &customer);
+            if let Some(renewal) = renewal {
+                renewal.run(view, &customer);
             }
             return TokenOutcome::Taken(self.token(&customer.name, TokenSource::Advance));
         }
-        self.ask_for_token(view, request, &customer, is_active).await
+        self.ask_for_token(view, request, &customer, renewal.is_some()).await
     }
 
     /// Takes a token for a request that was already sent to a delegate, even if none is left.
@@ -174,18 +175,10 @@
         Token::new(Rc::clone(self), Arc::clone(customer), source)
     }
 
-    /// Replaces a used token by a new one in the background.
-    fn renew_held(self: &Rc<Self>, view: &Arc<View>, customer: &LimitedCustomer) {
-        let is_new = self.customer_limiter.renewing.borrow_mut().insert(Arc::clone(&customer.name));
-        if !is_new {
-            return;
-        }
-        let renewal = Renewal { router: Rc::clone(self), customer: Arc::clone(&customer.name) };
-        let (view, customer) = (Arc::clone(view), customer.clone());
-        actix_rt::spawn(async move {
-            let request = TokenRequest { wants_advance: true, ..TokenRequest::default() };
-            renewal.router.ask_in_background(&view, &customer, request).await;
-        });
+    /// Starts the renewal of a customer's held token; returns `None` if there is one already.
+    fn start_renewal(self: &Rc<Self>, customer: &Arc<str>) -> Option<Renewal> {
+        let is_new = self.customer_limiter.renewing.borrow_mut().insert(Arc::clone(customer));
+        is_new.then(|| Renewal { router: Rc::clone(self), customer: Arc::clone(customer) })
     }
 
     /// Keeps tokens that were granted beyond the needed ones.
@@ -375,6 +368,17 @@
     customer: Arc<str>,
 }
 
+impl Renewal {
+    /// Replaces a used token by a new one in the background.
+    fn run(self, view: &Arc<View>, customer: &LimitedCustomer) {
+        let (view, customer) = (Arc::clone(view), customer.clone());
+        actix_rt::spawn(async move {
+            let request = TokenRequest { wants_advance: true, ..TokenRequest::default() };
+            self.router.ask_in_background(&view, &customer, request).await;
+        });
+    }
+}
+
 impl Drop for Renewal {
     fn drop(&mut self) {
         self.router.customer_limiter.renewing.borrow_mut().remove(&self.customer);
--- a/crates/router/tests/customer_limits.rs
+++ b/crates/router/tests/customer_limits.rs
@@ -341,6 +341,21 @@
     });
 }
 
+/// Guards against tokens that several concurrent requests get in advance, although one is held: the
+/// others are unusable until they have returned.
+#[test]
+fn concurrent_requests_ask_for_one_token_in_advance() {
+    in_real_time(async {
+        let ([owner, _], peers) = start_owner_and_deputy().await;
+        let fixture = entry_instance(service_route(), peers);
+        assert_served(&fixture, "1").await;
+        let serve = |id| assert_served(&fixture, id);
+        tokio::join!(serve("2"), serve("3"), serve("4"));
+        let requests = owner.limit_requests.borrow();
+        assert_eq!(requests.iter().filter(|r| r.wants_advance).count(), 1, "{requests:?}");
+    });
+}
+
 /// Guards against counting requests that did not run.
 #[test]
 fn a_request_that_did_not_run_returns_its_token() {
