Take a token before replacing a delegate that was not reached

Cause: a request whose delegate was down got a forced token, which is granted beyond the limit, although the delegate had not received the request. Change: the entry instance takes a regular token before it sends the shards elsewhere. Forced tokens remain for delegates that were sent the request; the test of those used a delegate that refuses connections, and now uses one that is lost after it has received the request.

--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -27,6 +27,7 @@
 use crate::router::Router;
 use crate::view::{Peer, View};
 use relay::{Probe, RelayResult};
+use relay_results::UnreachedDelegate;
 use send_permission::Trials;
 use shard::{Shard, ShardState};
 use token_state::TokenState;
@@ -134,6 +135,8 @@
     probes: Vec<Probe>,
     /// Token of the customer's rate limit.
     token: TokenState,
+    /// Delegate whose shards are sent once a token has been taken.
+    unreached_delegate: Option<UnreachedDelegate>,
     /// True once late shards have been retried.
     has_retried_late: bool,
     /// Isolated trials of a request during which replicas have crashed.
@@ -174,6 +177,7 @@
             event_sender,
             probes: Vec::new(),
             token: TokenState::default(),
+            unreached_delegate: None,
             has_retried_late: false,
             trials: Trials::default(),
             gathered: Gathered::default(),
@@ -210,6 +214,9 @@
             self.send_due_hedges(now_ms);
             self.send_due_probes(now_ms);
             self.handle_events(now_ms, wait_until_ms).await;
+            if !self.replace_unreached_delegate().await {
+                break true;
+            }
         };
         // A request that is in flight may still run, so it must not be reported as not run.
         self.gathered.may_have_run |= self.write_flags.iter().any(DispatchFlag::is_set);
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasspier_peer::PeerError;
@@ -9,6 +10,7 @@
 
 use super::relay::{Probe, RelayOptions, RelayResult};
 use super::shard::ShardState;
+use super::token_state::TokenState;
 use super::{Event, Gather, MergedParts};
 use crate::view::Peer;
 
@@ -17,6 +19,13 @@
 /// A round trip within a region takes up to 6 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Delegate that was not sent the request, and the shards that it would have gathered.
+pub(super) struct UnreachedDelegate {
+    peer: Arc<str>,
+    zone: Arc<str>,
+    shards: Vec<usize>,
+}
+
 impl Gather<'_> {
     pub(super) fn send_due_probes(&mut self, now_ms: u64) {
         let is_due = |c: &mut Probe| c.at_ms <= now_ms;
@@ -104,6 +113,10 @@
                 log::info!("event=relay_failed id={id} peer={peer} cause=\"{error}\"");
                 let was_sent = !matches!(error, PeerError::NotReached(_));
                 self.gathered.may_have_run |= was_sent;
+                if has_all_shards && !was_sent && self.request.customer.is_some() {
+                    self.unreached_delegate = Some(UnreachedDelegate { peer, zone, shards });
+                    return;
+                }
                 for index in self.relay_to_another(&peer, &zone, &shards, was_sent) {
                     self.retry_relayed(index, was_sent);
                 }
@@ -111,6 +124,25 @@
         }
     }
 
+    /// Sends the shards of a delegate that was not reached; returns false if the request must not
+    /// run.
+    ///
+    /// Nothing was sent to the delegate, so it has taken no token.
+    pub(super) async fn replace_unreached_delegate(&mut self) -> bool {
+        let Some(unreached) = self.unreached_delegate.take() else { return true };
+        if self.token.is_at_delegate() {
+            self.token = TokenState::None;
+            if !self.take_token().await {
+                return false;
+            }
+        }
+        let UnreachedDelegate { peer, zone, shards } = unreached;
+        for index in self.relay_to_another(&peer, &zone, &shards, false) {
+            self.retry_relayed(index, false);
+        }
+        true
+    }
+
     fn on_merged_answer(&mut self, shards: &[usize], has_all_shards: bool, answer: wire::Gathered) {
         let wire::Gathered {
             records,
--- a/crates/router/src/gather/token_state.rs
+++ b/crates/router/src/gather/token_state.rs
@@ -24,11 +24,16 @@
 impl TokenState {
     /// Records that the instance which gathers the shards was lost.
     pub(super) fn on_delegate_lost(&mut self) {
-        if matches!(self, Self::AtDelegate) {
+        if self.is_at_delegate() {
             *self = Self::DelegateLost;
         }
     }
 
+    /// Returns true if the delegate takes the token and is not known to be lost.
+    pub(super) fn is_at_delegate(&self) -> bool {
+        matches!(self, Self::AtDelegate)
+    }
+
     /// Gives the token back if nothing of the request has run.
     pub(super) fn settle(&mut self, may_have_run: bool) {
         if let Self::Taken(token) = self
--- a/crates/router/tests/customer_limits.rs
+++ b/crates/router/tests/customer_limits.rs
@@ -467,7 +467,11 @@
         counting.answer.set(Some(UNAVAILABLE));
         let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = gone.local_addr().unwrap();
-        drop(gone);
+        // It is lost after it has received the request.
+        tokio::task::spawn_local(async move {
+            let (stream, _) = gone.accept().await.unwrap();
+            stream.readable().await.unwrap();
+        });
         let lost = Peer { name: "lost".into(), addr, zone: "z1".into(), ..peer.clone() };
         let fixture = entry_instance(shards_route(), vec![lost, peer]);
         assert_served(&fixture, "1").await;
@@ -478,6 +482,27 @@
     });
 }
 
+/// Guards against running requests beyond the limit while a delegate is down: it was never sent the
+/// request, but the token was forced.
+#[test]
+fn a_request_whose_delegate_is_not_reached_takes_a_token_first() {
+    in_real_time(async {
+        let (counting, peer) = start_mock("a", "z2").await;
+        counting.answer.set(Some(limited(700)));
+        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = gone.local_addr().unwrap();
+        drop(gone);
+        let down = Peer { name: "down".into(), addr, zone: "z1".into(), ..peer.clone() };
+        let fixture = entry_instance(shards_route(), vec![down, peer]);
+        assert_eq!(refusal(&fixture, "1").await, not_run(RefusalReason::CustomerLimit, 700));
+        assert!(fixture.replicas.arrivals.borrow().is_empty());
+        assert_eq!(counting.asks(), 1);
+        counting.answer.set(Some(granted(0)));
+        assert_served(&fixture, "2").await;
+        assert!(counting.limit_requests.borrow().iter().all(|r| !r.is_forced));
+    });
+}
+
 /// Guards against granting without being the owner or its deputy, and against limits that are not
 /// configured here.
 #[test]
