--- a/crates/decide/tests/customer_limits.rs
+++ b/crates/decide/tests/customer_limits.rs
@@ -22,6 +22,25 @@
     "c".into()
 }
 
+/// Asks the owner.
+fn ask(
+    ledger: &mut LimitLedger,
+    limit: RateLimit,
+    request: TokenRequest,
+    now_ms: u64,
+) -> TokenAnswer {
+    ledger.answer(&customer(), (limit, &TOLERANCE), OWNER, request, now_ms)
+}
+
+fn granted_in(
+    ledger: &mut LimitLedger,
+    limit: RateLimit,
+    times_ms: impl Iterator<Item = u64>,
+) -> usize {
+    let is_granted = |answer| matches!(answer, TokenAnswer::Granted { .. });
+    times_ms.filter(|&now_ms| is_granted(ask(ledger, limit, ONE, now_ms))).count()
+}
+
 /// Asks for one token at a time until none is left; returns the number granted.
 fn drain(ledger: &mut LimitLedger, limit: RateLimit, role: Role, now_ms: u64) -> u64 {
     let is_granted = |answer| matches!(answer, TokenAnswer::Granted { .. });
@@ -113,7 +132,7 @@
         let (mut ledger, start_ms) = (LimitLedger::default(), u.int_in_range(0..=1_000_000)?);
         for k in 0..5_000 {
             let now_ms = start_ms + k * 1_000_000 / rate_milli;
-            let answer = ledger.answer(&customer(), (limit, &TOLERANCE), OWNER, ONE, now_ms);
+            let answer = ask(&mut ledger, limit, ONE, now_ms);
             assert_eq!(answer, TokenAnswer::Granted { advance: 0 }, "{limit:?}, request {k}");
         }
         Ok(())
@@ -135,10 +154,10 @@
         let mut ledger = LimitLedger::default();
         let many = TokenRequest { needed: u32::MAX, is_forced: true, ..ONE };
         for _ in 0..3 {
-            ledger.answer(&customer(), (limit, &TOLERANCE), OWNER, many, 0);
+            ask(&mut ledger, limit, many, 0);
         }
         for _ in 0..3_000 {
-            let answer = ledger.answer(&customer(), (limit, &TOLERANCE), OWNER, ONE, 0);
+            let answer = ask(&mut ledger, limit, ONE, 0);
             let TokenAnswer::Limited { retry_after_ms } = answer else { break };
             assert!(retry_after_ms > previous_ms || retry_after_ms == 2_000);
             assert!(retry_after_ms <= 2_000);
@@ -232,13 +251,49 @@
 fn forced_tokens_are_counted_afterwards() {
     let mut ledger = LimitLedger::default();
     let forced = TokenRequest { needed: 5, is_forced: true, ..ONE };
-    let answer = ledger.answer(&customer(), (limit(1_000, 1), &TOLERANCE), OWNER, forced, 0);
+    let answer = ask(&mut ledger, limit(1_000, 1), forced, 0);
     assert_eq!(answer, TokenAnswer::Granted { advance: 0 });
     // An eighth of 20.6 less five tokens needs 2.425 s to return to 0.
     assert_eq!(drain(&mut ledger, limit(1_000, 1), OWNER, 3_424), 0);
     assert_eq!(drain(&mut ledger, limit(1_000, 1), OWNER, 3_425), 1);
 }
 
+/// Guards against a refill that shrinks with the number of refused requests: fractions of a
+/// thousandth were dropped at each of them.
+#[test]
+fn refused_requests_do_not_slow_the_refill() {
+    let limit = limit(1_900, 0);
+    let mut ledger = LimitLedger::default();
+    let granted = granted_in(&mut ledger, limit, 0..100_000);
+    assert!((190..=193).contains(&granted), "{granted}");
+}
+
+/// Guards against refusing the burst of a customer that was idle: its bucket was dropped, and a new
+/// one starts without the burst.
+#[test]
+fn an_idle_customer_keeps_its_burst() {
+    let limit = limit(1_000, 50);
+    let mut ledger = LimitLedger::default();
+    granted_in(&mut ledger, limit, 0..60_000);
+    ledger.remove_idle(&TOLERANCE, |_| true, 200_000);
+    assert!(granted_in(&mut ledger, limit, (0..100).map(|_| 200_000)) >= 50);
+    ledger.remove_idle(&TOLERANCE, |_| false, 300_000);
+    assert!(ledger.is_empty());
+}
+
+/// Guards against later retry times for callers because tokens were returned to an empty bucket.
+#[test]
+fn returned_tokens_do_not_postpone_the_next_retry() {
+    let limit = limit(10_000, 0);
+    let mut ledger = LimitLedger::default();
+    let forced = TokenRequest { needed: 10, is_forced: true, ..ONE };
+    ask(&mut ledger, limit, forced, 0);
+    let mut without_return = ledger.clone();
+    let renewal = TokenRequest { needed: 0, wants_advance: true, ..ONE };
+    assert_eq!(ask(&mut ledger, limit, renewal, 0), TokenAnswer::Granted { advance: 0 });
+    assert_eq!(ask(&mut ledger, limit, ONE, 0), ask(&mut without_return, limit, ONE, 0));
+}
+
 /// Guards against a surge that uses tokens held at many instances beyond the limit of a window: each
 /// of 72 instances held one, while the tolerance was 40.
 #[test]
@@ -246,21 +301,15 @@
     let (limit, mut ledger) = (limit(40_000, 1), LimitLedger::default());
     let mut instances = vec![HeldTokens::default(); 72];
     let mut used_at_surge = 0;
-    let mut ask = |needed, wants_advance, now_ms| {
-        let request = TokenRequest { needed, wants_advance, ..ONE };
-        match ledger.answer(&customer(), (limit, &TOLERANCE), OWNER, request, now_ms) {
-            TokenAnswer::Granted { advance } => Some(advance),
-            _ => None,
-        }
-    };
     let mut serve = |held: &mut HeldTokens, now_ms| {
         let is_active = held.record_request(&customer(), now_ms);
         let is_held = held.try_take("c", now_ms);
-        let granted = ask(u32::from(!is_held), is_active, now_ms);
-        if granted == Some(1) {
+        let request = TokenRequest { needed: u32::from(!is_held), wants_advance: is_active, ..ONE };
+        let answer = ask(&mut ledger, limit, request, now_ms);
+        if answer == (TokenAnswer::Granted { advance: 1 }) {
             held.add(&customer(), now_ms);
         }
-        u64::from(is_held || granted.is_some())
+        u64::from(is_held || matches!(answer, TokenAnswer::Granted { .. }))
     };
     for request in 0..4_000 {
         serve(&mut instances[request % 72], 26 * request as u64);
