--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -136,13 +136,14 @@
         let now_ms = self.shared.now_ms();
         let limiter = &self.customer_limiter;
         let is_active = limiter.held.borrow_mut().record_request(&customer.name, now_ms);
+        let renewal = if is_active { self.start_renewal(&customer.name) } else { None };
         if self.try_take_held(&customer.name) {
-            if is_active {
-                self.renew_held(view, &customer);
+            if let Some(renewal) = renewal {
+                renewal.run(view, &customer);
             }
             return TokenOutcome::Taken(self.token(&customer.name, TokenSource::Advance));
         }
-        self.ask_for_token(view, request, &customer, is_active).await
+        self.ask_for_token(view, request, &customer, renewal.is_some()).await
     }
 
     /// Takes a token for a request that was already sent to a delegate, even if none is left.
@@ -174,18 +175,10 @@
         Token::new(Rc::clone(self), Arc::clone(customer), source)
     }
 
-    /// Replaces a used token by a new one in the background.
-    fn renew_held(self: &Rc<Self>, view: &Arc<View>, customer: &LimitedCustomer) {
-        let is_new = self.customer_limiter.renewing.borrow_mut().insert(Arc::clone(&customer.name));
-        if !is_new {
-            return;
-        }
-        let renewal = Renewal { router: Rc::clone(self), customer: Arc::clone(&customer.name) };
-        let (view, customer) = (Arc::clone(view), customer.clone());
-        actix_rt::spawn(async move {
-            let request = TokenRequest { wants_advance: true, ..TokenRequest::default() };
-            renewal.router.ask_in_background(&view, &customer, request).await;
-        });
+    /// Starts the renewal of a customer's held token; returns `None` if there is one already.
+    fn start_renewal(self: &Rc<Self>, customer: &Arc<str>) -> Option<Renewal> {
+        let is_new = self.customer_limiter.renewing.borrow_mut().insert(Arc::clone(customer));
+        is_new.then(|| Renewal { router: Rc::clone(self), customer: Arc::clone(customer) })
     }
 
     /// Keeps tokens that were granted beyond the needed ones.
@@ -278,37 +271,38 @@
         fleet_limit::ranking(customer, &candidates)
     }
 
+    /// Returns what this instance knows about its own position in a ranking.
+    ///
+    /// While it knows no majority, there may be another owner on the other side of a partition.
     fn standing(&self, view: &View, rank: usize) -> Standing {
+        let now_ms = self.shared.now_ms();
         let connection = self.shared.connection();
-        let majority_settled_at_ms = self.customer_limiter.majority_settled_at_ms.get();
-        Standing {
+        let majority_settled_at_ms = &self.customer_limiter.majority_settled_at_ms;
+        let mut standing = Standing {
             rank,
-            is_connected: connection.is_settled(view.fleet_size, self.shared.now_ms()),
+            is_connected: connection.is_settled(view.fleet_size, now_ms),
             known_instances: known_instances(view),
             fleet_size: view.fleet_size,
             settled_at_ms: view
                 .gatherer_stability
                 .settled_at_ms(None)
-                .max(connection.settled_at_ms())
-                .max(majority_settled_at_ms),
+                .max(connection.settled_at_ms()),
+        };
+        if !standing.knows_majority() {
+            majority_settled_at_ms.set(now_ms + fleet_limit::SETTLE_DELAY_MS);
         }
+        standing.settled_at_ms = standing.settled_at_ms.max(majority_settled_at_ms.get());
+        standing
     }
 
     /// Updates what this instance may grant after a change of the view, and from time to time.
     ///
-    /// Buckets are dropped where another instance may grant from now on. While this instance knows
-    /// no majority, there may be another owner on the other side of a partition.
+    /// Buckets are dropped where another instance may grant from now on.
     pub(crate) fn update_limit_roles(&self, view: &View) {
-        let now_ms = self.shared.now_ms();
-        if !self.standing(view, 0).knows_majority() {
-            let settled_at_ms = now_ms + fleet_limit::SETTLE_DELAY_MS;
-            self.customer_limiter.majority_settled_at_ms.set(settled_at_ms);
-        }
+        let may_own = matches!(self.standing(view, 0).role(), Role::Owner { .. });
         let own = view.gatherers.len();
-        let is_owner = |customer: &str| {
-            let is_first = self.limit_ranking(view, customer).first() == Some(&own);
-            is_first && matches!(self.standing(view, 0).role(), Role::Owner { .. })
-        };
+        let is_owner =
+            |customer: &str| may_own && self.limit_ranking(view, customer).first() == Some(&own);
         self.customer_limiter.ledger.borrow_mut().retain_owned(is_owner);
     }
 
@@ -335,7 +329,7 @@
     }
 
     /// Returns unused tokens and removes idle buckets, from time to time.
-    pub(crate) async fn maintain_limits(self: Rc<Self>) {
+    pub async fn maintain_limits(self: Rc<Self>) {
         loop {
             tokio::time::sleep(UPKEEP_INTERVAL).await;
             self.maintain_limits_once();
@@ -374,6 +368,17 @@
     customer: Arc<str>,
 }
 
+impl Renewal {
+    /// Replaces a used token by a new one in the background.
+    fn run(self, view: &Arc<View>, customer: &LimitedCustomer) {
+        let (view, customer) = (Arc::clone(view), customer.clone());
+        actix_rt::spawn(async move {
+            let request = TokenRequest { wants_advance: true, ..TokenRequest::default() };
+            self.router.ask_in_background(&view, &customer, request).await;
+        });
+    }
+}
+
 impl Drop for Renewal {
     fn drop(&mut self) {
         self.router.customer_limiter.renewing.borrow_mut().remove(&self.customer);
