Remove callers' identity headers where a request is gathered

While customers are being introduced, an entry instance may still have the configuration without them and forwards all headers. An instance that gathers for it with the newer configuration sent the key and a customer name claimed by the caller on to replicas. It now removes both. The names of these headers come from the backend, since requests of other instances carry none.

--- a/crates/router/src/authentication.rs
+++ b/crates/router/src/authentication.rs
@@ -72,13 +72,8 @@
         route: &Arc<Route>,
         request: &mut Request,
     ) -> Result<Arc<Route>, Refusal> {
-        let configuration = view.configuration.as_ref();
-        let Some(customers) = configuration.and_then(|c| c.customers.as_ref()) else {
-            return Ok(Arc::clone(route));
-        };
-        for name in request.identity_headers {
-            request.headers.remove(name);
-        }
+        let Some(customers) = view.customers() else { return Ok(Arc::clone(route)) };
+        self.remove_identity_headers(request);
         let timeout = self.authentication.revocation_timeout.get();
         let to_ms = |t: Duration| u64::try_from(t.as_millis()).unwrap_or(u64::MAX);
         let now_ms = self.shared.now_ms();
@@ -97,7 +92,7 @@
                     "event=key_refused id={} route={} cause={cause} version={} unconfirmed_ms={}",
                     request.id_text(),
                     route.name,
-                    configuration.map_or(0, |c| c.version),
+                    view.configuration_version(),
                     sources.unconfirmed_ms(now_ms)
                 );
             }
@@ -111,6 +106,13 @@
         Ok(Arc::new(Route { priority, ..Route::clone(route) }))
     }
 
+    /// Removes the headers that state an identity.
+    pub(crate) fn remove_identity_headers(&self, request: &mut Request) {
+        for name in self.backend.identity_headers() {
+            request.headers.remove(name);
+        }
+    }
+
     /// Counts an outcome for the request's customer, if it has one.
     pub(crate) fn count_customer_outcome(&self, request: &Request, outcome: &'static str) {
         let Some(customer) = &request.customer else { return };
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eelgrasspier_backend::{DispatchFlag, PartFailure};
 use eelgrasspier_decide::directory::ReplicaEntry;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::model::Request;
 
@@ -52,6 +52,9 @@
 
 /// Sends requests to replicas.
 pub trait Backend {
+    /// Returns the names of the headers that state a caller's identity, such as the credential.
+    fn identity_headers(&self) -> &'static [HeaderName];
+
     /// Sends a request and reads the complete answer.
     fn send(&self, attempt: Attempt) -> BackendFuture<Reply>;
 
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::prelude::Refusal;
-use http::header::{HeaderName, HeaderValue};
+use http::header::HeaderValue;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -24,13 +24,12 @@
     pub host: String,
     /// Path and query as received.
     pub path: PathAndQuery,
-    /// Headers to forward; without `identity_headers` if the configuration has customers.
-    pub headers: HeaderMap,
-    /// Names of the headers that state the caller's identity, such as the credential.
+    /// Headers to forward.
     ///
-    /// The router removes them when it checks the credential: whoever parses the request may see
-    /// another configuration than the one that the request is served by.
-    pub identity_headers: &'static [HeaderName],
+    /// If the configuration has customers, the router removes the identity headers of the backend
+    /// servers: whoever parses the request may see another configuration than the one that the
+    /// request is served by.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
     /// Time at which the request head was read.
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -103,7 +103,7 @@
         .record(took.as_secs_f64());
     let id = request.id_text();
     let took_ms = took.as_millis();
-    let version = view.configuration.as_ref().map_or(0, |c| c.version);
+    let version = view.configuration_version();
     let identity = identity_fields(request, route, view);
     let route = route.map_or("-", |r| &r.name);
     log::info!(
@@ -114,10 +114,7 @@
 
 /// Returns the log fields for the customer; empty if the configuration has no customers.
 fn identity_fields(request: &Request, route: Option<&Route>, view: &View) -> String {
-    let configuration = view.configuration.as_ref();
-    let Some(route) = route.filter(|_| configuration.is_some_and(|c| c.customers.is_some())) else {
-        return String::new();
-    };
+    let Some(route) = route.filter(|_| view.customers().is_some()) else { return String::new() };
     let customer = request.customer.as_deref().unwrap_or("-");
     format!("customer={customer} priority={} ", route.priority)
 }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -162,11 +162,15 @@
             has_all_shards,
         };
         self.merge_reports(peer_request.report.as_slice(), "question");
-        let Some(request) = to_request(peer_request) else {
+        let Some(mut request) = to_request(peer_request) else {
             log::warn!("event=relay_unreadable");
             return wire::Gathered::default();
         };
         let view = self.shared.view.load_full();
+        // The entry instance forwards them if its configuration is older and has no customers.
+        if view.customers().is_some() {
+            self.remove_identity_headers(&mut request);
+        }
         let state = self.route_state(&route.name);
         let request = Rc::new(request);
         let mut gather =
@@ -226,7 +230,6 @@
         host: peer_request.host,
         path: peer_request.path.parse().ok()?,
         headers,
-        identity_headers: &[],
         body: peer_request.body,
         arrived: Instant::now(),
         deadline_ms: Some(peer_request.time_left_ms),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
+use eelgrasspier_decide::customers::Customers;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fleet_limit::{Connection, CoordinatorStability};
 use eelgrasspier_decide::freshness::ConfigurationSources;
@@ -167,6 +168,18 @@
         listed.is_some_and(|all| all.iter().any(|r| r.id == replica.id))
     }
 
+    /// Returns the customers; `None` if requests need no API key.
+    #[must_use]
+    pub fn customers(&self) -> Option<&Arc<Customers>> {
+        self.configuration.as_ref()?.customers.as_ref()
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first one.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |c| c.version)
+    }
+
     /// True if callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -115,6 +115,10 @@
 pub struct ScriptedBackend(pub Rc<ScriptedReplicas>);
 
 impl Backend for ScriptedBackend {
+    fn identity_headers(&self) -> &'static [HeaderName] {
+        &IDENTITY_HEADERS
+    }
+
     fn send(&self, attempt: Attempt) -> BackendFuture<Reply> {
         let replicas = &self.0;
         let started = *replicas.started.borrow_mut().get_or_insert_with(Instant::now);
@@ -271,7 +275,7 @@
 }
 
 /// Headers that state the caller's identity.
-pub static IDENTITY_HEADERS: [HeaderName; 2] = [AUTHORIZATION, HeaderName::from_static("x-name")];
+static IDENTITY_HEADERS: [HeaderName; 2] = [AUTHORIZATION, HeaderName::from_static("x-name")];
 
 /// Part of the path of requests that crash each replica that runs them, after 1 ms.
 pub const CRASH_PATH: &str = "ends";
@@ -288,7 +292,6 @@
         host: "h".to_owned(),
         path: format!("/q/{path}").parse().unwrap(),
         headers: HeaderMap::new(),
-        identity_headers: &IDENTITY_HEADERS,
         body: Bytes::new(),
         arrived: Instant::now(),
         deadline_ms: Some(deadline_ms),
--- a/crates/router/tests/customers.rs
+++ b/crates/router/tests/customers.rs
@@ -242,27 +242,55 @@
     });
 }
 
+/// Returns a gather request for the shard `s0`; an empty `customer` means none.
+fn gather_request(customer: &str) -> wire::GatherRequest {
+    wire::GatherRequest {
+        request_id: "r1".into(),
+        method: "GET".to_owned(),
+        host: "h".to_owned(),
+        path: "/q/x".to_owned(),
+        route: "r".to_owned(),
+        services: vec!["s0".to_owned()],
+        attempts: 1,
+        top_k: 5,
+        time_left_ms: 400,
+        answer_within_ms: 70,
+        target_latency_ms: 80,
+        allowed_replicas: vec![eelgrasspier_decide::relays::replica_hash("s0/a")],
+        customer: customer.to_owned(),
+        ..wire::GatherRequest::default()
+    }
+}
+
+/// An entry instance with an older configuration, without customers, forwards all headers. The
+/// instance that gathers must not send the key or a forged name on to replicas.
+#[test]
+fn a_gathering_instance_removes_identities_that_an_older_configuration_let_through() {
+    in_virtual_time(async {
+        let fixture = fixture_with_customer(&["k1"], route(1));
+        let header = |name: &str, value: &'static str| wire::Header {
+            name: name.to_owned(),
+            value: value.into(),
+        };
+        let headers = [("authorization", "Bearer k1"), ("x-name", "forged"), ("x-kept", "yes")];
+        let headers = headers.map(|(name, value)| header(name, value)).to_vec();
+        let request = wire::GatherRequest { headers, ..gather_request("") };
+        fixture.router.gather_for_peer(request.clone()).await;
+        fixture.shared.publish(view(route(1), 1));
+        fixture.router.gather_for_peer(request).await;
+        let arrivals = fixture.replicas.arrivals.borrow();
+        let names = |i: usize| arrivals[i].headers.keys().map(HeaderName::as_str).collect();
+        let received: [Vec<&str>; 2] = [names(0), names(1)];
+        assert_eq!(received, [vec!["x-kept"], vec!["authorization", "x-name", "x-kept"]]);
+    });
+}
+
 /// The instance that gathers must pass the customer that the entry instance found on to replicas.
 #[test]
 fn a_gathering_instance_names_the_customer_to_replicas() {
     in_virtual_time(async {
         let fixture = fixture_with_customer(&[], route(1));
-        let request = wire::GatherRequest {
-            request_id: "r1".into(),
-            method: "GET".to_owned(),
-            host: "h".to_owned(),
-            path: "/q/x".to_owned(),
-            route: "r".to_owned(),
-            services: vec!["s0".to_owned()],
-            attempts: 1,
-            top_k: 5,
-            time_left_ms: 400,
-            answer_within_ms: 70,
-            target_latency_ms: 80,
-            allowed_replicas: vec![eelgrasspier_decide::relays::replica_hash("s0/a")],
-            customer: "acme".to_owned(),
-            ..wire::GatherRequest::default()
-        };
+        let request = gather_request("acme");
         fixture.router.gather_for_peer(request).await;
         let arrivals = fixture.replicas.arrivals.borrow();
         assert_eq!(arrivals[0].customer.as_deref(), Some("acme"));
