Limit the retry time of refusals by API key or rate limit

A caller with a deadline of 400 ms was told to retry after 500 ms when its key could not be checked, and after longer at its rate limit, so that it gave up instead. The retry time is now at most a third of the time that the caller has left, and at least 1 ms.

--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -12,6 +12,10 @@
 ///
 /// The list of replicas is at most a second old.
 const NO_REPLICA_RETRY_MS: u64 = 300;
+/// Divisor of the caller's time left that gives the maximum retry delay.
+///
+/// A retry at a third of the time leaves room for a second one before the caller gives up.
+const RETRY_DELAY_DIVISOR: u64 = 3;
 
 /// Returns the outcome of a request to a single service.
 pub(crate) fn single_outcome(gathered: Gathered) -> Outcome {
@@ -51,6 +55,24 @@
     Refusal { reason, ..refusal }
 }
 
+/// Shortens the retry delay of a refusal by API key or rate limit to fit the time left.
+///
+/// Refusals for other causes are left as they are.
+pub(crate) fn limit_retry_delay(refusal: &mut Refusal, request: &Request, route: &Route) {
+    if !matches!(
+        refusal.reason,
+        RefusalReason::KeyUnconfirmed
+            | RefusalReason::CustomerLimit(_)
+            | RefusalReason::LimitUnavailable(_)
+    ) {
+        return;
+    }
+    let elapsed_ms = u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let left_ms = request.deadline_ms.unwrap_or(route.timeout_ms).saturating_sub(elapsed_ms);
+    let max_ms = (left_ms / RETRY_DELAY_DIVISOR).max(1);
+    refusal.retry_after_ms = refusal.retry_after_ms.map(|delay_ms| delay_ms.clamp(1, max_ms));
+}
+
 /// Returns the metric label for the cause of a refusal.
 fn cause_label(reason: &RefusalReason) -> &'static str {
     match reason {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -25,7 +25,7 @@
 use crate::customer_limiter::CustomerLimiter;
 use crate::gather::{Deadlines, Gather, Requester};
 use crate::model::{Outcome, Request};
-use crate::outcome::{merged_outcome, record_outcome, single_outcome};
+use crate::outcome::{limit_retry_delay, merged_outcome, record_outcome, single_outcome};
 use crate::quarantine_state::QuarantineState;
 use crate::route_state::{RouteState, Timing};
 use crate::traffic_metrics::{self, TrafficCause};
@@ -137,10 +137,13 @@
             Err(refusal) => (None, Err(refusal)),
         };
         let request = Rc::new(request);
-        let outcome = match result {
+        let mut outcome = match result {
             Ok(route) => self.serve_route(&view, &route, &request).await,
             Err(refusal) => Outcome::Refused(refusal),
         };
+        if let (Outcome::Refused(refusal), Some(route)) = (&mut outcome, &route) {
+            limit_retry_delay(refusal, &request, route);
+        }
         let name = record_outcome(&request, route.as_deref(), &view, &outcome);
         self.count_customer_outcome(&request, name);
         outcome
