Let only watchers confirm the configuration of other instances

A live instance that reported the store as reachable confirmed the configuration of all others. Only 12 instances notice the loss of the store at once; by the poll interval, the others report it as reachable for up to a minute in a fleet of 72. A fleet of 18 still answered 401 to an unknown key 6 s after the loss.

The timeout of strict_revoke counts from the same confirmation. That removed keys were accepted beyond it follows from the code and was not run.

--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -19,7 +19,7 @@
     pub store_answered_ms: Option<u64>,
     /// Time of the last message of another instance, in milliseconds.
     pub peer_heard_ms: Option<u64>,
-    /// True if some live instance reports that it reaches the store.
+    /// True if some live instance reports that it watches the store and is answered.
     pub has_peer_with_store: bool,
     /// Time at which another instance last confirmed the configuration, in milliseconds.
     ///
--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -88,6 +88,12 @@
     /// Store era of [`Self::evacuations_revision`].
     #[prost(uint64, tag = "18")]
     pub evacuations_era: u64,
+    /// True if it watches the store's configuration and the last watch was answered.
+    ///
+    /// Instances that don't watch notice only by their next poll that the store is lost, which in a
+    /// large fleet is a minute later.
+    #[prost(bool, tag = "19")]
+    pub is_watching_store: bool,
 }
 
 impl Member {
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -244,6 +244,7 @@
     fn record_confirmation(&self, request: StoreRequest, latest_ms: u64) {
         if request.kind == CollectionKind::Configuration && !request.may_be_stale {
             self.shared.record_store_confirmation(self.shared.now_ms().min(latest_ms));
+            self.set_watching_store(self.is_watcher());
         }
     }
 
@@ -264,7 +265,10 @@
     fn record_store_failure(&self, error: &CollectionError) {
         if self.is_store_up.replace(false) {
             log::warn!("event=store_lost cause=\"{error}\"");
-            self.membership.borrow_mut().update_own(|m| m.is_store_reached = false);
+            self.membership.borrow_mut().update_own(|m| {
+                m.is_store_reached = false;
+                m.is_watching_store = false;
+            });
             self.send_own_record();
             self.roles_changed.notify_waiters();
         }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -116,6 +116,9 @@
             self.roles_changed.notify_waiters();
         }
         self.detect_peer_outage();
+        if self.membership.borrow().own().is_watching_store && !self.is_watcher() {
+            self.set_watching_store(false);
+        }
         self.update_confirmation();
         self.fetch_newer(CollectionKind::Configuration);
         self.fetch_newer(CollectionKind::Replicas);
@@ -155,14 +158,20 @@
         let is_behind = |m: &Member| {
             m.config_version > version || known_era.is_some_and(|era| m.configuration_era > era)
         };
-        // A starting instance reports that it reaches the store before its first call.
-        let reaches_store = |m: &Member| m.is_store_reached && m.state() != InstanceState::Starting;
         let is_outdated = known_era.is_none() || membership.live_peers().any(is_behind);
         let has_peer_with_store = self.peer_reports.borrow().are_recent(self.shared.now_ms())
-            && membership.live_peers().any(reaches_store);
+            && membership.live_peers().any(|m| m.is_watching_store);
         self.shared.record_peer_state(has_peer_with_store, is_outdated);
     }
 
+    /// Announces whether this instance watches the store's configuration and is answered.
+    pub(super) fn set_watching_store(&self, is_watching: bool) {
+        if self.membership.borrow().own().is_watching_store != is_watching {
+            self.membership.borrow_mut().update_own(|m| m.is_watching_store = is_watching);
+            self.send_own_record();
+        }
+    }
+
     /// Announces the positions and the configuration version of this instance.
     pub(super) fn announce_positions(&self) {
         // The other instances fetch from these. When each instance announced each change, that cost
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -261,7 +261,7 @@
 
     /// Records what the other instances say about the configuration in force.
     ///
-    /// `has_peer_with_store` is true if some live instance reports that it reaches the store,
+    /// `has_peer_with_store` is true if some live instance reports that it watches the store,
     /// `is_outdated` if the configuration in force is known not to be the latest.
     pub fn record_peer_state(&self, has_peer_with_store: bool, is_outdated: bool) {
         let confirmation = &self.confirmation;
