Answer 503 to unknown keys while the latest configuration is rejected

An invalid configuration leaves the one before in force, and the store's answer confirmed that one as current. A key that only the rejected version has got 401 although it exists.

--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -29,7 +29,8 @@
     pub peer_confirmed_ms: Option<u64>,
     /// True if the configuration in force is known not to be the latest.
     ///
-    /// Another instance has a newer one, or the store was restored and has not been read since.
+    /// Another instance has a newer one, the latest one was rejected as invalid, or the store was
+    /// restored and has not been read since.
     pub is_outdated: bool,
 }
 
--- a/crates/router/src/control/apply.rs
+++ b/crates/router/src/control/apply.rs
@@ -135,7 +135,9 @@
             log::warn!("event=configuration_deleted source={source}");
             return false;
         };
-        let configuration = match self.decoder.configuration(&content) {
+        let decoded = self.decoder.configuration(&content);
+        self.shared.record_rejection(decoded.is_err());
+        let configuration = match decoded {
             Ok(configuration) => configuration,
             Err(error) => {
                 log::error!("event=configuration_unreadable cause=\"{error}\"");
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -194,6 +194,8 @@
     peer_confirmed_ms: AtomicU64,
     has_peer_with_store: AtomicBool,
     is_outdated: AtomicBool,
+    /// True if the latest configuration is invalid, so that an earlier one stays in force.
+    is_latest_rejected: AtomicBool,
 }
 
 /// State shared by the threads of one process.
@@ -273,6 +275,11 @@
         confirmation.is_outdated.store(is_outdated, Ordering::Release);
     }
 
+    /// Records whether the latest configuration is invalid, so that an earlier one stays in force.
+    pub(crate) fn record_rejection(&self, is_latest_rejected: bool) {
+        self.confirmation.is_latest_rejected.store(is_latest_rejected, Ordering::Release);
+    }
+
     /// Returns the confirmations of the configuration.
     ///
     /// They must be read before the view. With the opposite order, a configuration confirmed in
@@ -286,7 +293,8 @@
             peer_heard_ms: self.last_contact_ms(),
             has_peer_with_store: confirmation.has_peer_with_store.load(Ordering::Acquire),
             peer_confirmed_ms: time(&confirmation.peer_confirmed_ms),
-            is_outdated: confirmation.is_outdated.load(Ordering::Acquire),
+            is_outdated: confirmation.is_outdated.load(Ordering::Acquire)
+                || confirmation.is_latest_rejected.load(Ordering::Acquire),
         }
     }
 
