--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -19,7 +19,7 @@
     pub store_answered_ms: Option<u64>,
     /// Time of the last message of another instance, in milliseconds.
     pub peer_heard_ms: Option<u64>,
-    /// True if some live instance reports that it reaches the store.
+    /// True if some live instance reports that it watches the store and is answered.
     pub has_peer_with_store: bool,
     /// Time at which another instance last confirmed the configuration, in milliseconds.
     ///
@@ -29,7 +29,8 @@
     pub peer_confirmed_ms: Option<u64>,
     /// True if the configuration in force is known not to be the latest.
     ///
-    /// Another instance has a newer one, or the store was restored and has not been read since.
+    /// Another instance has a newer one, the latest one was rejected as invalid, or the store was
+    /// restored and has not been read since.
     pub is_outdated: bool,
 }
 
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -12,6 +12,10 @@
 ///
 /// The list of replicas is at most a second old.
 const NO_REPLICA_RETRY_MS: u64 = 300;
+/// Divisor of the caller's time left that gives the maximum retry delay.
+///
+/// A retry at a third of the time leaves room for a second one before the caller gives up.
+const RETRY_DELAY_DIVISOR: u64 = 3;
 
 /// Returns the outcome of a request to a single service.
 pub(crate) fn single_outcome(gathered: Gathered) -> Outcome {
@@ -51,6 +55,24 @@
     Refusal { reason, ..refusal }
 }
 
+/// Shortens the retry delay of a refusal by API key or rate limit to fit the time left.
+///
+/// Refusals for other causes are left as they are.
+pub(crate) fn limit_retry_delay(refusal: &mut Refusal, request: &Request, route: &Route) {
+    if !matches!(
+        refusal.reason,
+        RefusalReason::KeyUnconfirmed
+            | RefusalReason::CustomerLimit(_)
+            | RefusalReason::LimitUnavailable(_)
+    ) {
+        return;
+    }
+    let elapsed_ms = u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let left_ms = request.deadline_ms.unwrap_or(route.timeout_ms).saturating_sub(elapsed_ms);
+    let max_ms = (left_ms / RETRY_DELAY_DIVISOR).max(1);
+    refusal.retry_after_ms = refusal.retry_after_ms.map(|delay_ms| delay_ms.clamp(1, max_ms));
+}
+
 /// Returns the metric label for the cause of a refusal.
 fn cause_label(reason: &RefusalReason) -> &'static str {
     match reason {
@@ -103,7 +125,7 @@
         .record(took.as_secs_f64());
     let id = request.id_text();
     let took_ms = took.as_millis();
-    let version = view.configuration.as_ref().map_or(0, |c| c.version);
+    let version = view.configuration_version();
     let identity = identity_fields(request, route, view);
     let route = route.map_or("-", |r| &r.name);
     log::info!(
@@ -114,10 +136,7 @@
 
 /// Returns the log fields for the customer; empty if the configuration has no customers.
 fn identity_fields(request: &Request, route: Option<&Route>, view: &View) -> String {
-    let configuration = view.configuration.as_ref();
-    let Some(route) = route.filter(|_| configuration.is_some_and(|c| c.customers.is_some())) else {
-        return String::new();
-    };
+    let Some(route) = route.filter(|_| view.customers().is_some()) else { return String::new() };
     let customer = request.customer.as_deref().unwrap_or("-");
     format!("customer={customer} priority={} ", route.priority)
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
+use eelgrasspier_decide::customers::Customers;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fleet_limit::{Connection, CoordinatorStability};
 use eelgrasspier_decide::freshness::ConfigurationSources;
@@ -167,6 +168,18 @@
         listed.is_some_and(|all| all.iter().any(|r| r.id == replica.id))
     }
 
+    /// Returns the customers; `None` if requests need no API key.
+    #[must_use]
+    pub fn customers(&self) -> Option<&Arc<Customers>> {
+        self.configuration.as_ref()?.customers.as_ref()
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first one.
+    #[must_use]
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |c| c.version)
+    }
+
     /// True if callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -181,6 +194,8 @@
     peer_confirmed_ms: AtomicU64,
     has_peer_with_store: AtomicBool,
     is_outdated: AtomicBool,
+    /// True if the latest configuration is invalid, so that an earlier one stays in force.
+    is_latest_rejected: AtomicBool,
 }
 
 /// State shared by the threads of one process.
@@ -257,7 +272,7 @@
 
     /// Records what the other instances say about the configuration in force.
     ///
-    /// `has_peer_with_store` is true if some live instance reports that it reaches the store,
+    /// `has_peer_with_store` is true if some live instance reports that it watches the store,
     /// `is_outdated` if the configuration in force is known not to be the latest.
     pub fn record_peer_state(&self, has_peer_with_store: bool, is_outdated: bool) {
         let confirmation = &self.confirmation;
@@ -269,6 +284,11 @@
         confirmation.is_outdated.store(is_outdated, Ordering::Release);
     }
 
+    /// Records whether the latest configuration is invalid, so that an earlier one stays in force.
+    pub(crate) fn record_rejection(&self, is_latest_rejected: bool) {
+        self.confirmation.is_latest_rejected.store(is_latest_rejected, Ordering::Release);
+    }
+
     /// Returns the confirmations of the configuration.
     ///
     /// They must be read before the view. With the opposite order, a configuration confirmed in
@@ -282,7 +302,8 @@
             peer_heard_ms: self.last_contact_ms(),
             has_peer_with_store: confirmation.has_peer_with_store.load(Ordering::Acquire),
             peer_confirmed_ms: time(&confirmation.peer_confirmed_ms),
-            is_outdated: confirmation.is_outdated.load(Ordering::Acquire),
+            is_outdated: confirmation.is_outdated.load(Ordering::Acquire)
+                || confirmation.is_latest_rejected.load(Ordering::Acquire),
         }
     }
 
--- a/crates/router/tests/customers.rs
+++ b/crates/router/tests/customers.rs
@@ -113,7 +113,7 @@
         let fixture = fixture_with_customer(&["k1"], route(1));
         let shared = &fixture.shared;
         let serve = async || refusal(fixture.router.serve(request_with_key("new")).await);
-        let not_known = (RefusalReason::KeyUnconfirmed, Some(500));
+        let not_known = (RefusalReason::KeyUnconfirmed, Some(DEADLINE_MS / 3));
         let refused = (RefusalReason::UnknownKey, None);
         assert_eq!(serve().await, not_known, "just started");
         tokio::time::sleep(Duration::from_secs(10)).await;
@@ -147,7 +147,7 @@
         let serve = async || fixture.router.serve(request_with_key("k1")).await;
         assert!(matches!(serve().await, Outcome::Merged(_)));
         fixture.router.set_revocation_timeout(Some(Duration::from_secs(5)));
-        assert_eq!(refusal(serve().await), (RefusalReason::KeyUnconfirmed, Some(500)));
+        assert_eq!(refusal(serve().await), (RefusalReason::KeyUnconfirmed, Some(DEADLINE_MS / 3)));
         shared.record_store_confirmation(shared.now_ms());
         assert!(matches!(serve().await, Outcome::Merged(_)));
         tokio::time::sleep(Duration::from_secs(4)).await;
@@ -158,7 +158,24 @@
         shared.record_peer_state(false, false);
         assert!(matches!(serve().await, Outcome::Merged(_)));
         tokio::time::sleep(Duration::from_millis(100)).await;
-        assert_eq!(refusal(serve().await), (RefusalReason::KeyUnconfirmed, Some(500)));
+        assert_eq!(refusal(serve().await), (RefusalReason::KeyUnconfirmed, Some(DEADLINE_MS / 3)));
+    });
+}
+
+/// A caller whose key can't be checked must have time for retries: a retry time beyond its deadline
+/// loses the request, and 0 causes a flood of retries.
+#[test]
+fn the_retry_time_is_at_most_a_third_of_the_time_left() {
+    in_virtual_time(async {
+        let fixture = fixture_with_customer(&[], Route { timeout_ms: 900, ..route(1) });
+        for (deadline_ms, retry_after_ms) in
+            [(None, 200), (Some(9_000), 500), (Some(700), 133), (Some(302), 1), (Some(0), 1)]
+        {
+            let request = Request { deadline_ms, ..request_with_key("k1") };
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let refusal = refusal(fixture.router.serve(request).await);
+            assert_eq!(refusal, (RefusalReason::KeyUnconfirmed, Some(retry_after_ms)));
+        }
     });
 }
 
@@ -242,27 +259,55 @@
     });
 }
 
+/// Returns a gather request for the shard `s0`; an empty `customer` means none.
+fn gather_request(customer: &str) -> wire::GatherRequest {
+    wire::GatherRequest {
+        request_id: "r1".into(),
+        method: "GET".to_owned(),
+        host: "h".to_owned(),
+        path: "/q/x".to_owned(),
+        route: "r".to_owned(),
+        services: vec!["s0".to_owned()],
+        attempts: 1,
+        top_k: 5,
+        time_left_ms: 400,
+        answer_within_ms: 70,
+        target_latency_ms: 80,
+        allowed_replicas: vec![eelgrasspier_decide::relays::replica_hash("s0/a")],
+        customer: customer.to_owned(),
+        ..wire::GatherRequest::default()
+    }
+}
+
+/// An entry instance with an older configuration, without customers, forwards all headers. The
+/// instance that gathers must not send the key or a forged name on to replicas.
+#[test]
+fn a_gathering_instance_removes_identities_that_an_older_configuration_let_through() {
+    in_virtual_time(async {
+        let fixture = fixture_with_customer(&["k1"], route(1));
+        let header = |name: &str, value: &'static str| wire::Header {
+            name: name.to_owned(),
+            value: value.into(),
+        };
+        let headers = [("authorization", "Bearer k1"), ("x-name", "forged"), ("x-kept", "yes")];
+        let headers = headers.map(|(name, value)| header(name, value)).to_vec();
+        let request = wire::GatherRequest { headers, ..gather_request("") };
+        fixture.router.gather_for_peer(request.clone()).await;
+        fixture.shared.publish(view(route(1), 1));
+        fixture.router.gather_for_peer(request).await;
+        let arrivals = fixture.replicas.arrivals.borrow();
+        let names = |i: usize| arrivals[i].headers.keys().map(HeaderName::as_str).collect();
+        let received: [Vec<&str>; 2] = [names(0), names(1)];
+        assert_eq!(received, [vec!["x-kept"], vec!["authorization", "x-name", "x-kept"]]);
+    });
+}
+
 /// The instance that gathers must pass the customer that the entry instance found on to replicas.
 #[test]
 fn a_gathering_instance_names_the_customer_to_replicas() {
     in_virtual_time(async {
         let fixture = fixture_with_customer(&[], route(1));
-        let request = wire::GatherRequest {
-            request_id: "r1".into(),
-            method: "GET".to_owned(),
-            host: "h".to_owned(),
-            path: "/q/x".to_owned(),
-            route: "r".to_owned(),
-            services: vec!["s0".to_owned()],
-            attempts: 1,
-            top_k: 5,
-            time_left_ms: 400,
-            answer_within_ms: 70,
-            target_latency_ms: 80,
-            allowed_replicas: vec![eelgrasspier_decide::relays::replica_hash("s0/a")],
-            customer: "acme".to_owned(),
-            ..wire::GatherRequest::default()
-        };
+        let request = gather_request("acme");
         fixture.router.gather_for_peer(request).await;
         let arrivals = fixture.replicas.arrivals.borrow();
         assert_eq!(arrivals[0].customer.as_deref(), Some("acme"));
