Divide the retry slack among the instances that send to a service

The slack of each service was divided among all gathering instances, but only one per zone sends to a shard, so that the parts of the others were never used.

--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -18,23 +18,24 @@
 /// The margin covers checks that count arrivals and requests at different times.
 const RATIO_USED_MILLI: u64 = 850;
 const MILLI: u64 = 1000;
-/// Part of the slack for gathering instances if others do not gather, in percent.
+/// Part of the slack for the instances that hold connections to a service if others do not, in
+/// percent.
 ///
-/// Gathering instances send nearly all retries.
-const GATHERERS_SLACK_PERCENT: u64 = 80;
+/// They send nearly all retries.
+const HOLDERS_SLACK_PERCENT: u64 = 80;
 
-/// Returns the number of instances by which the slack is divided for one of them.
+/// Returns the number of instances by which the slack of a service is divided for one of them.
 ///
-/// `other_gatherers` is the number of other instances that gather; `is_gatherer` is true if this
-/// instance gathers.
+/// `other_holders` is the number of other instances that hold connections to the service's
+/// replicas; `is_holder` is true if this instance does.
 #[must_use]
-pub fn slack_divisor(instances: u64, other_gatherers: u64, is_gatherer: bool) -> u64 {
-    let gatherers = other_gatherers + u64::from(is_gatherer);
-    let others = instances.saturating_sub(gatherers);
-    match (others, is_gatherer) {
+pub fn slack_divisor(instances: u64, other_holders: u64, is_holder: bool) -> u64 {
+    let holders = other_holders + u64::from(is_holder);
+    let others = instances.saturating_sub(holders);
+    match (others, is_holder) {
         (0, _) => instances,
-        (_, true) => (gatherers * 100).div_ceil(GATHERERS_SLACK_PERCENT),
-        (_, false) => (others * 100).div_ceil(100 - GATHERERS_SLACK_PERCENT),
+        (_, true) => (holders * 100).div_ceil(HOLDERS_SLACK_PERCENT),
+        (_, false) => (others * 100).div_ceil(100 - HOLDERS_SLACK_PERCENT),
     }
 }
 
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -151,7 +151,10 @@
         let timing = Timing::new(&route_state, route.target_latency_ms);
         let shard = |service: Arc<str>| {
             let connection_limit = view.replica_connection_limit(&service);
-            Shard::new(service, connection_limit)
+            let is_holder = router.holds_connections_to(view, &service);
+            let held_zone = Some(&router.zone).filter(|_| is_holder);
+            let slack_divisor = view.retry_slack_divisor(&service, held_zone);
+            Shard::new(service, connection_limit, slack_divisor)
         };
         Self {
             router,
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -54,7 +54,7 @@
     /// replica were sent there whenever the connections to the other one were in use, and took over
     /// a second.
     fn pick_replica(&self, shard: &Shard) -> Option<&'a Arc<ReplicaEntry>> {
-        let budget_used = self.router.retry_budget_used(&shard.service, self.view);
+        let budget_used = self.router.retry_budget_used(&shard.service, shard.retry_slack_divisor);
         let cost_ms = |r: &Arc<ReplicaEntry>| {
             let needs_permission = matches!(
                 self.router.cold_admission(&self.current_view, r),
@@ -124,8 +124,9 @@
 
     /// Starts a send to `replica` without further checks.
     fn spawn_send(&mut self, index: usize, replica: Arc<ReplicaEntry>, now_ms: u64) {
-        let hedge_delay_ms = self.router.hedge_delay_ms(self.view, &self.timing, &replica);
         let shard = &mut self.shards[index];
+        let hedge_delay_ms =
+            self.router.hedge_delay_ms(shard.retry_slack_divisor, &self.timing, &replica);
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
         shard.in_flight += 1;
@@ -250,7 +251,7 @@
 
     fn resend_within_budget(&mut self, index: usize, cause: &'static str) -> bool {
         let shard = &self.shards[index];
-        let is_paid = self.router.try_take_retry(&shard.service, self.view);
+        let is_paid = self.router.try_take_retry(&shard.service, shard.retry_slack_divisor);
         let paid = if is_paid { "yes" } else { "no" };
         metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
             .increment(1);
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -26,6 +26,8 @@
     pub(super) service: Arc<str>,
     /// Connections that each of its replicas accepts from all instances together.
     pub(super) replica_connection_limit: u32,
+    /// Number of instances by which the service's retry slack is divided for this one.
+    pub(super) retry_slack_divisor: u64,
     /// Replicas to which this instance has sent the request.
     pub(super) tried: Vec<Arc<str>>,
     /// Number of sends that are known not to have run.
@@ -41,10 +43,15 @@
 }
 
 impl Shard {
-    pub(super) fn new(service: Arc<str>, replica_connection_limit: u32) -> Self {
+    pub(super) fn new(
+        service: Arc<str>,
+        replica_connection_limit: u32,
+        retry_slack_divisor: u64,
+    ) -> Self {
         Self {
             service,
             replica_connection_limit,
+            retry_slack_divisor,
             tried: Vec::new(),
             not_run: 0,
             allowed: None,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -242,7 +242,7 @@
     /// Returns the delay before a send to `replica` may be hedged, in milliseconds.
     pub(crate) fn hedge_delay_ms(
         &self,
-        view: &View,
+        slack_divisor: u64,
         timing: &Timing,
         replica: &ReplicaEntry,
     ) -> u64 {
@@ -252,18 +252,17 @@
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        let is_budget_low =
-            retry_budget.is_half_spent(&self.limits.get(), view.retry_slack_divisor, now_ms);
+        let is_budget_low = retry_budget.is_half_spent(&self.limits.get(), slack_divisor, now_ms);
         wait_ms
             + if is_budget_low { timing.low_budget_hedge_delay_ms } else { timing.hedge_delay_ms }
     }
 
     /// Takes one extra send to `service` from its retry budget; false if the budget is empty.
-    pub(crate) fn try_take_retry(&self, service: &Arc<str>, view: &View) -> bool {
+    pub(crate) fn try_take_retry(&self, service: &Arc<str>, slack_divisor: u64) -> bool {
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        retry_budget.try_take(&self.limits.get(), view.retry_slack_divisor, now_ms)
+        retry_budget.try_take(&self.limits.get(), slack_divisor, now_ms)
     }
 
     /// Returns the expected latency of one more request, in milliseconds.
@@ -279,11 +278,11 @@
     }
 
     /// Returns the used fraction of the retry budget of `service`, from 0 to 1.
-    pub(crate) fn retry_budget_used(&self, service: &Arc<str>, view: &View) -> f64 {
+    pub(crate) fn retry_budget_used(&self, service: &Arc<str>, slack_divisor: u64) -> f64 {
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        retry_budget.spent_fraction(&self.limits.get(), view.retry_slack_divisor, now_ms)
+        retry_budget.spent_fraction(&self.limits.get(), slack_divisor, now_ms)
     }
 
     /// Estimates the latency of one more request to `replica`.
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,6 +1,6 @@
 //! The immutable view of the control state that the traffic thread works with.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -73,8 +73,8 @@
     pub gatherers: Vec<Peer>,
     /// Zones in which some instances don't gather but relay to those that do.
     pub delegating_zones: HashSet<Arc<str>>,
-    /// Number of instances by which the retry slack is divided for this one.
-    pub retry_slack_divisor: u64,
+    /// Number of instances per zone that hold connections to one replica of the zone.
+    pub holders_by_zone: Vec<(Arc<str>, u64)>,
     /// Time until which each rate-limited replica is cold, in milliseconds.
     pub cold_until_ms: Arc<HashMap<Arc<str>, u64>>,
     /// Time since which the gathering instances of each zone are unchanged.
@@ -104,9 +104,7 @@
         if !self.is_gatherer {
             self.delegating_zones.insert(own_zone.into());
         }
-        let gatherers = u64::try_from(self.gatherers.len()).unwrap_or(u64::MAX);
-        self.retry_slack_divisor =
-            retry_budget::slack_divisor(self.instance_count, gatherers, self.is_gatherer);
+        self.holders_by_zone = self.count_holders(own_zone);
         let mut zones: Vec<&Arc<str>> = self.replicas.values().flatten().map(|r| &r.zone).collect();
         zones.sort_unstable();
         zones.dedup();
@@ -116,6 +114,41 @@
         self
     }
 
+    /// Counts the instances of each zone that hold connections to one replica of the zone.
+    ///
+    /// That is one where some instances delegate, and all gathering instances elsewhere.
+    fn count_holders(&self, own_zone: &str) -> Vec<(Arc<str>, u64)> {
+        let mut holders: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        let own = self.is_gatherer.then(|| Arc::from(own_zone));
+        for zone in self.gatherers.iter().map(|p| Arc::clone(&p.zone)).chain(own) {
+            *holders.entry(zone).or_default() += 1;
+        }
+        let count = |(zone, gatherers): (Arc<str>, u64)| {
+            let holders = if self.is_delegating(&zone) { 1 } else { gatherers };
+            (zone, holders)
+        };
+        holders.into_iter().map(count).collect()
+    }
+
+    /// Returns the number of instances by which the retry slack of a service is divided for this
+    /// one.
+    ///
+    /// `zone` is the zone of this instance if it holds connections to the service's replicas there.
+    /// Where no instance delegates, all send to all replicas and have the same part.
+    #[must_use]
+    pub fn retry_slack_divisor(&self, service: &str, zone: Option<&Arc<str>>) -> u64 {
+        if self.delegating_zones.is_empty() {
+            return self.instance_count;
+        }
+        let replicas = self.replicas.get(service).map_or(&[][..], Vec::as_slice);
+        let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
+        let counted = self.holders_by_zone.iter().filter(|(zone, _)| has_replica(zone));
+        let holders: u64 = counted.map(|(_, holders)| holders).sum();
+        let is_holder = zone.is_some_and(has_replica);
+        let other_holders = holders.saturating_sub(u64::from(is_holder));
+        retry_budget::slack_divisor(self.instance_count, other_holders, is_holder)
+    }
+
     fn membership_view(&self, zone: &str, own_zone: &str) -> MembershipView {
         let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let same_zone_gatherers =
