Send a rejected request to the same replica again

A replica that had rejected a request was not tried again, so that a shard whose three replicas reject six in ten requests was lost with a probability of one in five, and a request to 90 such shards lacked too many of them. A rejection arrives within milliseconds; up to five are followed by another send, each paid from the retry budget.

--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -37,6 +37,12 @@
 const CONNECTION_RETRY_MS: u64 = 4;
 /// Maximum sends per shard, beyond the route's attempts, that are known not to have run.
 const MAX_UNRUN_SENDS: usize = 2;
+/// Maximum rejections of a shard's request after which it is sent again.
+///
+/// A rejection arrives within milliseconds, and a replica that rejects six in ten requests accepts
+/// one of five sends with a probability of 92 %. Without repeated sends to the same replica, a
+/// request to 90 such shards lacked a quarter of them.
+const MAX_REJECTIONS: usize = 5;
 
 /// Time limits of one gather, in milliseconds since the start of the process.
 #[derive(Debug, Clone, Copy)]
--- a/crates/router/src/gather/results.rs
+++ b/crates/router/src/gather/results.rs
@@ -4,7 +4,7 @@
 use eelgrasspier_decide::prelude::Verdict;
 
 use super::shard::ShardState;
-use super::{CONNECTION_RETRY_MS, Event, Gather, MAX_UNRUN_SENDS};
+use super::{CONNECTION_RETRY_MS, Event, Gather, MAX_REJECTIONS, MAX_UNRUN_SENDS};
 use crate::backend::Reply;
 
 /// Divisor of the shard count that limits how many shards are retried for a late answer.
@@ -61,9 +61,13 @@
         let may_have_run = failure.verdict() == Verdict::MayHaveRun;
         self.gathered.may_have_run |= may_have_run;
         if !may_have_run {
-            self.shards[index].not_run += 1;
             self.trials.retract(replica);
         }
+        if matches!(failure, PartFailure::Shed(_)) {
+            self.shards[index].record_rejection(replica);
+        } else if !may_have_run {
+            self.shards[index].not_run += 1;
+        }
         // A misdirected send reached a replica of another service.
         let has_arrived = !matches!(
             failure,
@@ -101,7 +105,8 @@
             return;
         }
         let max_sends = self.route.attempts.max(1) + MAX_UNRUN_SENDS;
-        let has_sent = if shard.tried.len() >= max_sends {
+        let is_exhausted = shard.tried.len() >= max_sends || shard.rejections > MAX_REJECTIONS;
+        let has_sent = if is_exhausted {
             false
         } else if has_arrived {
             self.resend(index, "retry")
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -32,6 +32,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Number of sends that are known not to have run.
     pub(super) not_run: usize,
+    /// Number of sends that a replica rejected; they are not in `tried`.
+    pub(super) rejections: usize,
     /// Hashes of the only replicas that may be used, if two instances may send the request.
     pub(super) allowed: Option<Vec<u32>>,
     /// True if the shard was relayed again after the first instance was lost.
@@ -54,6 +56,7 @@
             retry_slack_divisor,
             tried: Vec::new(),
             not_run: 0,
+            rejections: 0,
             allowed: None,
             was_reassigned: false,
             in_flight: 0,
@@ -69,6 +72,12 @@
             .is_none_or(|hashes| hashes.contains(&relays::replica_hash(&replica.id)))
     }
 
+    /// Records that a replica rejected the request, which may be sent to it again.
+    pub(super) fn record_rejection(&mut self, replica: &str) {
+        self.tried.retain(|tried| **tried != *replica);
+        self.rejections += 1;
+    }
+
     /// Returns the number of replicas that ran the request or may still run it.
     ///
     /// A send in flight counts, since it may run concurrently with a second one.
