Use three quarters of the retry slack where holders are established

Half of the slack was kept back at all times for instances that restart or take over and have lost their counts. Where few instances hold the connections, the successor now starts with a quarter for one window, and established ones use three quarters. Hedges leave the last quarter of the budget to retries.

--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -52,6 +52,12 @@
         now_ms >= self.settled_at_ms(zone)
     }
 
+    /// Returns the time of the last change of a zone's instances that gather, in milliseconds.
+    #[must_use]
+    pub fn changed_at_ms(&self, zone: &str) -> u64 {
+        self.zones.get(zone).map_or(0, |(_, since_ms)| *since_ms)
+    }
+
     /// Returns the time from which the potential owners count as unchanged, in milliseconds.
     #[must_use]
     pub fn settled_at_ms(&self, zone: Option<&str>) -> u64 {
--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -8,11 +8,18 @@
 
 /// Number of spans in the window; a span counts in full while any part of it is in the window.
 const SPANS_PER_WINDOW: u64 = 20;
-/// Part of the slack that is used, in thousandths.
+/// Part of the slack that is used where all instances send to all replicas, in thousandths.
 ///
 /// A restarted instance has lost its counts, and a joining one makes the parts of the others too
 /// large for a moment; half of the slack is reserved for them.
-const SLACK_USED_MILLI: u64 = 500;
+const EQUAL_SLACK_MILLI: u64 = 500;
+/// Part of the slack that an instance uses in the first window of its tenure, in thousandths.
+///
+/// Its predecessor may have used its own part in the same window. This part and
+/// [`ESTABLISHED_SLACK_MILLI`] add up to the whole slack.
+const NEW_SLACK_MILLI: u64 = 250;
+/// Part of the slack that an instance uses after the first window of its tenure, in thousandths.
+const ESTABLISHED_SLACK_MILLI: u64 = 750;
 /// Part of the ratio that is used, in thousandths.
 ///
 /// The margin covers checks that count arrivals and requests at different times.
@@ -39,6 +46,33 @@
     }
 }
 
+/// An instance's part of the slack of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlackShare {
+    /// Number of instances by which the slack is divided.
+    divisor: u64,
+    /// Part of the slack that is used, in thousandths.
+    used_milli: u64,
+}
+
+impl SlackShare {
+    /// Returns the part of each of `instances` that all send to all replicas.
+    #[must_use]
+    pub fn equal(instances: u64) -> Self {
+        Self { divisor: instances, used_milli: EQUAL_SLACK_MILLI }
+    }
+
+    /// Returns the part of an instance where some hold connections for the others.
+    ///
+    /// `divisor` is that of [`slack_divisor`]; `is_established` is true if the instances that hold
+    /// connections in its zone have not changed for a window.
+    #[must_use]
+    pub fn of_holder(divisor: u64, is_established: bool) -> Self {
+        let used_milli = if is_established { ESTABLISHED_SLACK_MILLI } else { NEW_SLACK_MILLI };
+        Self { divisor, used_milli }
+    }
+}
+
 /// Limits on retries of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -70,10 +104,8 @@
     }
 
     /// Takes one retry from the budget; returns false if none is left.
-    ///
-    /// `instances` is the number of instances that share the slack.
-    pub fn try_take(&mut self, limits: &RetryLimits, instances: u64, now_ms: u64) -> bool {
-        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, instances, now_ms);
+    pub fn try_take(&mut self, limits: &RetryLimits, share: SlackShare, now_ms: u64) -> bool {
+        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, share, now_ms);
         if retries_milli + MILLI > max_milli {
             return false;
         }
@@ -82,14 +114,14 @@
     }
 
     /// Returns true if more than half of the current budget is spent.
-    pub fn is_half_spent(&mut self, limits: &RetryLimits, instances: u64, now_ms: u64) -> bool {
-        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, instances, now_ms);
+    pub fn is_half_spent(&mut self, limits: &RetryLimits, share: SlackShare, now_ms: u64) -> bool {
+        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, share, now_ms);
         2 * retries_milli > max_milli
     }
 
     /// Returns the fraction of the current budget that is spent, from 0 to 1.
-    pub fn spent_fraction(&mut self, limits: &RetryLimits, instances: u64, now_ms: u64) -> f64 {
-        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, instances, now_ms);
+    pub fn spent_fraction(&mut self, limits: &RetryLimits, share: SlackShare, now_ms: u64) -> f64 {
+        let (retries_milli, max_milli) = self.retries_and_max_milli(limits, share, now_ms);
         let to_f64 = |n: u64| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
         (to_f64(retries_milli) / to_f64(max_milli).max(1.0)).min(1.0)
     }
@@ -98,7 +130,7 @@
     fn retries_and_max_milli(
         &mut self,
         limits: &RetryLimits,
-        instances: u64,
+        share: SlackShare,
         now_ms: u64,
     ) -> (u64, u64) {
         self.current_span(limits, now_ms);
@@ -107,7 +139,7 @@
         let requests: u64 = self.spans.iter().skip(1).map(|s| s.requests).sum();
         let retries: u64 = self.spans.iter().map(|s| s.retries).sum();
         let by_ratio = requests * limits.ratio_milli * RATIO_USED_MILLI / MILLI;
-        let by_slack = limits.slack * SLACK_USED_MILLI / instances.max(1);
+        let by_slack = limits.slack * share.used_milli / share.divisor.max(1);
         (retries * MILLI, by_ratio + by_slack)
     }
 
--- a/crates/decide/tests/retry_budget.rs
+++ b/crates/decide/tests/retry_budget.rs
@@ -1,13 +1,13 @@
 //! Retry budget over several instances and over restarts.
 
-use eelgrasspier_decide::retry_budget::{RetryBudget, RetryLimits};
+use eelgrasspier_decide::retry_budget::{RetryBudget, RetryLimits, SlackShare, slack_divisor};
 
 const LIMITS: RetryLimits = RetryLimits { ratio_milli: 200, slack: 54, window_ms: 10_000 };
 
 /// Takes all available retries for `seconds` at `per_s` requests per second; returns their number.
 fn spend_all(
     budget: &mut RetryBudget,
-    instances: u64,
+    share: SlackShare,
     from_ms: u64,
     seconds: u64,
     per_s: u64,
@@ -16,7 +16,7 @@
     for step in 0..seconds * per_s {
         let now_ms = from_ms + step * 1000 / per_s;
         budget.record_request(&LIMITS, now_ms);
-        while budget.try_take(&LIMITS, instances, now_ms) {
+        while budget.try_take(&LIMITS, share, now_ms) {
             taken += 1;
         }
     }
@@ -25,7 +25,9 @@
 
 #[test]
 fn seven_instances_at_full_budget_stay_within_the_limits() {
-    let taken: u64 = (0..7).map(|_| spend_all(&mut RetryBudget::default(), 7, 0, 10, 13)).sum();
+    let taken: u64 = (0..7)
+        .map(|_| spend_all(&mut RetryBudget::default(), SlackShare::equal(7), 0, 10, 13))
+        .sum();
     let allowed = 7 * 10 * 13 * LIMITS.ratio_milli / 1000 + LIMITS.slack;
     assert!(taken <= allowed, "{taken} of {allowed}");
     assert!(taken * 2 > allowed, "{taken} of {allowed} leaves most of the budget unused");
@@ -35,8 +37,12 @@
 /// instance has lost its counts and may spend its part of the slack again.
 #[test]
 fn a_restart_of_all_in_the_middle_of_a_window_stays_within_it() {
-    let before: u64 = (0..7).map(|_| spend_all(&mut RetryBudget::default(), 7, 0, 5, 13)).sum();
-    let after: u64 = (0..7).map(|_| spend_all(&mut RetryBudget::default(), 7, 5_000, 5, 13)).sum();
+    let before: u64 = (0..7)
+        .map(|_| spend_all(&mut RetryBudget::default(), SlackShare::equal(7), 0, 5, 13))
+        .sum();
+    let after: u64 = (0..7)
+        .map(|_| spend_all(&mut RetryBudget::default(), SlackShare::equal(7), 5_000, 5, 13))
+        .sum();
     let allowed = 7 * 10 * 13 * LIMITS.ratio_milli / 1000 + LIMITS.slack;
     assert!(before + after <= allowed, "{before} + {after} of {allowed}");
 }
@@ -47,26 +53,29 @@
 #[test]
 fn instances_that_do_not_know_each_other_yet_stay_within_the_slack() {
     const ASSUMED_INSTANCES: u64 = 16;
-    let taken: u64 =
-        (0..7).map(|_| spend_all(&mut RetryBudget::default(), ASSUMED_INSTANCES, 0, 1, 1)).sum();
+    let taken: u64 = (0..7)
+        .map(|_| {
+            spend_all(&mut RetryBudget::default(), SlackShare::equal(ASSUMED_INSTANCES), 0, 1, 1)
+        })
+        .sum();
     assert!(taken <= LIMITS.slack / 2, "{taken}");
-    let alone: u64 = (0..7).map(|_| spend_all(&mut RetryBudget::default(), 1, 0, 1, 1)).sum();
+    let alone: u64 =
+        (0..7).map(|_| spend_all(&mut RetryBudget::default(), SlackShare::equal(1), 0, 1, 1)).sum();
     assert!(alone > LIMITS.slack, "the whole slack for each should exceed the limit: {alone}");
 }
 
 #[test]
 fn retries_outside_the_window_may_be_spent_again() {
     let mut budget = RetryBudget::default();
-    let first = spend_all(&mut budget, 1, 0, 1, 1);
+    let first = spend_all(&mut budget, SlackShare::equal(1), 0, 1, 1);
     assert!(first > 0);
-    assert!(!budget.try_take(&LIMITS, 1, 5_000));
-    assert!(budget.try_take(&LIMITS, 1, 12_000));
+    assert!(!budget.try_take(&LIMITS, SlackShare::equal(1), 5_000));
+    assert!(budget.try_take(&LIMITS, SlackShare::equal(1), 12_000));
 }
 
 /// 18 of 195 instances gather and send nearly all retries.
 #[test]
 fn gatherers_share_most_of_the_slack_and_all_parts_together_fit() {
-    use eelgrasspier_decide::retry_budget::slack_divisor;
     let (gathering, other) = (slack_divisor(195, 17, true), slack_divisor(195, 18, false));
     assert!(gathering < 25, "{gathering}");
     // 18 / gathering + 177 / other is at most one.
@@ -74,3 +83,21 @@
     // If all instances gather, all have the same part.
     assert_eq!(slack_divisor(7, 6, true), 7);
 }
+
+/// Guards against exceeding the limit when all instances that hold connections are lost at once.
+/// Those that take over have not counted what their predecessors spent in the same window.
+#[test]
+fn the_successors_of_all_holders_stay_within_the_limit() {
+    let (holding, other) = (slack_divisor(102, 2, true), slack_divisor(102, 3, false));
+    let spend = |divisor, is_established, from_ms| {
+        let share = SlackShare::of_holder(divisor, is_established);
+        spend_all(&mut RetryBudget::default(), share, from_ms, 5, 4)
+    };
+    let taken: u64 = (0..3)
+        .map(|_| spend(holding, true, 0) + spend(holding, false, 5_000))
+        .chain((0..99).map(|_| spend(other, true, 0)))
+        .sum();
+    let requests = (6 + 99) * 5 * 4;
+    let allowed = requests * LIMITS.ratio_milli / 1000 + LIMITS.slack;
+    assert!(taken <= allowed, "{taken} of {allowed}");
+}
--- a/crates/router/src/gather/admission.rs
+++ b/crates/router/src/gather/admission.rs
@@ -67,8 +67,8 @@
     /// shard that is sent despite a small penalty usually answers, while one that is left out never
     /// does.
     fn answer_ms(&self, index: usize, left_ms: f64) -> f64 {
-        let Shard { service, retry_slack_divisor, .. } = &self.shards[index];
-        let budget_used = self.router.retry_budget_used(service, *retry_slack_divisor);
+        let Shard { service, slack_share, .. } = &self.shards[index];
+        let budget_used = self.router.retry_budget_used(service, *slack_share);
         let expected =
             self.replicas(service).map(|r| self.router.estimate(r, &self.timing, budget_used));
         let best = expected.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -155,12 +155,13 @@
     ) -> Self {
         let (event_sender, events) = mpsc::unbounded_channel();
         let timing = Timing::new(&route_state, route.target_latency_ms);
+        let is_established = router.is_established(view);
         let shard = |service: Arc<str>| {
             let connection_limit = view.replica_connection_limit(&service);
             let is_holder = router.holds_connections_to(view, &service);
             let held_zone = Some(&router.zone).filter(|_| is_holder);
-            let slack_divisor = view.retry_slack_divisor(&service, held_zone);
-            Shard::new(service, connection_limit, slack_divisor)
+            let slack_share = view.retry_slack_share(&service, held_zone, is_established);
+            Shard::new(service, connection_limit, slack_share)
         };
         Self {
             router,
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -19,6 +19,11 @@
 /// It is a fraction of the time for which a request occupies a slot.
 const HEDGE_RECHECK_MS: u64 = 10;
 
+/// Used fraction of the retry budget from which hedges are no longer sent.
+///
+/// Without a retry a rejected shard is lost, while a late one usually answers without a hedge.
+const MAX_HEDGE_BUDGET_USED: f64 = 0.75;
+
 impl<'a> Gather<'a> {
     /// Returns the replicas to which a shard's request may still be sent.
     pub(super) fn eligible_replicas(
@@ -54,7 +59,7 @@
     /// replica were sent there whenever the connections to the other one were in use, and took over
     /// a second.
     fn pick_replica(&self, shard: &Shard) -> Option<&'a Arc<ReplicaEntry>> {
-        let budget_used = self.router.retry_budget_used(&shard.service, shard.retry_slack_divisor);
+        let budget_used = self.router.retry_budget_used(&shard.service, shard.slack_share);
         let cost_ms = |r: &Arc<ReplicaEntry>| {
             let needs_permission = matches!(
                 self.router.cold_admission(&self.current_view, r),
@@ -125,8 +130,7 @@
     /// Starts a send to `replica` without further checks.
     fn spawn_send(&mut self, index: usize, replica: Arc<ReplicaEntry>, now_ms: u64) {
         let shard = &mut self.shards[index];
-        let hedge_delay_ms =
-            self.router.hedge_delay_ms(shard.retry_slack_divisor, &self.timing, &replica);
+        let hedge_delay_ms = self.router.hedge_delay_ms(shard.slack_share, &self.timing, &replica);
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
         shard.in_flight += 1;
@@ -198,7 +202,7 @@
                 self.send(index);
             } else if self.are_hedges_held() {
                 self.postpone_hedge(index, now_ms);
-            } else if self.has_slot_for_hedge(index) {
+            } else if self.has_slot_for_hedge(index) && self.has_budget_for_hedge(index) {
                 self.resend(index, "hedge");
             } else {
                 self.postpone_hedge(index, now_ms);
@@ -212,6 +216,12 @@
         replica.is_some_and(|r| self.router.estimate(r, &self.timing, 0.0).wait_ms <= 0.0)
     }
 
+    /// True if enough retry budget is left for retries after a hedge.
+    fn has_budget_for_hedge(&self, index: usize) -> bool {
+        let Shard { service, slack_share, .. } = &self.shards[index];
+        self.router.retry_budget_used(service, *slack_share) < MAX_HEDGE_BUDGET_USED
+    }
+
     /// Schedules another check, because a slot may become free soon.
     fn postpone_hedge(&mut self, index: usize, now_ms: u64) {
         let at_ms = now_ms + HEDGE_RECHECK_MS;
@@ -251,7 +261,7 @@
 
     fn resend_within_budget(&mut self, index: usize, cause: &'static str) -> bool {
         let shard = &self.shards[index];
-        let is_paid = self.router.try_take_retry(&shard.service, shard.retry_slack_divisor);
+        let is_paid = self.router.try_take_retry(&shard.service, shard.slack_share);
         let paid = if is_paid { "yes" } else { "no" };
         metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
             .increment(1);
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -6,6 +6,7 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, Verdict};
 use eelgrasspier_decide::relays;
+use eelgrasspier_decide::retry_budget::SlackShare;
 
 use crate::backend::Reply;
 
@@ -26,8 +27,8 @@
     pub(super) service: Arc<str>,
     /// Connections that each of its replicas accepts from all instances together.
     pub(super) replica_connection_limit: u32,
-    /// Number of instances by which the service's retry slack is divided for this one.
-    pub(super) retry_slack_divisor: u64,
+    /// This instance's part of the service's retry slack.
+    pub(super) slack_share: SlackShare,
     /// Replicas to which this instance has sent the request.
     pub(super) tried: Vec<Arc<str>>,
     /// Number of sends that are known not to have run.
@@ -48,12 +49,12 @@
     pub(super) fn new(
         service: Arc<str>,
         replica_connection_limit: u32,
-        retry_slack_divisor: u64,
+        slack_share: SlackShare,
     ) -> Self {
         Self {
             service,
             replica_connection_limit,
-            retry_slack_divisor,
+            slack_share,
             tried: Vec::new(),
             not_run: 0,
             rejections: 0,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,7 +13,7 @@
 use eelgrasspier_decide::regions::Regions;
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::replica_stats::ReplicaStats;
-use eelgrasspier_decide::retry_budget::{RetryBudget, RetryLimits};
+use eelgrasspier_decide::retry_budget::{RetryBudget, RetryLimits, SlackShare};
 use eelgrasspier_decide::route::{Route, Target};
 use eelgrasspier_decide::wait_policy;
 use eelgrasspier_peer::PeerConnections;
@@ -229,6 +229,15 @@
         self.limits.set(limits);
     }
 
+    /// True if the instances of this zone that gather have not changed for a retry window.
+    ///
+    /// Until then this instance, or the one whose shards it took over, may have used its part of
+    /// the retry slack without that being counted here.
+    pub(crate) fn is_established(&self, view: &View) -> bool {
+        let changed_at_ms = view.gatherer_stability.changed_at_ms(&self.zone);
+        self.shared.now_ms() >= changed_at_ms + self.limits.get().window_ms
+    }
+
     /// Records a request whose first send goes to `service`, which earns retry budget.
     pub(crate) fn record_request(&self, service: &Arc<str>) {
         let now_ms = self.shared.now_ms();
@@ -242,7 +251,7 @@
     /// Returns the delay before a send to `replica` may be hedged, in milliseconds.
     pub(crate) fn hedge_delay_ms(
         &self,
-        slack_divisor: u64,
+        slack_share: SlackShare,
         timing: &Timing,
         replica: &ReplicaEntry,
     ) -> u64 {
@@ -252,17 +261,17 @@
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        let is_budget_low = retry_budget.is_half_spent(&self.limits.get(), slack_divisor, now_ms);
+        let is_budget_low = retry_budget.is_half_spent(&self.limits.get(), slack_share, now_ms);
         wait_ms
             + if is_budget_low { timing.low_budget_hedge_delay_ms } else { timing.hedge_delay_ms }
     }
 
     /// Takes one extra send to `service` from its retry budget; false if the budget is empty.
-    pub(crate) fn try_take_retry(&self, service: &Arc<str>, slack_divisor: u64) -> bool {
+    pub(crate) fn try_take_retry(&self, service: &Arc<str>, slack_share: SlackShare) -> bool {
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        retry_budget.try_take(&self.limits.get(), slack_divisor, now_ms)
+        retry_budget.try_take(&self.limits.get(), slack_share, now_ms)
     }
 
     /// Returns the expected latency of one more request, in milliseconds.
@@ -278,11 +287,11 @@
     }
 
     /// Returns the used fraction of the retry budget of `service`, from 0 to 1.
-    pub(crate) fn retry_budget_used(&self, service: &Arc<str>, slack_divisor: u64) -> f64 {
+    pub(crate) fn retry_budget_used(&self, service: &Arc<str>, slack_share: SlackShare) -> f64 {
         let now_ms = self.shared.now_ms();
         let mut retry_budgets = self.retry_budgets.borrow_mut();
         let retry_budget = retry_budgets.entry(Arc::clone(service)).or_default();
-        retry_budget.spent_fraction(&self.limits.get(), slack_divisor, now_ms)
+        retry_budget.spent_fraction(&self.limits.get(), slack_share, now_ms)
     }
 
     /// Estimates the latency of one more request to `replica`.
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -12,7 +12,7 @@
 use eelgrasspier_decide::fleet_limit::CoordinatorStability;
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::rendezvous;
-use eelgrasspier_decide::retry_budget;
+use eelgrasspier_decide::retry_budget::{self, SlackShare};
 use eelgrasspier_decide::route::{Configuration, RouteTable};
 use tokio::sync::Notify;
 
@@ -130,15 +130,19 @@
         holders.into_iter().map(count).collect()
     }
 
-    /// Returns the number of instances by which the retry slack of a service is divided for this
-    /// one.
+    /// Returns this instance's part of the retry slack of a service.
     ///
     /// `zone` is the zone of this instance if it holds connections to the service's replicas there.
     /// Where no instance delegates, all send to all replicas and have the same part.
     #[must_use]
-    pub fn retry_slack_divisor(&self, service: &str, zone: Option<&Arc<str>>) -> u64 {
+    pub fn retry_slack_share(
+        &self,
+        service: &str,
+        zone: Option<&Arc<str>>,
+        is_established: bool,
+    ) -> SlackShare {
         if self.delegating_zones.is_empty() {
-            return self.instance_count;
+            return SlackShare::equal(self.instance_count);
         }
         let replicas = self.replicas.get(service).map_or(&[][..], Vec::as_slice);
         let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
@@ -146,7 +150,8 @@
         let holders: u64 = counted.map(|(_, holders)| holders).sum();
         let is_holder = zone.is_some_and(has_replica);
         let other_holders = holders.saturating_sub(u64::from(is_holder));
-        retry_budget::slack_divisor(self.instance_count, other_holders, is_holder)
+        let divisor = retry_budget::slack_divisor(self.instance_count, other_holders, is_holder);
+        SlackShare::of_holder(divisor, is_established)
     }
 
     fn membership_view(&self, zone: &str, own_zone: &str) -> MembershipView {
