Prefer a replica in another zone to a local one that rejects most requests

The cost of a rejection was below that of a cross-zone send, so that the retry budget was spent on shards that had a replica without rejections elsewhere.

--- a/crates/decide/src/replica_stats.rs
+++ b/crates/decide/src/replica_stats.rs
@@ -39,8 +39,10 @@
 const SHED_EWMA_DIVISOR: f64 = 8.0;
 /// Cost of a shed request, in multiples of the usual latency.
 ///
-/// The round trip is short, but each retry is paid from the retry budget.
-const SHED_COST_FACTOR: f64 = 4.0;
+/// The round trip is short, but each retry is paid from the retry budget. A replica that rejects
+/// most requests must cost more than a replica in another zone: with less than that, the budget was
+/// spent on shards that had a replica without rejections elsewhere.
+const SHED_COST_FACTOR: f64 = 12.0;
 /// Cost of a shed request once the retry budget is spent, in multiples of the usual latency.
 ///
 /// The request then fails and the work of the other shards is wasted, so a queue as long as the
