--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -40,6 +40,12 @@
 const CONNECTION_RETRY_MS: u64 = 4;
 /// Maximum sends per shard, beyond the route's attempts, that are known not to have run.
 const MAX_UNRUN_SENDS: usize = 2;
+/// Maximum rejections of a shard's request after which it is sent again.
+///
+/// A rejection arrives within milliseconds, and a replica that rejects six in ten requests accepts
+/// one of five sends with a probability of 92 %. Without repeated sends to the same replica, a
+/// request to 90 such shards lacked a quarter of them.
+const MAX_REJECTIONS: usize = 5;
 
 /// Time limits of one gather, in milliseconds since the start of the process.
 #[derive(Debug, Clone, Copy)]
@@ -156,9 +162,13 @@
     ) -> Self {
         let (event_sender, events) = mpsc::unbounded_channel();
         let timing = Timing::new(&route_state, route.target_latency_ms);
+        let is_established = router.is_established(view);
         let shard = |service: Arc<str>| {
             let connection_limit = view.replica_connection_limit(&service);
-            Shard::new(service, connection_limit)
+            let is_holder = router.holds_connections_to(view, &service);
+            let held_zone = Some(&router.zone).filter(|_| is_holder);
+            let slack_share = view.retry_slack_share(&service, held_zone, is_established);
+            Shard::new(service, connection_limit, slack_share)
         };
         Self {
             router,
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -6,6 +6,7 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, Verdict};
 use eelgrasspier_decide::relays;
+use eelgrasspier_decide::retry_budget::SlackShare;
 
 use crate::backend::Reply;
 use crate::customer_limiter::LimitRefusal;
@@ -27,10 +28,14 @@
     pub(super) service: Arc<str>,
     /// Connections that each of its replicas accepts from all instances together.
     pub(super) replica_connection_limit: u32,
+    /// This instance's part of the service's retry slack.
+    pub(super) slack_share: SlackShare,
     /// Replicas to which this instance has sent the request.
     pub(super) tried: Vec<Arc<str>>,
     /// Number of sends that are known not to have run.
     pub(super) not_run: usize,
+    /// Number of sends that a replica rejected; they are not in `tried`.
+    pub(super) rejections: usize,
     /// Hashes of the only replicas that may be used, if two instances may send the request.
     pub(super) allowed: Option<Vec<u32>>,
     /// True if the shard was relayed again after the first instance was lost.
@@ -42,12 +47,18 @@
 }
 
 impl Shard {
-    pub(super) fn new(service: Arc<str>, replica_connection_limit: u32) -> Self {
+    pub(super) fn new(
+        service: Arc<str>,
+        replica_connection_limit: u32,
+        slack_share: SlackShare,
+    ) -> Self {
         Self {
             service,
             replica_connection_limit,
+            slack_share,
             tried: Vec::new(),
             not_run: 0,
+            rejections: 0,
             allowed: None,
             was_reassigned: false,
             in_flight: 0,
@@ -63,6 +74,12 @@
             .is_none_or(|hashes| hashes.contains(&relays::replica_hash(&replica.id)))
     }
 
+    /// Records that a replica rejected the request, which may be sent to it again.
+    pub(super) fn record_rejection(&mut self, replica: &str) {
+        self.tried.retain(|tried| **tried != *replica);
+        self.rejections += 1;
+    }
+
     /// Returns the number of replicas that ran the request or may still run it.
     ///
     /// A send in flight counts, since it may run concurrently with a second one.
