Weigh a replica that rejects requests by its expected extra sends

The cost grew in proportion to the rejection rate, so that a factor high enough for a replica that rejects six in ten made one that rejects half look unreachable. The number of extra sends grows faster than the rate and separates the two.

--- a/crates/decide/src/replica_stats.rs
+++ b/crates/decide/src/replica_stats.rs
@@ -37,17 +37,18 @@
 ///
 /// About ten samples are enough to change the rate noticeably.
 const SHED_EWMA_DIVISOR: f64 = 8.0;
-/// Cost of a shed request, in multiples of the usual latency.
+/// Cost of an extra send after a shed request, in multiples of the usual latency.
 ///
-/// The round trip is short, but each retry is paid from the retry budget. A replica that rejects
-/// most requests must cost more than a replica in another zone: with less than that, the budget was
-/// spent on shards that had a replica without rejections elsewhere.
-const SHED_COST_FACTOR: f64 = 12.0;
-/// Cost of a shed request once the retry budget is spent, in multiples of the usual latency.
+/// The round trip is short, but each retry is paid from the retry budget. A replica that sheds half
+/// of its requests is still used while the others have queues.
+const SHED_COST_FACTOR: f64 = 2.5;
+/// Cost of such an extra send once the retry budget is spent, in multiples of the usual latency.
 ///
 /// The request then fails and the work of the other shards is wasted, so a queue as long as the
 /// target latency is preferable.
-const SHED_COST_FACTOR_BUDGET_SPENT: f64 = 32.0;
+const SHED_COST_FACTOR_BUDGET_SPENT: f64 = 20.0;
+/// Shed rate above which the expected number of extra sends no longer grows.
+const MAX_SHED_RATE: f64 = 0.95;
 /// Half-life of the shed rate while nothing is sent, in milliseconds.
 ///
 /// A replica that no longer sheds is found within a few seconds, like one that was unreachable.
@@ -302,7 +303,16 @@
         let overdue = if self.is_overdue(now_ms) { OVERDUE_COST_FACTOR } else { 0.0 };
         let shed_cost =
             SHED_COST_FACTOR + (SHED_COST_FACTOR_BUDGET_SPENT - SHED_COST_FACTOR) * spent;
-        overdue + self.penalty(now_ms) + shed_cost * self.shed_rate(now_ms)
+        overdue + self.penalty(now_ms) + shed_cost * self.expected_extra_sends(now_ms)
+    }
+
+    /// Returns the expected number of sends that are shed before one is answered.
+    ///
+    /// It grows faster than the shed rate: the retry budget must not be spent on a replica that
+    /// sheds most requests while one in another zone sheds none.
+    fn expected_extra_sends(&self, now_ms: u64) -> f64 {
+        let rate = self.shed_rate(now_ms).min(MAX_SHED_RATE);
+        rate / (1.0 - rate)
     }
 
     /// Returns the expected cost of one more request, in multiples of the usual latency.
