--- a/crates/decide/src/admission/plan.rs
+++ b/crates/decide/src/admission/plan.rs
@@ -10,7 +10,7 @@
 /// The expected latency is a mean: the work of one part varies by a third, that of a queue of seven
 /// by an eighth, and pauses of a replica add to both. Below 60, requests are refused that could be
 /// served; above 85, more of the admitted requests fail; in between the difference is small.
-const MAX_EXPECTED_LATENCY_PERCENT: f64 = 70.0;
+pub(super) const MAX_EXPECTED_LATENCY_PERCENT: f64 = 70.0;
 
 /// Decision on a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,6 +51,26 @@
     jitter: f64,
 ) -> Plan {
     let max_expected_ms = left_ms * MAX_EXPECTED_LATENCY_PERCENT / 100.0;
+    let limits = Limits { may_miss, may_leave_out, max_expected_ms, left_ms };
+    plan_within(answer_ms, &limits, jitter)
+}
+
+/// Limits of one request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Limits {
+    /// Number of shards that the whole request may miss.
+    pub(super) may_miss: usize,
+    /// Number of them that may be left out here.
+    pub(super) may_leave_out: usize,
+    /// Time within which a shard must be expected to answer, in milliseconds.
+    pub(super) max_expected_ms: f64,
+    /// Time over which retries of refused requests are spread, in milliseconds.
+    pub(super) left_ms: f64,
+}
+
+/// Decides like [`plan_group`] with the given limits.
+pub(super) fn plan_within(answer_ms: &[f64], limits: &Limits, jitter: f64) -> Plan {
+    let Limits { may_miss, may_leave_out, max_expected_ms, left_ms } = *limits;
     let mut late: Vec<usize> =
         (0..answer_ms.len()).filter(|&i| answer_ms[i] > max_expected_ms).collect();
     late.sort_by(|&a, &b| answer_ms[b].total_cmp(&answer_ms[a]));
