--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -1,7 +1,6 @@
 //! Rate limits of customers: takes a token for each request, and grants tokens to other instances.
 
 mod asks;
-mod log_budget;
 mod token;
 
 use std::cell::{Cell, RefCell};
@@ -19,11 +18,11 @@
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_peer::wire::{LimitAnswer, LimitOutcome, LimitRequest};
 
+use crate::log_budget::LogBudget;
 use crate::model::Request;
 use crate::router::Router;
 use crate::view::{Peer, View};
 use asks::AskTarget;
-use log_budget::LogBudget;
 pub(crate) use token::{Token, TokenSource};
 
 /// Interval at which unused tokens are returned and idle buckets removed.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod gather;
 mod load_reports;
+mod log_budget;
 mod log_output;
 mod model;
 mod outcome;
