Apply priorities and fair shares where requests are gathered

Nothing read the priority of a route. Whole requests are now planned within the limit of their priority and customer, and their ends are recorded; parts are restricted by more urgent priorities and record nothing. The answer to a delegated request reports a refusal by priority (tag 11), which callers get as 503 with a retry time of at most a third of the time left.

--- a/crates/peer/src/wire/gather.rs
+++ b/crates/peer/src/wire/gather.rs
@@ -148,6 +148,9 @@
     /// be checked; 0 otherwise.
     #[prost(uint64, tag = "10")]
     pub limit_unavailable_ms: u64,
+    /// True if nothing was started because more urgent requests need the capacity.
+    #[prost(bool, tag = "11")]
+    pub is_low_priority: bool,
 }
 
 /// Request for permission to send to a cold replica.
--- a/crates/router/src/gather/admission.rs
+++ b/crates/router/src/gather/admission.rs
@@ -1,6 +1,6 @@
 //! Admission control: whether a request is started and which of its shards are left out.
 
-use eelgrasspier_decide::admission::{Plan, plan_group};
+use eelgrasspier_decide::admission::{Plan, PriorityPlan, Protected, plan_with_priority};
 
 use super::Gather;
 use super::shard::{Shard, ShardState};
@@ -9,7 +9,7 @@
     /// Leaves out shards that would be late; returns false if the request is refused.
     pub(super) fn admit(&mut self) -> bool {
         let max_omitted = self.shards.len() - self.required_shards;
-        let Some(retry_after_ms) = self.plan(max_omitted, max_omitted) else { return true };
+        let Some(retry_after_ms) = self.plan(max_omitted, max_omitted, true) else { return true };
         self.gathered.refused_ms = Some(retry_after_ms);
         false
     }
@@ -18,8 +18,13 @@
     ///
     /// The requesting instance plans with load reports from earlier answers, which are older than
     /// the data here.
-    pub(super) fn admit_for_peer(&mut self, max_omitted: usize, may_leave_out: usize) -> bool {
-        self.gathered.refused_ms = self.plan(max_omitted, may_leave_out);
+    pub(super) fn admit_for_peer(
+        &mut self,
+        max_omitted: usize,
+        may_leave_out: usize,
+        has_all_shards: bool,
+    ) -> bool {
+        self.gathered.refused_ms = self.plan(max_omitted, may_leave_out, has_all_shards);
         let is_started = self.gathered.refused_ms.is_none();
         if !is_started {
             self.gathered.left_out = self.services(|_| true);
@@ -28,15 +33,32 @@
     }
 
     /// Leaves out late shards; returns the retry delay if there are more than may be left out.
-    fn plan(&mut self, max_omitted: usize, may_leave_out: usize) -> Option<u64> {
+    fn plan(
+        &mut self,
+        max_omitted: usize,
+        may_leave_out: usize,
+        has_all_shards: bool,
+    ) -> Option<u64> {
         let now_ms = self.router.shared.now_ms();
         let left_ms = self.deadlines.target_at_ms.saturating_sub(now_ms);
         let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
         let answer_ms: Vec<f64> =
             (0..self.shards.len()).map(|i| self.answer_ms(i, left_ms)).collect();
+        let limit = self.queue_limit(left_ms, has_all_shards, now_ms);
+        let plan = plan_with_priority(
+            &answer_ms,
+            (max_omitted, may_leave_out),
+            &self.candidate(left_ms),
+            &limit,
+            rand::random(),
+        );
+        if has_all_shards {
+            let is_admitted = matches!(plan, PriorityPlan::Usual(Plan::Send { .. }));
+            self.record_plan(left_ms, is_admitted, now_ms);
+        }
         let (id, route) = (self.request.id_text(), &self.route.name);
-        match plan_group(&answer_ms, max_omitted, may_leave_out, left_ms, rand::random()) {
-            Plan::Send { left_out } => {
+        match plan {
+            PriorityPlan::Usual(Plan::Send { left_out }) => {
                 for &index in &left_out {
                     self.shards[index].state = ShardState::LeftOut;
                 }
@@ -44,13 +66,29 @@
                 metrics::counter!("eelgrasspier_left_out_total").increment(count);
                 None
             }
-            Plan::Refuse { late_count, retry_after_ms } => {
+            PriorityPlan::Usual(Plan::Refuse { late_count, retry_after_ms }) => {
                 log::info!(
                     "event=overloaded id={id} route={route} late={late_count} may_miss={max_omitted} \
                      left_ms={left_ms} retry_after_ms={retry_after_ms}"
                 );
                 Some(retry_after_ms)
             }
+            PriorityPlan::MakesRoom { protected, late_count, retry_after_ms } => {
+                self.gathered.is_low_priority = protected.priority < self.route.priority;
+                if let Some(skipped) = self.router.priority_lines.try_take(now_ms) {
+                    let priority = self.route.priority;
+                    let Protected { priority: for_priority, headroom_ms, refused, late, .. } =
+                        protected;
+                    log::info!(
+                        "event=priority_refused id={id} route={route} priority={priority} \
+                         for_priority={for_priority} headroom_ms={headroom_ms:.1} \
+                         its_refused={refused} its_late={late} late={late_count} \
+                         may_miss={max_omitted} whole={has_all_shards} outcome=refused \
+                         retry_after_ms={retry_after_ms} skipped={skipped}"
+                    );
+                }
+                Some(retry_after_ms)
+            }
         }
     }
 
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -1,6 +1,7 @@
 //! Scatter-gather of one request: first sends, hedges, retries and completion.
 
 mod admission;
+mod priority;
 mod relay;
 mod relay_results;
 mod results;
@@ -26,6 +27,7 @@
 use crate::route_state::{RouteState, Timing};
 use crate::router::Router;
 use crate::view::{Peer, View};
+use priority::TrackedRequest;
 use relay::{Probe, RelayResult};
 use relay_results::UnreachedDelegate;
 use send_permission::Trials;
@@ -147,6 +149,8 @@
     has_retried_late: bool,
     /// Isolated trials of a request during which replicas have crashed.
     trials: Trials,
+    /// Set for an admitted request whose end is recorded for its priority.
+    tracked: Option<TrackedRequest>,
     gathered: Gathered,
 }
 
@@ -190,6 +194,7 @@
             unreached_delegate: None,
             has_retried_late: false,
             trials: Trials::default(),
+            tracked: None,
             gathered: Gathered::default(),
         }
     }
@@ -231,6 +236,7 @@
         // A request that is in flight may still run, so it must not be reported as not run.
         self.gathered.may_have_run |= self.write_flags.iter().any(DispatchFlag::is_set);
         self.token.settle(self.gathered.may_have_run);
+        self.record_end();
         if !is_given_up {
             self.tasks.detach_sends();
         }
@@ -271,7 +277,7 @@
                 // The requesting instance accepts partial results.
                 self.required_shards =
                     if has_all_shards { self.shards.len().saturating_sub(max_omitted) } else { 0 };
-                let is_started = self.admit_for_peer(max_omitted, may_leave_out);
+                let is_started = self.admit_for_peer(max_omitted, may_leave_out, has_all_shards);
                 match (is_started, has_all_shards) {
                     (false, _) => {}
                     (true, true) => self.dispatch_all(is_retry),
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -155,9 +155,11 @@
             report,
             limited_ms,
             limit_unavailable_ms,
+            is_low_priority,
         } = answer;
         if has_all_shards && refused_ms > 0 && !may_have_run {
             self.gathered.refused_ms = Some(refused_ms);
+            self.gathered.is_low_priority = is_low_priority;
         }
         if has_all_shards {
             self.apply_limit_refusal(limited_ms, limit_unavailable_ms);
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -108,6 +108,8 @@
     pub(crate) failure: Option<Reply>,
     /// Retry delay if the request was refused before anything was sent, in milliseconds.
     pub(crate) refused_ms: Option<u64>,
+    /// True if it was refused because more urgent requests need the capacity.
+    pub(crate) is_low_priority: bool,
     /// Refusal by the customer's rate limit, before anything was sent.
     pub(crate) limit_refusal: Option<LimitRefusal>,
     /// Origin of the customer's token; `None` without a limit and if a delegate takes the token.
@@ -141,7 +143,12 @@
         // A delegated request may have run through a third instance although the delegate refused
         // it.
         if let Some(retry_after_ms) = self.refused_ms.filter(|_| !self.may_have_run) {
-            return Refusal::not_run(RefusalReason::Overloaded, Some(retry_after_ms));
+            let reason = if self.is_low_priority {
+                RefusalReason::LowPriority
+            } else {
+                RefusalReason::Overloaded
+            };
+            return Refusal::not_run(reason, Some(retry_after_ms));
         }
         if let Some(limit_refusal) = self.limit_refusal.as_ref().filter(|_| !self.may_have_run) {
             return limit_refusal.to_refusal();
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -55,7 +55,7 @@
     Refusal { reason, ..refusal }
 }
 
-/// Shortens the retry delay of a refusal by API key or rate limit to fit the time left.
+/// Shortens the retry delay of a refusal by API key, rate limit or priority to fit the time left.
 ///
 /// Refusals for other causes are left as they are.
 pub(crate) fn limit_retry_delay(refusal: &mut Refusal, request: &Request, route: &Route) {
@@ -64,6 +64,7 @@
         RefusalReason::KeyUnconfirmed
             | RefusalReason::CustomerLimit(_)
             | RefusalReason::LimitUnavailable(_)
+            | RefusalReason::LowPriority
     ) {
         return;
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -265,6 +265,7 @@
         limited_ms,
         limit_unavailable_ms,
         refused_ms: gathered.refused_ms.unwrap_or(0),
+        is_low_priority: gathered.is_low_priority,
         ..wire::Gathered::default()
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use eelgrasspier_backend::PartFailure;
+use eelgrasspier_decide::admission::PriorityTracker;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::lost_sends::LostSends;
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
@@ -24,6 +25,7 @@
 use crate::cold_limiter::ColdLimiter;
 use crate::customer_limiter::CustomerLimiter;
 use crate::gather::{Deadlines, Gather, Requester};
+use crate::log_budget::LogBudget;
 use crate::model::{Outcome, Request};
 use crate::outcome::{limit_retry_delay, merged_outcome, record_outcome, single_outcome};
 use crate::quarantine_state::QuarantineState;
@@ -76,6 +78,8 @@
     pub(crate) quarantine_state: QuarantineState,
     pub(crate) cold_limiter: ColdLimiter,
     pub(crate) customer_limiter: CustomerLimiter,
+    pub(crate) priorities: RefCell<PriorityTracker>,
+    pub(crate) priority_lines: LogBudget,
     regions: RefCell<Regions>,
     pub(crate) authentication: Authentication,
 }
@@ -112,6 +116,8 @@
             quarantine_state: QuarantineState::default(),
             cold_limiter: ColdLimiter::default(),
             customer_limiter: CustomerLimiter::default(),
+            priorities: RefCell::default(),
+            priority_lines: LogBudget::default(),
             regions: RefCell::default(),
             authentication: Authentication::default(),
         })
--- a/crates/router/tests/overload.rs
+++ b/crates/router/tests/overload.rs
@@ -2,11 +2,17 @@
 
 mod common;
 
-use common::{Fixture, ReplicaBehavior, in_virtual_time, route};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{Fixture, ReplicaBehavior, in_virtual_time, request, route, view};
 use eelgrasspier_decide::prelude::{RefusalReason, Verdict};
 use eelgrasspier_decide::relays;
+use eelgrasspier_decide::route::{Configuration, Route, RouteTable};
 use eelgrasspier_peer::wire;
-use eelgrasspier_router::Outcome;
+use eelgrasspier_router::{Outcome, View};
+use tokio::task::JoinHandle;
 
 /// Makes a router measure that both replicas of a shard answer far too late.
 async fn train_slow(fixture: &Fixture, shards: &[usize]) {
@@ -229,3 +235,96 @@
         assert_eq!((answer.parts.len(), answer.left_out.len()), (0, 4));
     });
 }
+
+const BULK_DEADLINE_MS: u64 = 900;
+
+/// Returns a fixture with an urgent route and a less urgent one with a looser target, over the same
+/// shards.
+fn two_priorities() -> Fixture {
+    let urgent = Route { target_latency_ms: 160, ..route(4) };
+    let bulk = Route {
+        name: "bulk".into(),
+        path_prefix: "/b/".into(),
+        target_latency_ms: 500,
+        timeout_ms: BULK_DEADLINE_MS,
+        priority: 2,
+        ..route(4)
+    };
+    let fixture = Fixture::new(urgent.clone(), 4);
+    let view = view(urgent, 4);
+    let mut configuration = Configuration::clone(view.configuration.as_ref().unwrap());
+    configuration.routes.push(Arc::new(bulk));
+    configuration.version = 2;
+    let route_table = Arc::new(RouteTable::from(&configuration));
+    fixture.shared.publish(View {
+        route_table,
+        configuration: Some(Arc::new(configuration)),
+        ..view
+    });
+    for shard in 0..4 {
+        for replica in ["a", "b"] {
+            let replica = format!("s{shard}/{replica}");
+            fixture.replicas.set_behavior(&replica, ReplicaBehavior::AnswersAfter(20));
+        }
+    }
+    fixture
+}
+
+/// Starts a request to a route and returns once it is sent or refused.
+async fn start(fixture: &Fixture, prefix: &str, id: &str) -> JoinHandle<Outcome> {
+    let router = Rc::clone(&fixture.router);
+    let request = eelgrasspier_router::Request {
+        path: format!("{prefix}x").parse().unwrap(),
+        ..request(id, BULK_DEADLINE_MS)
+    };
+    let serving = tokio::task::spawn_local(async move { router.serve(request).await });
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+    serving
+}
+
+/// Load pattern: a burst of less urgent requests fills the queues beyond what the urgent ones can
+/// wait. These were refused while less urgent ones were still admitted.
+#[test]
+fn an_urgent_request_is_admitted_where_a_less_urgent_one_is_refused() {
+    in_virtual_time(async {
+        let fixture = two_priorities();
+        for id in ["t1", "t2", "t3"] {
+            start(&fixture, "/q/", id).await.await.unwrap();
+            start(&fixture, "/b/", id).await.await.unwrap();
+        }
+        let mut burst = Vec::new();
+        for i in 0..60 {
+            burst.push(start(&fixture, "/b/", &format!("b{i}")).await);
+        }
+        for id in ["u1", "u2", "u3"] {
+            let urgent = start(&fixture, "/q/", id).await;
+            assert_eq!(refusal(urgent.await.unwrap()).reason, RefusalReason::Overloaded);
+        }
+        // The callers of the burst leave, which empties the queues.
+        for serving in burst {
+            assert!(!serving.is_finished());
+            serving.abort();
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        // Urgent requests arrive until a less urgent one is refused.
+        let mut refused = None;
+        for i in 0..60 {
+            let bulk = start(&fixture, "/b/", &format!("c{i}")).await;
+            if bulk.is_finished() {
+                refused = Some(refusal(bulk.await.unwrap()));
+                break;
+            }
+            start(&fixture, "/q/", &format!("v{i}")).await;
+        }
+        let refused = refused.expect("all were admitted");
+        assert_eq!(
+            (refused.verdict, refused.reason),
+            (Verdict::NotRun, RefusalReason::LowPriority)
+        );
+        assert!(refused.retry_after_ms.is_some_and(|ms| ms <= BULK_DEADLINE_MS / 3));
+        let urgent = start(&fixture, "/q/", "w").await.await.unwrap();
+        assert!(matches!(urgent, Outcome::Merged(_)), "{urgent:?}");
+    });
+}
