Size a pool of retry slack for the instances without connections

With 100 instances and a slack of 268, each instance that holds no connections to a service had less than one extra send in 10 s, although hundreds were permitted.

SlackShare::of_pool is a fifth of the used slack of a shard, and the whole of a service that is no shard. A new owner has a quarter of it, an established one three quarters, so both together stay within the slack. RouteTable::is_shard tells the two kinds of service apart.

--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -58,6 +58,13 @@
         self.zones.get(zone).map_or(0, |(_, since_ms)| *since_ms)
     }
 
+    /// Returns the time of the last change of the instances that gather in any zone, in
+    /// milliseconds.
+    #[must_use]
+    pub fn last_changed_at_ms(&self) -> u64 {
+        self.zones.values().map(|(_, since_ms)| *since_ms).max().unwrap_or(0)
+    }
+
     /// Returns the time from which the potential owners count as unchanged, in milliseconds.
     #[must_use]
     pub fn settled_at_ms(&self, zone: Option<&str>) -> u64 {
--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -3,6 +3,9 @@
 //! Retries include hedges. In any window, all instances together may add `ratio_milli` retries per
 //! thousand requests of a service, plus a fixed slack. The ratio needs no division, since each
 //! instance counts its own requests; the slack is divided by the number of instances.
+//!
+//! Where some instances hold connections for the others, the others have no slack of their own.
+//! They borrow from a pool for each service that one of the gathering instances counts.
 
 use std::collections::VecDeque;
 
@@ -68,11 +71,37 @@
     /// connections in its zone have not changed for a window.
     #[must_use]
     pub fn of_holder(divisor: u64, is_established: bool) -> Self {
-        let used_milli = if is_established { ESTABLISHED_SLACK_MILLI } else { NEW_SLACK_MILLI };
-        Self { divisor, used_milli }
+        Self { divisor, used_milli: tenure_milli(is_established) }
+    }
+
+    /// Returns the pool of a service, from which instances without a part of their own borrow.
+    ///
+    /// `has_holders` is true if the holders of the service have most of the slack. `is_established`
+    /// is true if the instances that may own the pool have not changed for a window; until then the
+    /// previous owner may have lent the remaining part.
+    #[must_use]
+    pub fn of_pool(has_holders: bool, is_established: bool) -> Self {
+        let divisor = if has_holders { 100 / (100 - HOLDERS_SLACK_PERCENT) } else { 1 };
+        Self { divisor, used_milli: tenure_milli(is_established) }
+    }
+
+    /// Returns the part of an instance that has no slack of its own.
+    #[must_use]
+    pub fn none() -> Self {
+        Self { divisor: 1, used_milli: 0 }
+    }
+
+    /// Returns true if the instance has no slack of its own.
+    #[must_use]
+    pub fn is_none(&self) -> bool {
+        self.used_milli == 0
     }
 }
 
+fn tenure_milli(is_established: bool) -> u64 {
+    if is_established { ESTABLISHED_SLACK_MILLI } else { NEW_SLACK_MILLI }
+}
+
 /// Limits on retries of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -91,7 +120,15 @@
     retries: u64,
 }
 
-/// Retry budget of one service at one instance.
+impl RetryLimits {
+    /// Returns the limits of a pool, to which requests add nothing.
+    #[must_use]
+    pub fn of_pool(self) -> Self {
+        Self { ratio_milli: 0, ..self }
+    }
+}
+
+/// Retry budget of one service at one instance, or its pool at the pool's owner.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     spans: VecDeque<Span>,
@@ -119,6 +156,12 @@
         2 * retries_milli > max_milli
     }
 
+    /// Returns true if nothing was counted in the window.
+    pub fn is_idle(&mut self, limits: &RetryLimits, now_ms: u64) -> bool {
+        self.current_span(limits, now_ms);
+        self.spans.iter().all(|s| s.requests == 0 && s.retries == 0)
+    }
+
     /// Returns the fraction of the current budget that is spent, from 0 to 1.
     pub fn spent_fraction(&mut self, limits: &RetryLimits, share: SlackShare, now_ms: u64) -> f64 {
         let (retries_milli, max_milli) = self.retries_and_max_milli(limits, share, now_ms);
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -1,6 +1,6 @@
 //! Routes from a caller's request to a service or to shards.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::customers::Customers;
@@ -128,6 +128,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
     by_host: HashMap<String, Vec<Arc<Route>>>,
+    /// Services that are shards of some route.
+    shard_services: HashSet<Arc<str>>,
 }
 
 impl From<&Configuration> for RouteTable {
@@ -139,7 +141,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
-        Self { by_host }
+        let shards = configuration.routes.iter().filter_map(|route| match &route.target {
+            Target::Shards(shards) => Some(shards),
+            Target::Service(_) | Target::Split(_) => None,
+        });
+        let shard_services = shards.flat_map(|shards| shards.iter().cloned()).collect();
+        Self { by_host, shard_services }
     }
 }
 
@@ -150,6 +157,12 @@
         let host = without_port(host).to_ascii_lowercase();
         self.by_host.get(&host)?.iter().find(|r| path.starts_with(&r.path_prefix))
     }
+
+    /// Returns true if a service is a shard of some route.
+    #[must_use]
+    pub fn is_shard(&self, service: &str) -> bool {
+        self.shard_services.contains(service)
+    }
 }
 
 fn without_port(host: &str) -> &str {
--- a/crates/decide/tests/retry_budget.rs
+++ b/crates/decide/tests/retry_budget.rs
@@ -101,3 +101,58 @@
     let allowed = requests * LIMITS.ratio_milli / 1000 + LIMITS.slack;
     assert!(taken <= allowed, "{taken} of {allowed}");
 }
+
+/// Takes all that a pool lends from `from_ms` on, until a second owner takes over at `until_ms`.
+fn lend_all(has_holders: bool, from_ms: u64, until_ms: u64, established_at_ms: u64) -> Vec<u64> {
+    let mut pool = RetryBudget::default();
+    let mut lent_ms = Vec::new();
+    for now_ms in (from_ms..until_ms).step_by(100) {
+        let share = SlackShare::of_pool(has_holders, now_ms >= established_at_ms);
+        while pool.try_take(&LIMITS.of_pool(), share, now_ms) {
+            lent_ms.push(now_ms);
+        }
+    }
+    lent_ms
+}
+
+/// Guards against exceeding the limit when the owner of a pool is lost. Its successor has not
+/// counted what it lent in the same window.
+#[test]
+fn a_pool_stays_within_the_slack_over_a_change_of_its_owner() {
+    for (has_holders, slack) in [(false, LIMITS.slack), (true, LIMITS.slack / 5)] {
+        for changed_at_ms in (10_000..20_000).step_by(700) {
+            let mut lent_ms = lend_all(has_holders, 0, changed_at_ms, 0);
+            let established_at_ms = changed_at_ms + LIMITS.window_ms;
+            lent_ms.extend(lend_all(has_holders, changed_at_ms, 40_000, established_at_ms));
+            let lent_in_window = |from_ms: u64| {
+                let window = from_ms..from_ms + LIMITS.window_ms;
+                lent_ms.iter().filter(|at_ms| window.contains(at_ms)).count() as u64
+            };
+            let most = (0..30_000).step_by(100).map(lent_in_window).max().unwrap();
+            assert!(most <= slack && 2 * most > slack, "{most} of {slack}, {changed_at_ms}");
+        }
+    }
+}
+
+/// Guards against exceeding the limit when all instances restart and have lost their counts.
+#[test]
+fn holders_and_pool_stay_within_the_slack_over_a_restart_of_all() {
+    let divisor = slack_divisor(102, 2, true);
+    let taken: u64 = [true, false]
+        .into_iter()
+        .map(|is_established| {
+            let mut pool = RetryBudget::default();
+            let share = SlackShare::of_pool(true, is_established);
+            let lent =
+                (0..LIMITS.slack).filter(|_| pool.try_take(&LIMITS.of_pool(), share, 0)).count();
+            let holder = SlackShare::of_holder(divisor, is_established);
+            let no_requests = RetryLimits { ratio_milli: 0, ..LIMITS };
+            let mut budget = RetryBudget::default();
+            let by_holder =
+                (0..LIMITS.slack).filter(|_| budget.try_take(&no_requests, holder, 0)).count();
+            (lent + 3 * by_holder) as u64
+        })
+        .sum();
+    assert!(taken <= LIMITS.slack && 2 * taken > LIMITS.slack, "{taken} of {}", LIMITS.slack);
+    assert!(!RetryBudget::default().try_take(&LIMITS, SlackShare::none(), 0));
+}
