Add the messages that borrow from a retry pool

RetryToken (29) names the service and the request, and says whether the send is a hedge, of which the owner grants fewer. RetryTokenGranted (30) is the answer.

--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -6,7 +6,9 @@
 use prost::Message;
 use tokio_util::codec::LengthDelimitedCodec;
 
-pub use gather::{Busy, ColdSendRequest, GatherRequest, Gathered, Header, Signed};
+pub use gather::{
+    Busy, ColdSendRequest, GatherRequest, Gathered, Header, RetryTokenRequest, Signed,
+};
 pub use limit::{LimitAnswer, LimitOutcome, LimitRequest};
 
 /// Maximum size of a frame in bytes; leaves ample room for the operators' text.
@@ -24,7 +26,7 @@
     /// Request or answer.
     #[prost(
         oneof = "Body",
-        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30"
     )]
     pub body: Option<Body>,
 }
@@ -114,6 +116,12 @@
     /// Answer to [`Body::Limit`].
     #[prost(message, tag = "28")]
     LimitAnswer(LimitAnswer),
+    /// Request to the owner of a service's retry pool for one extra send.
+    #[prost(message, tag = "29")]
+    RetryToken(RetryTokenRequest),
+    /// Answer to [`Body::RetryToken`].
+    #[prost(bool, tag = "30")]
+    RetryTokenGranted(bool),
 }
 
 /// Records of all instances, and the reports that a starting instance needs.
--- a/crates/peer/src/wire/gather.rs
+++ b/crates/peer/src/wire/gather.rs
@@ -163,3 +163,17 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub request_id: bytes::Bytes,
 }
+
+/// Request for one extra send from the retry pool of a service.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RetryTokenRequest {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Id that the caller gave to its attempt; meant for logs, and not used by the receiver.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub request_id: bytes::Bytes,
+    /// True for a hedge, which is granted only while at least half of the pool is left.
+    #[prost(bool, tag = "3")]
+    pub is_hedge: bool,
+}
