Borrow extra sends from the retry pool of a service

Instances without slack never retried requests to a single service, because their parts of the slack were less than one extra send each.

Once its ratio part is spent, such an instance now asks the pool's owner within the spawned send. Without a grant nothing is sent: Event::Unpaid leaves the replica's statistics as they are, and the first failure is the outcome. The owner takes directly. Fleets without delegating zones have no pool and send no message.

Test instances that stand in for owners now grant retries: their entry instances had slack of their own before. The assertions of these tests are unchanged.

--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -1,7 +1,6 @@
 //! Rate limits of customers: takes a token for each request, and grants tokens to other instances.
 
 mod asks;
-mod log_budget;
 mod token;
 
 use std::cell::{Cell, RefCell};
@@ -19,11 +18,11 @@
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_peer::wire::{LimitAnswer, LimitOutcome, LimitRequest};
 
+use crate::log_budget::LogBudget;
 use crate::model::Request;
 use crate::router::Router;
 use crate::view::{Peer, View};
 use asks::AskTarget;
-use log_budget::LogBudget;
 pub(crate) use token::{Token, TokenSource};
 
 /// Interval at which unused tokens are returned and idle buckets removed.
@@ -262,19 +261,21 @@
     }
 
     /// Returns positions in `view.gatherers`, whose length stands for this instance.
-    fn limit_ranking(&self, view: &View, customer: &str) -> Vec<usize> {
+    ///
+    /// `key` is the name of a customer, or of a service for its retry pool.
+    pub(crate) fn limit_ranking(&self, view: &View, key: &str) -> Vec<usize> {
         let mut candidates: Vec<Candidate> =
             view.gatherers.iter().map(Peer::gather_candidate).collect();
         if view.is_gatherer {
             candidates.push(Candidate { key: self.key, capacity_milli: view.capacity_milli });
         }
-        fleet_limit::ranking(customer, &candidates)
+        fleet_limit::ranking(key, &candidates)
     }
 
     /// Returns what this instance knows about its own position in a ranking.
     ///
     /// While it knows no majority, there may be another owner on the other side of a partition.
-    fn standing(&self, view: &View, rank: usize) -> Standing {
+    pub(crate) fn standing(&self, view: &View, rank: usize) -> Standing {
         let now_ms = self.shared.now_ms();
         let connection = self.shared.connection();
         let majority_settled_at_ms = &self.customer_limiter.majority_settled_at_ms;
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -94,6 +94,7 @@
     event(787, "limit_refused"),
     event(788, "limit_unavailable"),
     event(789, "limit_role"),
+    event(790, "budget_refused"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -81,6 +81,12 @@
         replica: Arc<str>,
         result: Result<Reply, PartFailure>,
     },
+    /// The retry pool did not pay for an extra send, so nothing was sent.
+    Unpaid {
+        shard: usize,
+        replica: Arc<str>,
+        is_hedge: bool,
+    },
     Relay(RelayResult),
     /// Result of a liveness probe to an instance whose answer is late.
     Probed {
--- a/crates/router/src/gather/results.rs
+++ b/crates/router/src/gather/results.rs
@@ -23,6 +23,10 @@
                     Err(failure) => self.on_send_error(shard, &replica, &failure),
                 }
             }
+            Event::Unpaid { shard, replica, is_hedge } => {
+                self.shards[shard].in_flight -= 1;
+                self.on_unpaid_send(shard, &replica, is_hedge);
+            }
             Event::Relay(relay_result) => self.on_relay_result(relay_result),
             Event::Probed { peer, shards, is_alive } => {
                 self.on_probe_result(&peer, &shards, is_alive);
@@ -80,6 +84,23 @@
         }
     }
 
+    /// Handles an extra send that the retry pool did not pay for.
+    ///
+    /// The replica was not contacted. The denial itself is no reason to send again, but if the
+    /// first send has failed during the question for a hedge, its retry is still due.
+    fn on_unpaid_send(&mut self, index: usize, replica: &str, is_hedge: bool) {
+        self.gathered.extra_sends -= 1;
+        self.gathered.denied_extra_sends += 1;
+        self.trials.retract(replica);
+        let shard = &mut self.shards[index];
+        shard.tried.retain(|tried| **tried != *replica);
+        if is_hedge && shard.in_flight == 0 {
+            self.retry(index, true);
+        } else {
+            self.mark_late_if_idle(index);
+        }
+    }
+
     /// Schedules another attempt after concurrent requests have used the last free connections.
     fn schedule_connection_retry(&mut self, index: usize, replica: &str) {
         let retry_at_ms = self.router.shared.now_ms() + CONNECTION_RETRY_MS;
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -13,6 +13,8 @@
 use super::{CONNECTION_RETRY_MS, Event, Gather};
 use crate::backend::Attempt;
 use crate::cold_limiter::ColdAdmission;
+use crate::model::Request;
+use crate::retry_pool::{ExtraSend, PoolAdmission, PoolAsk};
 
 /// Interval at which a postponed hedge is reconsidered, in milliseconds.
 ///
@@ -24,6 +26,9 @@
 /// Without a retry a rejected shard is lost, while a late one usually answers without a hedge.
 const MAX_HEDGE_BUDGET_USED: f64 = 0.75;
 
+/// Cause of a hedge in log lines and metrics.
+const HEDGE_CAUSE: &str = "hedge";
+
 impl<'a> Gather<'a> {
     /// Returns the replicas to which a shard's request may still be sent.
     pub(super) fn eligible_replicas(
@@ -131,6 +136,7 @@
     fn spawn_send(&mut self, index: usize, replica: Arc<ReplicaEntry>, now_ms: u64) {
         let dispatched = self.begin_send();
         let shard = &mut self.shards[index];
+        let pool_ask = shard.pool_ask.take();
         let hedge_delay_ms = self.router.hedge_delay_ms(shard.slack_share, &self.timing, &replica);
         let can_hedge = self.route.is_idempotent && shard.tried.is_empty();
         shard.tried.push(Arc::clone(&replica.id));
@@ -160,6 +166,22 @@
         let (router, request) = (Rc::clone(self.router), Rc::clone(self.request));
         let send_future = Rc::clone(self.router).send(attempt, state, self.timing.typical_ms);
         self.tasks.sends.push(actix_rt::spawn(async move {
+            if let Some(ask) = pool_ask {
+                let service = &replica.service;
+                let is_granted = router.request_retry_token(&ask, service, &request).await;
+                if event_sender.is_closed() {
+                    // The request was answered or given up while the owner was asked.
+                    return router.end_trial(&request, &replica);
+                }
+                let paid = if is_granted { "pool" } else { "no" };
+                record_extra_send(&request, service, ask.purpose.cause, paid);
+                if !is_granted {
+                    router.end_trial(&request, &replica);
+                    let (replica, is_hedge) = (Arc::clone(&replica.id), ask.purpose.is_hedge);
+                    let event = Event::Unpaid { shard: index, replica, is_hedge };
+                    return drop(event_sender.send(event));
+                }
+            }
             let is_allowed = match &admission {
                 ColdAdmission::AskCoordinator(coordinator) => {
                     router.request_cold_send(coordinator, &replica, &request).await
@@ -202,7 +224,7 @@
             } else if self.are_hedges_held() {
                 self.postpone_hedge(index, now_ms);
             } else if self.has_slot_for_hedge(index) && self.has_budget_for_hedge(index) {
-                self.resend(index, "hedge");
+                self.resend(index, HEDGE_CAUSE);
             } else {
                 self.postpone_hedge(index, now_ms);
             }
@@ -216,7 +238,18 @@
     }
 
     /// True if enough retry budget is left for retries after a hedge.
+    ///
+    /// An instance without slack then asks the owner of the service's pool.
     fn has_budget_for_hedge(&self, index: usize) -> bool {
+        let Shard { service, slack_share, .. } = &self.shards[index];
+        let purpose = ExtraSend { cause: HEDGE_CAUSE, is_hedge: true };
+        self.has_own_budget_for_hedge(index)
+            || (slack_share.is_none()
+                && self.router.may_use_pool(&self.current_view, service, purpose))
+    }
+
+    /// True if enough of this instance's own budget is left for retries after a hedge.
+    fn has_own_budget_for_hedge(&self, index: usize) -> bool {
         let Shard { service, slack_share, .. } = &self.shards[index];
         self.router.retry_budget_used(service, *slack_share) < MAX_HEDGE_BUDGET_USED
     }
@@ -248,29 +281,76 @@
             metrics::counter!("eelgrasspier_repeats_saved_total", "cause" => cause).increment(1);
             return false;
         }
-        self.resend_within_budget(index, cause)
+        let spare_ms = self.spare_ms(replica, self.deadlines.target_at_ms);
+        self.resend_within_budget(index, cause, spare_ms)
     }
 
     /// Sends a shard's request again after the target, if an answer is due before the deadline.
     pub(super) fn resend_late(&mut self, index: usize) -> bool {
         let Some(replica) = self.pick_replica(&self.shards[index]) else { return false };
+        let spare_ms = self.spare_ms(replica, self.deadlines.limit_at_ms);
         self.answers_before(replica, self.deadlines.limit_at_ms)
-            && self.resend_within_budget(index, "late")
+            && self.resend_within_budget(index, "late", spare_ms)
     }
 
-    fn resend_within_budget(&mut self, index: usize, cause: &'static str) -> bool {
-        let shard = &self.shards[index];
-        let is_paid = self.router.try_take_retry(&shard.service, shard.slack_share);
-        let paid = if is_paid { "yes" } else { "no" };
-        metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid)
-            .increment(1);
-        let (id, service) = (self.request.id_text(), &shard.service);
-        log::info!("event=sent_again id={id} service={service} cause={cause} paid={paid}");
-        if !is_paid {
+    /// Returns the time by which a send may be delayed for an answer before `at_ms`, in
+    /// milliseconds.
+    fn spare_ms(&self, replica: &ReplicaEntry, at_ms: u64) -> u64 {
+        let answer_ms = self.router.estimate(replica, &self.timing, 0.0).answer_ms;
+        let answer_time = Duration::try_from_secs_f64(answer_ms / 1000.0).unwrap_or(Duration::MAX);
+        let left_ms = at_ms.saturating_sub(self.router.shared.now_ms());
+        let spare = Duration::from_millis(left_ms).saturating_sub(answer_time);
+        u64::try_from(spare.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Sends a shard's request again if the retry budget or the service's pool allows it.
+    ///
+    /// If another instance owns the pool, it is asked just before the send; see
+    /// [`Self::on_unpaid_send`] for a denial. `spare_ms` is the time left for that.
+    fn resend_within_budget(&mut self, index: usize, cause: &'static str, spare_ms: u64) -> bool {
+        let shard = &mut self.shards[index];
+        // A send that was postponed before its question was asked is replaced by this one.
+        shard.pool_ask = None;
+        let (service, slack_share) = (Arc::clone(&shard.service), shard.slack_share);
+        let purpose = ExtraSend { cause, is_hedge: cause == HEDGE_CAUSE };
+        let may_use_own = !purpose.is_hedge || self.has_own_budget_for_hedge(index);
+        let paid = if may_use_own && self.router.try_take_retry(&service, slack_share) {
+            "yes"
+        } else if slack_share.is_none() {
+            let (router, view) = (self.router, &self.current_view);
+            match router.pool_admission(view, &service, self.request, purpose, spare_ms) {
+                PoolAdmission::Taken => "pool",
+                PoolAdmission::Ask(ask) => return self.send_after_asking(index, ask),
+                PoolAdmission::Denied => "no",
+            }
+        } else {
+            "no"
+        };
+        record_extra_send(self.request, &service, cause, paid);
+        if paid == "no" {
             self.gathered.denied_extra_sends += 1;
             return false;
         }
         self.gathered.extra_sends += 1;
         self.send(index)
     }
+
+    /// Sends a shard's request again once the owner of the pool has granted it.
+    fn send_after_asking(&mut self, index: usize, ask: PoolAsk) -> bool {
+        self.shards[index].pool_ask = Some(ask);
+        let is_started = self.send(index);
+        if is_started {
+            self.gathered.extra_sends += 1;
+        } else {
+            self.shards[index].pool_ask = None;
+        }
+        is_started
+    }
+}
+
+/// Logs and counts an extra send, or one that was not paid for and therefore not sent.
+fn record_extra_send(request: &Request, service: &str, cause: &'static str, paid: &'static str) {
+    metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid).increment(1);
+    let id = request.id_text();
+    log::info!("event=sent_again id={id} service={service} cause={cause} paid={paid}");
 }
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -10,6 +10,7 @@
 
 use crate::backend::Reply;
 use crate::customer_limiter::LimitRefusal;
+use crate::retry_pool::PoolAsk;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ShardState {
@@ -42,6 +43,8 @@
     pub(super) was_reassigned: bool,
     /// Sends and relay requests in flight.
     pub(super) in_flight: usize,
+    /// Question to the owner of the retry pool that must precede the next send.
+    pub(super) pool_ask: Option<PoolAsk>,
     pub(super) hedge_at_ms: Option<u64>,
     pub(super) state: ShardState,
 }
@@ -62,6 +65,7 @@
             allowed: None,
             was_reassigned: false,
             in_flight: 0,
+            pool_ask: None,
             hedge_at_ms: None,
             state: ShardState::Pending,
         }
--- a/crates/router/src/customer_limiter/log_budget.rs
+++ b/crates/router/src/log_budget.rs
@@ -8,7 +8,7 @@
 
 /// Number of lines that may still be written in the current second.
 #[derive(Debug, Default)]
-pub(super) struct LogBudget {
+pub(crate) struct LogBudget {
     state: Cell<State>,
 }
 
@@ -22,7 +22,7 @@
 impl LogBudget {
     /// Takes a line; returns the number of lines skipped since the previous one, or `None` if this
     /// line must be skipped too.
-    pub(super) fn try_take(&self, now_ms: u64) -> Option<u64> {
+    pub(crate) fn try_take(&self, now_ms: u64) -> Option<u64> {
         let mut state = self.state.get();
         if now_ms >= state.window_end_ms {
             (state.window_end_ms, state.written) = (now_ms + WINDOW_MS, 0);
--- a/crates/router/src/peer_requests.rs
+++ b/crates/router/src/peer_requests.rs
@@ -118,6 +118,9 @@
                 Body::ColdSend(request) => {
                     Body::ColdSendAllowed(self.router.grant_cold_send(&request))
                 }
+                Body::RetryToken(request) => {
+                    Body::RetryTokenGranted(self.router.grant_retry_token(&request))
+                }
                 Body::Limit(request) => Body::LimitAnswer(self.router.answer_limit(&request)),
                 Body::Alive(empty) => Body::Alive(empty),
                 _ => Body::Refused("not a question for a router".to_owned()),
--- a/crates/router/src/preconnect.rs
+++ b/crates/router/src/preconnect.rs
@@ -19,6 +19,7 @@
             let ids: HashSet<Arc<str>> = entries().map(|e| Arc::clone(&e.id)).collect();
             self.backend.retain(&ids);
             self.prune_cold_sends();
+            self.prune_retry_pools();
             self.update_limit_roles(&view);
             let peers: HashSet<Arc<str>> = view.peers.iter().map(|p| peer_key(&p.name)).collect();
             self.replica_stats.borrow_mut().retain(|id, _| ids.contains(id) || peers.contains(id));
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -27,6 +27,7 @@
 use crate::model::{Outcome, Request};
 use crate::outcome::{limit_retry_delay, merged_outcome, record_outcome, single_outcome};
 use crate::quarantine_state::QuarantineState;
+use crate::retry_pool::RetryPool;
 use crate::route_state::{RouteState, Timing};
 use crate::traffic_metrics::{self, TrafficCause};
 use crate::view::{SharedState, View};
@@ -56,7 +57,7 @@
 ///
 /// The names are trusted, so no protection against hash collisions is needed. Each send does about
 /// a dozen look-ups, and the standard hasher took 5 % of the instructions of a send.
-type NameMap<T> = HashMap<Arc<str>, T, foldhash::fast::RandomState>;
+pub(crate) type NameMap<T> = HashMap<Arc<str>, T, foldhash::fast::RandomState>;
 
 /// State of the traffic thread.
 pub struct Router {
@@ -71,6 +72,7 @@
     /// Expiry times of replicas that peer instances reported as slow, by replica hash.
     pub(crate) slow_until_ms: RefCell<HashMap<u32, u64>>,
     retry_budgets: RefCell<NameMap<RetryBudget>>,
+    pub(crate) retry_pool: RetryPool,
     routes: RefCell<HashMap<Arc<str>, Rc<RouteState>>>,
     pub(crate) lost_sends: RefCell<LostSends>,
     pub(crate) quarantine_state: QuarantineState,
@@ -107,6 +109,7 @@
             replica_stats: RefCell::default(),
             slow_until_ms: RefCell::default(),
             retry_budgets: RefCell::default(),
+            retry_pool: RetryPool::default(),
             routes: RefCell::default(),
             lost_sends: RefCell::default(),
             quarantine_state: QuarantineState::default(),
@@ -239,6 +242,10 @@
         self.regions.borrow().is_home_zone(homes, zone)
     }
 
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
+        self.limits.get()
+    }
+
     /// Replaces the retry budget limits.
     pub(crate) fn set_retry_limits(&self, limits: RetryLimits) {
         self.limits.set(limits);
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -135,7 +135,9 @@
     /// Returns this instance's part of the retry slack of a service.
     ///
     /// `zone` is the zone of this instance if it holds connections to the service's replicas there.
-    /// Where no instance delegates, all send to all replicas and have the same part.
+    /// Where no instance delegates, all send to all replicas and have the same part. Elsewhere only
+    /// the holders of a shard have one. Every entry instance sends the requests to a single service
+    /// itself, so the slack of such a service is in its pool; see [`Self::retry_pool_share`].
     #[must_use]
     pub fn retry_slack_share(
         &self,
@@ -146,16 +148,38 @@
         if self.delegating_zones.is_empty() {
             return SlackShare::equal(self.instance_count);
         }
-        let replicas = self.replicas.get(service).map_or(&[][..], Vec::as_slice);
-        let has_replica = |zone: &Arc<str>| replicas.iter().any(|r| r.zone == *zone);
-        let counted = self.holders_by_zone.iter().filter(|(zone, _)| has_replica(zone));
-        let holders: u64 = counted.map(|(_, holders)| holders).sum();
-        let is_holder = zone.is_some_and(has_replica);
-        let other_holders = holders.saturating_sub(u64::from(is_holder));
+        let is_holder = zone.is_some_and(|zone| self.has_replica_in(service, zone));
+        if !is_holder || !self.route_table.is_shard(service) {
+            return SlackShare::none();
+        }
+        let other_holders = self.count_holders_of(service).saturating_sub(1);
         let divisor = retry_budget::slack_divisor(self.instance_count, other_holders, is_holder);
         SlackShare::of_holder(divisor, is_established)
     }
 
+    /// Returns the pool of a service's retry slack; `None` if there is none.
+    ///
+    /// The holders of a shard have the whole slack if there are no other instances.
+    #[must_use]
+    pub fn retry_pool_share(&self, service: &str, is_established: bool) -> Option<SlackShare> {
+        let has_holders = self.route_table.is_shard(service);
+        let is_all_held = has_holders && self.count_holders_of(service) >= self.instance_count;
+        let has_pool = !self.delegating_zones.is_empty() && !is_all_held;
+        has_pool.then(|| SlackShare::of_pool(has_holders, is_established))
+    }
+
+    /// Counts the instances that hold connections to the replicas of a service.
+    fn count_holders_of(&self, service: &str) -> u64 {
+        let counted =
+            self.holders_by_zone.iter().filter(|(zone, _)| self.has_replica_in(service, zone));
+        counted.map(|(_, holders)| holders).sum()
+    }
+
+    fn has_replica_in(&self, service: &str, zone: &str) -> bool {
+        let replicas = self.replicas.get(service).map_or(&[][..], Vec::as_slice);
+        replicas.iter().any(|r| *r.zone == *zone)
+    }
+
     fn membership_view(&self, zone: &str, own_zone: &str) -> MembershipView {
         let to_u32 = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let same_zone_gatherers =
--- a/crates/router/tests/customer_limits.rs
+++ b/crates/router/tests/customer_limits.rs
@@ -18,6 +18,8 @@
 use eelgrasspier_router::{Credential, Outcome, Peer, Request, Router, View};
 use tokio::net::TcpListener;
 
+/// CPU capacity with which an instance owns practically all keys.
+const DOMINANT_CAPACITY_MILLI: u32 = 5_000_000;
 const DEADLINE_MS: u64 = 30_000;
 const LIMITED: &str = "acme";
 const UNLIMITED: &str = "free";
@@ -72,6 +74,7 @@
                         None => std::future::pending().await,
                     }
                 }
+                (Body::RetryToken(_), None) => Body::RetryTokenGranted(true),
                 (Body::Gather(_), None) => Body::Gathered(self.0.gathered.borrow().clone()),
                 (other, _) => other,
             }
@@ -481,8 +484,10 @@
 #[test]
 fn a_lost_delegate_costs_one_forced_token() {
     in_real_time(async {
-        let (counting, peer) = start_mock("a", "z2").await;
+        let (counting, mut peer) = start_mock("a", "z2").await;
         counting.answer.set(Some(UNAVAILABLE));
+        // It owns the retry pools, from which the entry instance sends the shards itself.
+        peer.capacity_milli = DOMINANT_CAPACITY_MILLI;
         let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = gone.local_addr().unwrap();
         // It is lost after it has received the request.
@@ -490,7 +495,13 @@
             let (stream, _) = gone.accept().await.unwrap();
             stream.readable().await.unwrap();
         });
-        let lost = Peer { name: "lost".into(), addr, zone: "z1".into(), ..peer.clone() };
+        let lost = Peer {
+            name: "lost".into(),
+            capacity_milli: 500,
+            addr,
+            zone: "z1".into(),
+            ..peer.clone()
+        };
         let fixture = entry_instance(shards_route(), vec![lost, peer]);
         assert_served(&fixture, "1").await;
         counting.received(|r| r.is_forced).await;
@@ -505,12 +516,19 @@
 #[test]
 fn a_request_whose_delegate_is_not_reached_takes_a_token_first() {
     in_real_time(async {
-        let (counting, peer) = start_mock("a", "z2").await;
+        let (counting, mut peer) = start_mock("a", "z2").await;
         counting.answer.set(Some(limited(700)));
+        peer.capacity_milli = DOMINANT_CAPACITY_MILLI;
         let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = gone.local_addr().unwrap();
         drop(gone);
-        let down = Peer { name: "down".into(), addr, zone: "z1".into(), ..peer.clone() };
+        let down = Peer {
+            name: "down".into(),
+            capacity_milli: 500,
+            addr,
+            zone: "z1".into(),
+            ..peer.clone()
+        };
         let fixture = entry_instance(shards_route(), vec![down, peer]);
         assert_eq!(refusal(&fixture, "1").await, not_run(RefusalReason::CustomerLimit, 700));
         assert!(fixture.replicas.arrivals.borrow().is_empty());
--- a/crates/router/tests/delegates.rs
+++ b/crates/router/tests/delegates.rs
@@ -34,6 +34,7 @@
                     self.request_count.set(self.request_count.get() + 1);
                     Body::Gathered(self.router.gather_for_peer(request).await)
                 }
+                Body::RetryToken(_) => Body::RetryTokenGranted(true),
                 other => other,
             }
         })
