Divide the slack only among the holders of a shard

Other instances have no part of their own any more, so slack_divisor no longer returns one for them.

--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -34,19 +34,14 @@
 /// They send nearly all retries.
 const HOLDERS_SLACK_PERCENT: u64 = 80;
 
-/// Returns the number of instances by which the slack of a service is divided for one of them.
+/// Returns the number by which the slack of a service is divided for each instance that holds
+/// connections to its replicas.
 ///
-/// `other_holders` is the number of other instances that hold connections to the service's
-/// replicas; `is_holder` is true if this instance does.
+/// `holders` is the number of these instances. The rest of the slack is the service's pool; see
+/// [`SlackShare::of_pool`].
 #[must_use]
-pub fn slack_divisor(instances: u64, other_holders: u64, is_holder: bool) -> u64 {
-    let holders = other_holders + u64::from(is_holder);
-    let others = instances.saturating_sub(holders);
-    match (others, is_holder) {
-        (0, _) => instances,
-        (_, true) => (holders * 100).div_ceil(HOLDERS_SLACK_PERCENT),
-        (_, false) => (others * 100).div_ceil(100 - HOLDERS_SLACK_PERCENT),
-    }
+pub fn slack_divisor(instances: u64, holders: u64) -> u64 {
+    if holders >= instances { instances } else { (holders * 100).div_ceil(HOLDERS_SLACK_PERCENT) }
 }
 
 /// An instance's part of the slack of a service.
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -152,8 +152,8 @@
         if !is_holder || !self.route_table.is_shard(service) {
             return SlackShare::none();
         }
-        let other_holders = self.count_holders_of(service).saturating_sub(1);
-        let divisor = retry_budget::slack_divisor(self.instance_count, other_holders, is_holder);
+        let holders = self.count_holders_of(service).max(1);
+        let divisor = retry_budget::slack_divisor(self.instance_count, holders);
         SlackShare::of_holder(divisor, is_established)
     }
 
