Keep the question to a pool's owner until the shard's next send

A send that waited for a connection lost its question when another extra send of the shard was denied in between, and could then leave without a grant. The question is now dropped only for a send that is paid for.

--- a/crates/router/src/gather/results.rs
+++ b/crates/router/src/gather/results.rs
@@ -89,7 +89,7 @@
     /// The replica was not contacted. The denial itself is no reason to send again, but if the
     /// first send has failed during the question for a hedge, its retry is still due.
     fn on_unpaid_send(&mut self, index: usize, replica: &str, is_hedge: bool) {
-        self.gathered.extra_sends -= 1;
+        self.gathered.extra_sends = self.gathered.extra_sends.saturating_sub(1);
         self.gathered.denied_extra_sends += 1;
         self.trials.retract(replica);
         let shard = &mut self.shards[index];
--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -308,9 +308,7 @@
     /// If another instance owns the pool, it is asked just before the send; see
     /// [`Self::on_unpaid_send`] for a denial. `spare_ms` is the time left for that.
     fn resend_within_budget(&mut self, index: usize, cause: &'static str, spare_ms: u64) -> bool {
-        let shard = &mut self.shards[index];
-        // A send that was postponed before its question was asked is replaced by this one.
-        shard.pool_ask = None;
+        let shard = &self.shards[index];
         let (service, slack_share) = (Arc::clone(&shard.service), shard.slack_share);
         let purpose = ExtraSend { cause, is_hedge: cause == HEDGE_CAUSE };
         let may_use_own = !purpose.is_hedge || self.has_own_budget_for_hedge(index);
@@ -331,6 +329,8 @@
             self.gathered.denied_extra_sends += 1;
             return false;
         }
+        // A send that was postponed before the owner was asked is replaced by this one.
+        self.shards[index].pool_ask = None;
         self.gathered.extra_sends += 1;
         self.send(index)
     }
@@ -338,12 +338,9 @@
     /// Sends a shard's request again once the owner of the pool has granted it.
     fn send_after_asking(&mut self, index: usize, ask: PoolAsk) -> bool {
         self.shards[index].pool_ask = Some(ask);
+        // If nothing is sent now, the question remains due before a later send.
         let is_started = self.send(index);
-        if is_started {
-            self.gathered.extra_sends += 1;
-        } else {
-            self.shards[index].pool_ask = None;
-        }
+        self.gathered.extra_sends += u32::from(is_started);
         is_started
     }
 }
