Protect a priority only while a queue can be short enough for it

A priority whose target is shorter than its typical latency has a headroom of 0 and loses each request, whatever the queue. Less urgent requests were then refused wherever a replica was slightly slower than usual, also without overload. Such a priority no longer restricts others.

For a part of a request, a starved priority with less headroom hid the more urgent one that lost requests, so that the part was not restricted at all. Starved priorities are now left out before the comparison.

--- a/crates/decide/src/admission/priority.rs
+++ b/crates/decide/src/admission/priority.rs
@@ -44,6 +44,11 @@
 ///
 /// At a high rate a few losses per second are usual.
 const MIN_LOST_DIVISOR: u32 = 20;
+/// Minimum headroom of a priority that restricts others, in milliseconds.
+///
+/// With less, no queue is short enough for it. Less urgent requests were then refused wherever a
+/// replica was slightly slower than usual.
+const MIN_HEADROOM_MS: f64 = 1.0;
 /// Part of the urgent kind's longest queue that less urgent requests may fill, in percent.
 ///
 /// Load reports are some milliseconds old and several instances send at once. Without a margin the
@@ -220,8 +225,12 @@
         }
     }
 
-    /// Returns this kind if enough of its requests were lost in the last second.
+    /// Returns this kind if enough of its requests were lost in the last second, and a shorter
+    /// queue lets them finish in time.
     fn protected(&self, now_ms: u64) -> Option<Protected> {
+        if self.headroom_ms < MIN_HEADROOM_MS {
+            return None;
+        }
         let Counts { admitted, refused, late } = self.counts(PRESSURE_SPANS, now_ms);
         let min_lost = MIN_LOST.max((admitted + refused) / MIN_LOST_DIVISOR);
         (refused + late >= min_lost).then_some(Protected {
@@ -275,7 +284,14 @@
     ///
     /// It is the one with the least headroom among the more urgent priorities that lost requests
     /// in the last second and those that are served less than the floor.
-    fn protected(&self, priority: u32, chance: f64, now_ms: u64) -> Option<Protected> {
+    /// For a part of a request, only more urgent priorities count.
+    fn protected(
+        &self,
+        priority: u32,
+        is_part: bool,
+        chance: f64,
+        now_ms: u64,
+    ) -> Option<Protected> {
         // Most of the time nothing is lost.
         let lossy = || self.kinds.iter().filter_map(|k| Some((k, k.protected(now_ms)?)));
         lossy().next()?;
@@ -294,8 +310,9 @@
         if chance < if is_own_starved { MAX_EXEMPT } else { floor } {
             return None;
         }
+        let is_starved_other = |k: &Kind| !is_part && k.priority > priority && is_starved(k);
         lossy()
-            .filter(|(k, _)| k.priority < priority || (k.priority > priority && is_starved(k)))
+            .filter(|(k, _)| k.priority < priority || is_starved_other(k))
             .map(|(_, protected)| protected)
             .min_by(|a, b| a.headroom_ms.total_cmp(&b.headroom_ms))
     }
@@ -351,7 +368,7 @@
         let Some(group) = self.groups.get(&group) else { return QueueLimit::USUAL };
         QueueLimit {
             max_latency_percent: group.max_latency_percent(candidate, now_ms),
-            protected: group.protected(candidate.priority, chance, now_ms),
+            protected: group.protected(candidate.priority, false, chance, now_ms),
         }
     }
 
@@ -374,8 +391,7 @@
         let hash = rendezvous::hash(service);
         let groups = self.groups.values().filter(|g| g.services.binary_search(&hash).is_ok());
         let protected = groups
-            .filter_map(|g| g.protected(candidate.priority, chance, now_ms))
-            .filter(|p| p.priority < candidate.priority)
+            .filter_map(|g| g.protected(candidate.priority, true, chance, now_ms))
             .min_by(|a, b| a.headroom_ms.total_cmp(&b.headroom_ms));
         QueueLimit { protected, ..QueueLimit::USUAL }
     }
--- a/crates/decide/tests/priority.rs
+++ b/crates/decide/tests/priority.rs
@@ -244,6 +244,41 @@
     assert_eq!(tracker.limit(group, &bulk, 0.9, 2_300), QueueLimit::USUAL);
 }
 
+/// Records two late requests of each kind to one group.
+fn tracker_with_losses(kinds: &[Candidate<'_>]) -> (PriorityTracker, GroupKey) {
+    let (mut tracker, group) = (PriorityTracker::default(), GroupKey::of(["s0"]));
+    for kind in kinds {
+        for _ in 0..2 {
+            tracker.record_start(group, ["s0"].into_iter(), kind, 0);
+            tracker.record_end(group, kind, RequestEnd::Late, 0);
+        }
+    }
+    (tracker, group)
+}
+
+/// Guards against refusing less urgent requests for a priority whose target no queue permits.
+#[test]
+fn a_priority_that_cannot_meet_its_target_restricts_no_other() {
+    let hopeless = Candidate { left_ms: WORK_MS, ..candidate(&URGENT) };
+    let (tracker, group) = tracker_with_losses(&[hopeless]);
+    assert_eq!(tracker.limit(group, &candidate(&BULK), 0.9, 0), QueueLimit::USUAL);
+    let (tracker, group) = tracker_with_losses(&[candidate(&URGENT)]);
+    assert!(tracker.limit(group, &candidate(&BULK), 0.9, 0).protected.is_some());
+}
+
+/// Guards against serving a part as usual because a starved priority has less headroom than the
+/// urgent one.
+#[test]
+fn a_starved_priority_does_not_hide_an_urgent_one_from_a_part() {
+    let starved = Candidate { priority: 7, left_ms: 20.0, ..candidate(&URGENT) };
+    let (mut tracker, group) = tracker_with_losses(&[candidate(&URGENT), starved]);
+    for _ in 0..4 {
+        tracker.record_end(group, &candidate(&URGENT), RequestEnd::Served, 0);
+    }
+    let limit = tracker.part_limit("s0", &candidate(&BULK), 0.9, 0);
+    assert_eq!(limit.protected.map(|p| p.priority), Some(URGENT.priority));
+}
+
 /// Guards against unbounded memory: routes come and go, and every split names a service.
 #[test]
 fn the_number_of_groups_is_bounded() {
