Merge the two bounds on log lines

LineLimit in the authentication did the same as LogBudget. LogBudget takes the number of lines per second, and key_refused lines state the number of skipped lines like the other bounded lines.

--- a/crates/router/src/authentication.rs
+++ b/crates/router/src/authentication.rs
@@ -10,6 +10,7 @@
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::route::Route;
 
+use crate::log_budget::LogBudget;
 use crate::model::{Credential, Request};
 use crate::router::Router;
 use crate::view::View;
@@ -26,30 +27,21 @@
 const OTHER_CUSTOMERS: &str = "other";
 
 /// State of the checks of API keys.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Authentication {
     /// Time without a confirmed configuration after which keys are refused.
     revocation_timeout: Cell<Option<Duration>>,
-    line_limit: LineLimit,
+    refused_lines: LogBudget,
     labelled_customers: RefCell<HashSet<Arc<str>>>,
 }
 
-/// Limits the log lines of each second.
-#[derive(Debug, Default)]
-struct LineLimit {
-    second: Cell<u64>,
-    lines: Cell<u32>,
-}
-
-impl LineLimit {
-    fn try_take(&self, now_ms: u64) -> bool {
-        let second = now_ms / 1000;
-        if self.second.replace(second) != second {
-            self.lines.set(0);
+impl Default for Authentication {
+    fn default() -> Self {
+        Self {
+            revocation_timeout: Cell::default(),
+            refused_lines: LogBudget::new(MAX_LINES_PER_S),
+            labelled_customers: RefCell::default(),
         }
-        let is_allowed = self.lines.get() < MAX_LINES_PER_S;
-        self.lines.set(self.lines.get() + u32::from(is_allowed));
-        is_allowed
     }
 }
 
@@ -87,9 +79,10 @@
         let customer = check.authenticate(presented, route.is_public).map_err(|cause| {
             metrics::counter!("eelgrasspier_keys_refused_total", "cause" => cause.to_string())
                 .increment(1);
-            if self.authentication.line_limit.try_take(now_ms) {
+            if let Some(skipped) = self.authentication.refused_lines.try_take(now_ms) {
                 log::info!(
-                    "event=key_refused id={} route={} cause={cause} version={} unconfirmed_ms={}",
+                    "event=key_refused id={} route={} cause={cause} version={} unconfirmed_ms={} \
+                     skipped={skipped}",
                     request.id_text(),
                     route.name,
                     view.configuration_version(),
--- a/crates/router/src/log_budget.rs
+++ b/crates/router/src/log_budget.rs
@@ -2,13 +2,14 @@
 
 use std::cell::Cell;
 
-/// Lines per second; enough to show the affected customers.
+/// Default number of lines per second; enough to show the affected customers.
 const MAX_LINES_PER_S: u32 = 10;
 const WINDOW_MS: u64 = 1_000;
 
 /// Number of lines that may still be written in the current second.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LogBudget {
+    max_lines_per_s: u32,
     state: Cell<State>,
 }
 
@@ -19,7 +20,18 @@
     skipped: u64,
 }
 
+impl Default for LogBudget {
+    fn default() -> Self {
+        Self::new(MAX_LINES_PER_S)
+    }
+}
+
 impl LogBudget {
+    /// Creates a budget of `max_lines_per_s` lines in each second.
+    pub(crate) fn new(max_lines_per_s: u32) -> Self {
+        Self { max_lines_per_s, state: Cell::default() }
+    }
+
     /// Takes a line; returns the number of lines skipped since the previous one, or `None` if this
     /// line must be skipped too.
     pub(crate) fn try_take(&self, now_ms: u64) -> Option<u64> {
@@ -27,7 +39,7 @@
         if now_ms >= state.window_end_ms {
             (state.window_end_ms, state.written) = (now_ms + WINDOW_MS, 0);
         }
-        let is_allowed = state.written < MAX_LINES_PER_S;
+        let is_allowed = state.written < self.max_lines_per_s;
         let skipped = if is_allowed {
             state.written += 1;
             Some(std::mem::take(&mut state.skipped))
