Count a send as extra if any lost instance may have sent the shard

A shard of a frozen instance is relayed to another one. If that one could not be reached, the shard was sent from here as a first send: it took nothing from the retry budget, even added to it, and dropped the restriction to the drawn replicas, so that more replicas than the route's attempts could run it. The shard now remembers that a lost instance may have sent it.

--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -71,6 +71,9 @@
         is_retry: bool,
     ) -> Vec<usize> {
         self.token.on_delegate_lost();
+        for &index in shards {
+            self.shards[index].may_be_sent_elsewhere |= is_retry;
+        }
         let is_pending = |i: &&usize| self.shards[**i].state == ShardState::Pending;
         let pending: Vec<usize> = shards.iter().filter(is_pending).copied().collect();
         if !self.view.is_delegating(zone) || self.is_suspect() {
@@ -208,12 +211,14 @@
     }
 
     /// Sends a shard directly that the other instance did not return.
+    ///
+    /// The send is an extra one if that instance, or another one before it, may have sent the shard.
     fn retry_relayed(&mut self, index: usize, was_sent: bool) {
         let shard = &mut self.shards[index];
         if shard.state != ShardState::Pending {
             return;
         }
-        if was_sent {
+        if was_sent || shard.may_be_sent_elsewhere {
             self.retry(index, true);
         } else {
             shard.allowed = None;
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -41,6 +41,8 @@
     pub(super) allowed: Option<Vec<u32>>,
     /// True if the shard was relayed again after the first instance was lost.
     pub(super) was_reassigned: bool,
+    /// True if a lost instance may have sent the request, so that each further send is an extra one.
+    pub(super) may_be_sent_elsewhere: bool,
     /// Sends and relay requests in flight.
     pub(super) in_flight: usize,
     /// Question to the owner of the retry pool that must precede the next send.
@@ -64,6 +66,7 @@
             rejections: 0,
             allowed: None,
             was_reassigned: false,
+            may_be_sent_elsewhere: false,
             in_flight: 0,
             pool_ask: None,
             hedge_at_ms: None,
--- a/crates/router/tests/lost_relays.rs
+++ b/crates/router/tests/lost_relays.rs
@@ -129,3 +129,20 @@
         assert!((1..SHARDS).contains(&arrivals), "{arrivals}");
     });
 }
+
+/// Guards against sending unpaid what a frozen instance may have sent, because its replacement
+/// can't be reached.
+#[test]
+fn an_unreachable_replacement_does_not_make_a_retry_free() {
+    in_real_time(async {
+        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = gone.local_addr().unwrap();
+        drop(gone);
+        let silent = start("silent", Rc::new(SilentService)).await;
+        // Its capacity is so low that it gathers no shard in the first place.
+        let gone = Peer { name: "down".into(), addr, capacity_milli: 1, ..silent.clone() };
+        let fixture = relaying_instance(vec![silent, gone]);
+        assert!(matches!(fixture.serve("r1", DEADLINE_MS).await, Outcome::Refused(_)));
+        assert_eq!(fixture.replicas.arrivals.borrow().len(), 0);
+    });
+}
