Do not take a late answer to a shortened question as a denial

A question to a pool's owner with less than 30 ms left times out often, since a round trip takes up to 6 ms. It was remembered as a denial, so that for 300 ms no request got an extra send to the service, however much was left in the pool. Now only an answer, an error or the full timeout counts as a denial.

--- a/crates/router/src/retry_pool.rs
+++ b/crates/router/src/retry_pool.rs
@@ -96,7 +96,8 @@
         let Some(owner) = view.gatherers.get(owner) else {
             let is_taken = self.try_lend(view, service, purpose.is_hedge);
             if !is_taken {
-                self.record_denial(service, request, purpose, "own", "denied");
+                self.deny(service, purpose);
+                self.log_denial(service, request, "own", "denied");
             }
             return if is_taken { PoolAdmission::Taken } else { PoolAdmission::Denied };
         };
@@ -124,7 +125,9 @@
         // arrive on it.
         let full_timeout = Duration::from_millis(ASK_TIMEOUT_MS);
         let answer = self.peer_connections.request(owner.addr, peer_request, full_timeout);
-        let cause = match tokio::time::timeout(*timeout, answer).await {
+        let answer = tokio::time::timeout(*timeout, answer).await;
+        let is_late = answer.is_err();
+        let cause = match answer {
             Ok(Ok(Body::RetryTokenGranted(true))) => return true,
             Ok(Ok(Body::RetryTokenGranted(false))) => "denied".to_owned(),
             // An older version does not know the message.
@@ -132,7 +135,11 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "timed out waiting for the answer".to_owned(),
         };
-        self.record_denial(service, request, *purpose, &owner.name, &cause);
+        // An answer that was late for a shortened timeout says nothing about the pool.
+        if !(is_late && *timeout < full_timeout) {
+            self.deny(service, *purpose);
+        }
+        self.log_denial(service, request, &owner.name, &cause);
         false
     }
 
@@ -180,15 +187,8 @@
         self.shared.now_ms() < until_ms
     }
 
-    /// Remembers and logs that an extra send was not granted.
-    fn record_denial(
-        &self,
-        service: &Arc<str>,
-        request: &Request,
-        purpose: ExtraSend,
-        owner: &str,
-        cause: &str,
-    ) {
+    /// Remembers that the pool of a service does not grant such an extra send.
+    fn deny(&self, service: &Arc<str>, purpose: ExtraSend) {
         let now_ms = self.shared.now_ms();
         let mut denials = self.retry_pool.denials.borrow_mut();
         let denial = denials.entry(Arc::clone(service)).or_default();
@@ -199,6 +199,11 @@
             &mut denial.retries_until_ms
         };
         *until_ms = now_ms + DENIAL_MS;
+    }
+
+    /// Logs that an extra send was not granted.
+    fn log_denial(&self, service: &Arc<str>, request: &Request, owner: &str, cause: &str) {
+        let now_ms = self.shared.now_ms();
         if let Some(skipped) = self.retry_pool.refused_lines.try_take(now_ms) {
             log::info!(
                 "event=budget_refused id={} service={service} owner={owner} cause=\"{cause}\" \
--- a/crates/router/tests/retry_pool.rs
+++ b/crates/router/tests/retry_pool.rs
@@ -125,6 +125,19 @@
     }
 }
 
+/// Guards against denying all extra sends because one had too little time left for the answer.
+#[test]
+fn a_question_without_enough_time_is_no_denial() {
+    in_real_time(async {
+        let (owner, peer) = start_mock(OwnerBehavior::Silent).await;
+        let fixture = borrower(peer, 1);
+        fixture.replicas.set_behavior("s0/b", ReplicaBehavior::FailsAfter(1));
+        fixture.serve("1", 30).await;
+        assert_eq!(status(&fixture, "2").await, 500);
+        assert_eq!(*owner.asked_for_hedges.borrow(), [false, false]);
+    });
+}
+
 /// Guards against losing the retry after a failure because a hedge was denied before.
 #[test]
 fn a_denied_hedge_does_not_prevent_a_retry() {
@@ -157,7 +170,7 @@
         tokio::time::advance(Duration::from_millis(1)).await;
         minority.shared.record_peer_contact();
         assert!(!ask(&minority, false));
-        tokio::time::advance(Duration::from_millis(1_000)).await;
+        tokio::time::advance(Duration::from_secs(1)).await;
         fixture.shared.record_peer_contact();
         assert_eq!((0..54).filter(|_| ask(&fixture, true)).count(), 21);
         fixture.replicas.set_behavior("s0/a", ReplicaBehavior::FailsAfter(1));
