Name the gathering instances and owners of limited keys alike

GathererStability replaces CoordinatorStability, as its field is named; owner_ranking is used for customers and for retry pools. The doc comment of Role::Owner said that a new owner's bucket is not refilled.

--- a/crates/decide/src/cold_limit.rs
+++ b/crates/decide/src/cold_limit.rs
@@ -4,8 +4,9 @@
 //! the whole fleet in every sliding second, even while instances cannot reach each other. Neither
 //! equal shares (most instances send nothing) nor a gossiped count would achieve this. So each cold
 //! replica has one coordinator, which counts the requests to it; other instances ask the
-//! coordinator for permission; [`crate::fleet_limit`] tells who that is. While two instances both consider themselves the coordinator, each
-//! uses at most half of the limit.
+//! coordinator for permission. The coordinator is the owner of the replica in the sense of
+//! [`crate::fleet_limit`]. While two instances both consider themselves the coordinator, each uses
+//! at most half of the limit.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
--- a/crates/decide/src/fleet_limit.rs
+++ b/crates/decide/src/fleet_limit.rs
@@ -23,13 +23,14 @@
 /// Maximum number of instances that consider themselves the owner of one key at a time.
 pub const MAX_OWNERS: u64 = 2;
 
-/// Instances that gather, by zone, and the time of their last change.
+/// Instances that gather, which are the potential owners, by zone, and the time of their last
+/// change.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CoordinatorStability {
+pub struct GathererStability {
     zones: BTreeMap<Arc<str>, (Vec<u64>, u64)>,
 }
 
-impl CoordinatorStability {
+impl GathererStability {
     /// Updates the keys of the potential owners of each zone, given in any order.
     pub fn update(&mut self, mut keys: BTreeMap<Arc<str>, Vec<u64>>, now_ms: u64) {
         for zone in self.zones.keys() {
@@ -183,7 +184,7 @@
 /// What an instance may grant for a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    /// The whole limit; a new owner's bucket is not refilled before the given time.
+    /// The whole limit; a new owner's bucket is refilled slowly before the given time.
     Owner {
         /// Time from which no other instance considers itself the owner, in milliseconds.
         settled_at_ms: u64,
--- a/crates/decide/tests/cold_limit.rs
+++ b/crates/decide/tests/cold_limit.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasspier_decide::cold_limit::{ColdTolerance, SlidingWindows, coordinator_limit};
-use eelgrasspier_decide::fleet_limit::{CoordinatorStability, is_connected};
+use eelgrasspier_decide::fleet_limit::{GathererStability, is_connected};
 
 const BOUNDS: ColdTolerance = ColdTolerance { rate_factor_milli: 1_500, slack: 5 };
 
@@ -60,7 +60,7 @@
 /// share of three instances within a second.
 #[test]
 fn coordinators_wait_after_each_membership_change() {
-    let mut stability = CoordinatorStability::default();
+    let mut stability = GathererStability::default();
     stability.update(keys(&[("a", &[1, 2]), ("b", &[3])]), 0);
     assert!(!stability.is_stable(Some("a"), 999));
     assert!(stability.is_stable(Some("a"), 1_000));
--- a/crates/decide/tests/model_customer_limits.rs
+++ b/crates/decide/tests/model_customer_limits.rs
@@ -16,7 +16,7 @@
 };
 use eelgrasspier_decide::customers::RateLimit;
 use eelgrasspier_decide::fleet_limit::{
-    Connection, CoordinatorStability, Role, Standing, is_connected, ranking,
+    Connection, GathererStability, Role, Standing, is_connected, ranking,
 };
 use eelgrasspier_decide::gatherers::Candidate;
 use pathfinding::prelude::bfs_reach;
@@ -88,7 +88,7 @@
 #[derive(Debug, Clone, Default)]
 struct Instance {
     ledger: LimitLedger,
-    stability: CoordinatorStability,
+    stability: GathererStability,
     /// Known instances, one bit each.
     view: u8,
     /// Ticks for which the view has differed from what the instance hears.
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -21,7 +21,7 @@
 
 use eelgrasspier_decide::directory::ReplicaDirectory;
 use eelgrasspier_decide::evacuations::Evacuations;
-use eelgrasspier_decide::fleet_limit::CoordinatorStability;
+use eelgrasspier_decide::fleet_limit::GathererStability;
 use eelgrasspier_decide::freshness::PeerReports;
 use eelgrasspier_decide::history::{EraTracker, Position};
 use eelgrasspier_decide::membership::{InstanceState, Member, Membership, OutgoingDatagram};
@@ -86,7 +86,7 @@
     /// Time until which each rate-limited replica is cold.
     cold_until_ms: RefCell<Arc<HashMap<Arc<str>, u64>>>,
     /// Time since which the set of gathering instances of each zone is unchanged.
-    gatherer_stability: RefCell<CoordinatorStability>,
+    gatherer_stability: RefCell<GathererStability>,
     /// Addresses of instances in other zones, as of the last published view.
     remote_zone_addrs: RefCell<HashSet<SocketAddr>>,
     /// True if members have changed since the last published view.
--- a/crates/router/src/control/views.rs
+++ b/crates/router/src/control/views.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasspier_decide::directory::ReplicaEntry;
-use eelgrasspier_decide::fleet_limit::CoordinatorStability;
+use eelgrasspier_decide::fleet_limit::GathererStability;
 use eelgrasspier_decide::mirror::Mirror;
 use eelgrasspier_store::CollectionKind;
 
@@ -51,7 +51,7 @@
     }
 
     /// Updates the set of gathering instances of each zone, this instance included.
-    fn update_gatherers(&self, peers: &[Peer], is_gatherer: bool) -> Arc<CoordinatorStability> {
+    fn update_gatherers(&self, peers: &[Peer], is_gatherer: bool) -> Arc<GathererStability> {
         let mut keys: BTreeMap<Arc<str>, Vec<u64>> = BTreeMap::new();
         for peer in peers.iter().filter(|p| p.is_gatherer) {
             keys.entry(Arc::clone(&peer.zone)).or_default().push(peer.gather_candidate().key);
--- a/crates/router/src/customer_limiter.rs
+++ b/crates/router/src/customer_limiter.rs
@@ -252,7 +252,7 @@
 
     /// Returns the instances that may grant tokens of a customer, the owner first.
     fn limit_targets(&self, view: &View, customer: &str) -> Vec<AskTarget> {
-        let ranked = self.limit_ranking(view, customer);
+        let ranked = self.owner_ranking(view, customer);
         let target = |(rank, index): (usize, usize)| match view.gatherers.get(index) {
             Some(peer) => AskTarget::Peer(peer.clone()),
             None => AskTarget::Own { standing: self.standing(view, rank) },
@@ -260,10 +260,10 @@
         ranked.into_iter().enumerate().take(2).map(target).collect()
     }
 
-    /// Returns positions in `view.gatherers`, whose length stands for this instance.
+    /// Returns the gathering instances in the order in which they may own `key`, the owner first.
     ///
-    /// `key` is the name of a customer, or of a service for its retry pool.
-    pub(crate) fn limit_ranking(&self, view: &View, key: &str) -> Vec<usize> {
+    /// They are positions in `view.gatherers`, whose length stands for this instance. `key` is the name of a customer, or of a service for its retry pool.
+    pub(crate) fn owner_ranking(&self, view: &View, key: &str) -> Vec<usize> {
         let mut candidates: Vec<Candidate> =
             view.gatherers.iter().map(Peer::gather_candidate).collect();
         if view.is_gatherer {
@@ -303,7 +303,7 @@
         let may_own = matches!(self.standing(view, 0).role(), Role::Owner { .. });
         let own = view.gatherers.len();
         let is_owner =
-            |customer: &str| may_own && self.limit_ranking(view, customer).first() == Some(&own);
+            |customer: &str| may_own && self.owner_ranking(view, customer).first() == Some(&own);
         self.customer_limiter.ledger.borrow_mut().retain_owned(is_owner);
     }
 
--- a/crates/router/src/retry_pool.rs
+++ b/crates/router/src/retry_pool.rs
@@ -90,7 +90,7 @@
         if !self.may_use_pool(view, service, purpose) {
             return PoolAdmission::Denied;
         }
-        let Some(&owner) = self.limit_ranking(view, service).first() else {
+        let Some(&owner) = self.owner_ranking(view, service).first() else {
             return PoolAdmission::Denied;
         };
         let Some(owner) = view.gatherers.get(owner) else {
@@ -165,7 +165,7 @@
         let changed_at_ms = view.gatherer_stability.last_changed_at_ms();
         let is_established = limits.is_established(changed_at_ms, now_ms);
         let Some(share) = view.retry_pool_share(service, is_established) else { return false };
-        let is_first = self.limit_ranking(view, service).first() == Some(&view.gatherers.len());
+        let is_first = self.owner_ranking(view, service).first() == Some(&view.gatherers.len());
         if !is_first || !matches!(self.standing(view, 0).role(), Role::Owner { .. }) {
             return false;
         }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -10,7 +10,7 @@
 use eelgrasspier_decide::connections::{ConnectionShare, MIN_CONNECTIONS, MembershipView};
 use eelgrasspier_decide::customers::Customers;
 use eelgrasspier_decide::directory::ReplicaEntry;
-use eelgrasspier_decide::fleet_limit::{Connection, CoordinatorStability};
+use eelgrasspier_decide::fleet_limit::{Connection, GathererStability};
 use eelgrasspier_decide::freshness::ConfigurationSources;
 use eelgrasspier_decide::gatherers::Candidate;
 use eelgrasspier_decide::rendezvous;
@@ -82,7 +82,7 @@
     /// Time since which the gathering instances of each zone are unchanged.
     ///
     /// They count the sends to the cold replicas of the zone.
-    pub gatherer_stability: Arc<CoordinatorStability>,
+    pub gatherer_stability: Arc<GathererStability>,
 }
 
 impl View {
