--- a/crates/decide/src/admission/priority.rs
+++ b/crates/decide/src/admission/priority.rs
@@ -2,30 +2,29 @@
 //!
 //! All requests to the same services share their queues. [`plan()`](super::plan()) alone lets a
 //! request with a loose target fill the queues beyond what a request with a tight target can wait,
-//! so that the more urgent kind is refused first. This module remembers for each group of services
-//! how the recent requests of each priority and customer ended, and limits the queue that the next
-//! request may wait in.
+//! so that the more urgent priority is refused first. This module remembers for each group of
+//! services how the recent requests of each priority and customer ended, and limits the queue that
+//! the next request may wait in.
 //!
 //! # Why local observation is enough
 //!
 //! Each gathering instance counts only its own requests, but all of them see the same queues:
-//! replicas report their load to each instance, and a queue that is too long for the urgent kind
-//! is so at all instances. Callers and delegating instances spread the requests of a kind over the
-//! gathering instances of a zone, so each of them sees about the same mixture of priorities and
-//! customers, and equal local decisions add up to the same shares as a common one.
+//! replicas report their load to each instance, and a queue that is too long for the urgent
+//! priority is so at all instances. Callers and delegating instances spread the requests of a
+//! priority over the gathering instances of a zone, so each of them sees about the same mixture of
+//! priorities and customers, and equal local decisions add up to the same shares as a common one.
 //!
 //! Two cases are not covered. An instance that sees fewer than [`MIN_LOST`] losses of the urgent
-//! kind per second does not react, such as most entry instances of a large fleet for a single
+//! priority per second does not react, such as most entry instances of a large fleet for a single
 //! service; the number of losses per group and priority would have to be exchanged once per second.
-//! A customer whose requests all enter in one zone is compared only with
-//! the customers there; the served requests of the heaviest customers per group would have to be
-//! exchanged.
+//! A customer whose requests all enter in one zone is compared only with the customers there; the
+//! served requests of the heaviest customers per group would have to be exchanged.
 
 use std::collections::HashMap;
 
 use super::plan::{Limits, MAX_EXPECTED_LATENCY_PERCENT, Plan, plan_within};
 use super::recent::{RecentCount, SPANS};
-use super::shares::{CustomerShares, Standing};
+use super::shares::{CustomerShares, ServedShare};
 use crate::rendezvous;
 
 /// Maximum number of groups of services.
@@ -33,7 +32,7 @@
 /// Time without requests after which a group is forgotten, in milliseconds.
 const GROUP_TTL_MS: u64 = 10_000;
 /// Maximum number of priorities per group; the longest unused one is replaced.
-const MAX_KINDS: usize = 8;
+const MAX_PRIORITIES: usize = 8;
 /// Number of spans in which losses of a more urgent priority restrict the others: one second.
 const PRESSURE_SPANS: u64 = SPANS / 2;
 /// Minimum number of requests lost to overload that restricts others.
@@ -49,11 +48,11 @@
 /// With less, no queue is short enough for it. Less urgent requests were then refused wherever a
 /// replica was slightly slower than usual.
 const MIN_HEADROOM_MS: f64 = 1.0;
-/// Part of the urgent kind's longest queue that less urgent requests may fill, in percent.
+/// Part of the urgent priority's longest queue that less urgent requests may fill, in percent.
 ///
 /// Load reports are some milliseconds old and several instances send at once. Without a margin the
-/// queue stays near the urgent kind's limit: at 1.5 times the capacity, 63 % of the urgent requests
-/// were served in place of 93 %.
+/// queue stays near the urgent priority's limit: at 1.5 times the capacity, 63 % of the urgent
+/// requests were served in place of 93 %.
 const QUEUE_PERCENT: f64 = 50.0;
 /// The same for a less urgent priority that is served less than its floor.
 const STARVED_QUEUE_PERCENT: f64 = 100.0;
@@ -202,7 +201,7 @@
 
 /// Recent requests of one priority to one group.
 #[derive(Debug, Clone)]
-struct Kind {
+struct PriorityCounts {
     priority: u32,
     admitted: RecentCount,
     refused: RecentCount,
@@ -212,7 +211,7 @@
     used_ms: u64,
 }
 
-impl Kind {
+impl PriorityCounts {
     fn new(priority: u32, candidate: &Candidate<'_>) -> Self {
         Self {
             priority,
@@ -225,13 +224,13 @@
         }
     }
 
-    /// Returns this kind if enough of its requests were lost in the last second, and a shorter
-    /// queue lets them finish in time.
+    /// Returns this priority as one to protect if enough of its requests were lost in the last
+    /// second and a shorter queue lets them finish in time.
     fn protected(&self, now_ms: u64) -> Option<Protected> {
         if self.headroom_ms < MIN_HEADROOM_MS {
             return None;
         }
-        let Counts { admitted, refused, late } = self.counts(PRESSURE_SPANS, now_ms);
+        let Sums { admitted, refused, late } = self.sums(PRESSURE_SPANS, now_ms);
         let min_lost = MIN_LOST.max((admitted + refused) / MIN_LOST_DIVISOR);
         (refused + late >= min_lost).then_some(Protected {
             priority: self.priority,
@@ -242,10 +241,10 @@
         })
     }
 
-    fn counts(&self, spans: u64, now_ms: u64) -> Counts {
+    fn sums(&self, spans: u64, now_ms: u64) -> Sums {
         let [admitted, refused, late] =
             [&self.admitted, &self.refused, &self.late].map(|c| c.sum(spans, now_ms));
-        Counts { admitted, refused, late }
+        Sums { admitted, refused, late }
     }
 
     fn is_refused(&self, now_ms: u64) -> bool {
@@ -253,15 +252,15 @@
     }
 }
 
-/// Requests of some spans.
+/// Numbers of requests in some spans.
 #[derive(Debug, Clone, Copy, Default)]
-struct Counts {
+struct Sums {
     admitted: u32,
     refused: u32,
     late: u32,
 }
 
-impl Counts {
+impl Sums {
     /// Returns the fraction that was answered in time.
     fn served_fraction(&self) -> f64 {
         let all = f64::from(self.admitted + self.refused);
@@ -274,7 +273,7 @@
 struct ServiceGroup {
     /// Sorted hashes of the service names; a part of a request is found by one of them.
     services: Box<[u64]>,
-    kinds: Vec<Kind>,
+    priorities: Vec<PriorityCounts>,
     customers: CustomerShares,
     used_ms: u64,
 }
@@ -293,56 +292,62 @@
         now_ms: u64,
     ) -> Option<Protected> {
         // Most of the time nothing is lost.
-        let lossy = || self.kinds.iter().filter_map(|k| Some((k, k.protected(now_ms)?)));
+        let lossy = || self.priorities.iter().filter_map(|c| Some((c, c.protected(now_ms)?)));
         lossy().next()?;
-        let mut all = Counts::default();
-        for kind in &self.kinds {
-            let Counts { admitted, refused, late } = kind.counts(SPANS, now_ms);
+        let mut all = Sums::default();
+        for counts in &self.priorities {
+            let Sums { admitted, refused, late } = counts.sums(SPANS, now_ms);
             all.admitted += admitted;
             all.refused += refused;
             all.late += late;
         }
         let floor = FLOOR * all.served_fraction();
-        let is_starved = |k: &Kind| k.counts(SPANS, now_ms).served_fraction() < floor;
-        let is_own_starved = self.kinds.iter().any(|k| k.priority == priority && is_starved(k));
+        let is_starved = |c: &PriorityCounts| c.sums(SPANS, now_ms).served_fraction() < floor;
+        let is_own_starved =
+            self.priorities.iter().any(|c| c.priority == priority && is_starved(c));
         // Some of the exempt requests find queues that are too long for themselves, so that a
         // priority may get less than its exempt part.
         if chance < if is_own_starved { MAX_EXEMPT } else { floor } {
             return None;
         }
-        let is_starved_other = |k: &Kind| !is_part && k.priority > priority && is_starved(k);
+        let is_starved_other =
+            |c: &PriorityCounts| !is_part && c.priority > priority && is_starved(c);
         lossy()
-            .filter(|(k, _)| k.priority < priority || is_starved_other(k))
+            .filter(|(c, _)| c.priority < priority || is_starved_other(c))
             .map(|(_, protected)| protected)
             .min_by(|a, b| a.headroom_ms.total_cmp(&b.headroom_ms))
     }
 
     fn max_latency_percent(&self, candidate: &Candidate<'_>, now_ms: u64) -> f64 {
-        let is_refused =
-            || self.kinds.iter().any(|k| k.priority == candidate.priority && k.is_refused(now_ms));
+        let is_refused = || {
+            self.priorities.iter().any(|c| c.priority == candidate.priority && c.is_refused(now_ms))
+        };
         let Some(customer) = candidate.customer.filter(|_| is_refused()) else {
             return MAX_EXPECTED_LATENCY_PERCENT;
         };
-        match self.customers.standing(rendezvous::hash(customer), now_ms) {
-            Standing::Overserved => OVERSERVED_LATENCY_PERCENT,
-            Standing::Usual => MAX_EXPECTED_LATENCY_PERCENT,
-            Standing::Underserved => UNDERSERVED_LATENCY_PERCENT,
+        match self.customers.compare(rendezvous::hash(customer), now_ms) {
+            ServedShare::Overserved => OVERSERVED_LATENCY_PERCENT,
+            ServedShare::Usual => MAX_EXPECTED_LATENCY_PERCENT,
+            ServedShare::Underserved => UNDERSERVED_LATENCY_PERCENT,
         }
     }
 
-    fn kind(&mut self, candidate: &Candidate<'_>, now_ms: u64) -> &mut Kind {
+    fn counts_of(&mut self, candidate: &Candidate<'_>, now_ms: u64) -> &mut PriorityCounts {
         let priority = candidate.priority;
-        let index = self.kinds.iter().position(|k| k.priority == priority).unwrap_or_else(|| {
-            if self.kinds.len() >= MAX_KINDS {
-                let oldest = (0..MAX_KINDS).min_by_key(|&i| self.kinds[i].used_ms).unwrap_or(0);
-                self.kinds.swap_remove(oldest);
-            }
-            self.kinds.push(Kind::new(priority, candidate));
-            self.kinds.len() - 1
-        });
-        let kind = &mut self.kinds[index];
-        kind.used_ms = now_ms;
-        kind
+        let index =
+            self.priorities.iter().position(|c| c.priority == priority).unwrap_or_else(|| {
+                if self.priorities.len() >= MAX_PRIORITIES {
+                    let oldest = (0..MAX_PRIORITIES)
+                        .min_by_key(|&i| self.priorities[i].used_ms)
+                        .unwrap_or(0);
+                    self.priorities.swap_remove(oldest);
+                }
+                self.priorities.push(PriorityCounts::new(priority, candidate));
+                self.priorities.len() - 1
+            });
+        let counts = &mut self.priorities[index];
+        counts.used_ms = now_ms;
+        counts
     }
 }
 
@@ -374,9 +379,9 @@
 
     /// Returns the queue limit of a part of a request, whose services belong to some group.
     ///
-    /// Only more urgent priorities restrict it, and never one that the gathering instance may have
-    /// exempted, so that it is not refused in part. The customer's share was
-    /// checked by that instance.
+    /// Only more urgent priorities restrict it, and none if the gathering instance may have exempted
+    /// the request, so that it is not refused in part. That instance has checked the customer's
+    /// share.
     #[must_use]
     pub fn part_limit(
         &self,
@@ -414,9 +419,9 @@
         }
         let Some(group) = self.groups.get_mut(&group) else { return };
         group.used_ms = now_ms;
-        let kind = group.kind(candidate, now_ms);
-        kind.headroom_ms += (candidate.headroom_ms() - kind.headroom_ms) * HEADROOM_WEIGHT;
-        kind.left_ms += (candidate.left_ms - kind.left_ms) * HEADROOM_WEIGHT;
+        let counts = group.counts_of(candidate, now_ms);
+        counts.headroom_ms += (candidate.headroom_ms() - counts.headroom_ms) * HEADROOM_WEIGHT;
+        counts.left_ms += (candidate.left_ms - counts.left_ms) * HEADROOM_WEIGHT;
         if let Some(customer) = candidate.customer {
             group.customers.record_asked(rendezvous::hash(customer), now_ms);
         }
@@ -431,14 +436,14 @@
         now_ms: u64,
     ) {
         let Some(group) = self.groups.get_mut(&group) else { return };
-        let kind = group.kind(candidate, now_ms);
+        let counts = group.counts_of(candidate, now_ms);
         match end {
-            RequestEnd::Served => kind.admitted.add(now_ms),
+            RequestEnd::Served => counts.admitted.add(now_ms),
             RequestEnd::Late => {
-                kind.admitted.add(now_ms);
-                kind.late.add(now_ms);
+                counts.admitted.add(now_ms);
+                counts.late.add(now_ms);
             }
-            RequestEnd::Refused => kind.refused.add(now_ms),
+            RequestEnd::Refused => counts.refused.add(now_ms),
         }
         if let (RequestEnd::Served, Some(customer)) = (end, candidate.customer) {
             group.customers.record_served(rendezvous::hash(customer), now_ms);
--- a/crates/decide/src/admission/shares.rs
+++ b/crates/decide/src/admission/shares.rs
@@ -9,7 +9,7 @@
 
 /// A customer's share of the served requests, compared with its max-min fair share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Standing {
+pub(super) enum ServedShare {
     Overserved,
     Usual,
     Underserved,
@@ -61,19 +61,19 @@
     /// Compares a customer with its max-min fair share of what all were served.
     ///
     /// A customer that is not counted has few requests and counts as underserved.
-    pub(super) fn standing(&self, hash: u64, now_ms: u64) -> Standing {
+    pub(super) fn compare(&self, hash: u64, now_ms: u64) -> ServedShare {
         let Some(customer) = self.customers.iter().find(|c| c.hash == hash) else {
-            return Standing::Underserved;
+            return ServedShare::Underserved;
         };
         let served = f64::from(customer.served.sum(SPANS, now_ms));
         let asked = f64::from(customer.asked.sum(SPANS, now_ms));
         let level = self.fair_level(now_ms);
         if served > level * (1.0 + TOLERANCE) {
-            Standing::Overserved
+            ServedShare::Overserved
         } else if served < asked.min(level) * (1.0 - TOLERANCE) {
-            Standing::Underserved
+            ServedShare::Underserved
         } else {
-            Standing::Usual
+            ServedShare::Usual
         }
     }
 
