--- a/crates/decide/src/customer_limits.rs
+++ b/crates/decide/src/customer_limits.rs
@@ -1,7 +1,7 @@
 //! Rate limits of customers over all instances together.
 //!
 //! The owner of a customer keeps its token bucket; the instances that gather its requests ask the
-//! owner for tokens and hold a few in advance. In each sliding window, all instances together grant
+//! owner for tokens and hold one per customer in advance. In each sliding window, all instances together grant
 //! at most the limit and the tolerance above it. Two owners during a change of the members, a
 //! deputy that replaces a lost owner and the smaller side of a partition share the tolerance.
 
@@ -38,7 +38,8 @@
 /// sides of a partition, three at most, therefore grant at most nine sixteenths of the tolerance in
 /// a window, even if all instances restart in it.
 const DEPUTY_TOLERANCE_DIVISOR: u64 = 16;
-/// Divisor of the tolerance that gives the number of tokens held in advance at all instances.
+/// Divisor of the tolerance that gives the maximum number of tokens held in advance at all
+/// instances.
 ///
 /// They may be used in a later window than that of their grant. Up to one per instance would
 /// exceed the tolerance: at 40 requests per second, 72 instances held one each of a tolerance of 40.
@@ -221,16 +222,9 @@
         };
         let is_owner = matches!(role, Role::Owner { .. });
         let buckets = if is_owner { &mut self.owned } else { &mut self.reserves };
-        let bucket = buckets.entry(Arc::clone(customer)).or_insert(Bucket {
-            balance_micro: size.start_micro,
-            // No other instance has granted since then, so the refill since then is due.
-            updated_ms: if is_owner { size.settled_at_ms.min(now_ms) } else { now_ms },
-            settled_at_ms: size.settled_at_ms,
-            highest_burst: limit.burst,
-            highest_burst_ms: now_ms,
-            announced_ms: now_ms,
-            advances_ms: VecDeque::new(),
-        });
+        let bucket = buckets
+            .entry(Arc::clone(customer))
+            .or_insert_with(|| Bucket::new(&size, limit.burst, is_owner, now_ms));
         bucket.refill(&size, now_ms);
         let raised = bucket.raise_burst(limit.burst, tolerance.window_ms, now_ms);
         bucket.add(Micro::from(raised) * TOKEN_MICRO, &size);
@@ -251,14 +245,8 @@
             // The instance renews a token because it has used the previous one.
             bucket.advances_ms.pop_front();
         }
-        let may_advance = request.wants_advance
-            && bucket.may_advance(&size, now_ms)
-            && bucket.balance_micro >= (size.capacity_micro / 2).max(TOKEN_MICRO);
-        if may_advance {
-            bucket.balance_micro -= TOKEN_MICRO;
-            bucket.advances_ms.push_back(now_ms);
-        }
-        TokenAnswer::Granted { advance: u32::from(may_advance) }
+        let has_advance = request.wants_advance && bucket.try_advance(&size, now_ms);
+        TokenAnswer::Granted { advance: u32::from(has_advance) }
     }
 
     /// Drops the buckets of customers that this instance no longer owns.
@@ -299,6 +287,19 @@
 }
 
 impl Bucket {
+    fn new(size: &BucketSize, burst: u64, is_owner: bool, now_ms: u64) -> Self {
+        Self {
+            balance_micro: size.start_micro,
+            // No other instance has granted since then, so the refill since then is due.
+            updated_ms: if is_owner { size.settled_at_ms.min(now_ms) } else { now_ms },
+            settled_at_ms: size.settled_at_ms,
+            highest_burst: burst,
+            highest_burst_ms: now_ms,
+            announced_ms: now_ms,
+            advances_ms: VecDeque::new(),
+        }
+    }
+
     fn refill(&mut self, size: &BucketSize, now_ms: u64) {
         let accrued = size.accrued_micro(self.updated_ms, now_ms, self.settled_at_ms);
         self.updated_ms = self.updated_ms.max(now_ms);
@@ -318,6 +319,18 @@
         raised
     }
 
+    /// Grants a token in advance while the bucket has half of its capacity and not too many such
+    /// tokens may be unused; returns false if it does not.
+    fn try_advance(&mut self, size: &BucketSize, now_ms: u64) -> bool {
+        let may_advance = self.may_advance(size, now_ms)
+            && self.balance_micro >= (size.capacity_micro / 2).max(TOKEN_MICRO);
+        if may_advance {
+            self.balance_micro -= TOKEN_MICRO;
+            self.advances_ms.push_back(now_ms);
+        }
+        may_advance
+    }
+
     /// Returns true if one more token in advance may be unused.
     fn may_advance(&mut self, size: &BucketSize, now_ms: u64) -> bool {
         let is_expired = |&at_ms: &u64| now_ms.saturating_sub(at_ms) >= ADVANCE_MAX_AGE_MS;
@@ -353,7 +366,7 @@
     Micro::from(milli) * MICRO_PER_MILLI
 }
 
-/// Tokens of one instance that asks the owners.
+/// Tokens that one instance holds in advance.
 #[derive(Debug, Clone, Default)]
 pub struct HeldTokens {
     by_customer: HashMap<Arc<str>, Held>,
--- a/crates/router/src/authentication.rs
+++ b/crates/router/src/authentication.rs
@@ -77,18 +77,8 @@
             Credential::Malformed => PresentedKey::Malformed,
         };
         let customer = check.authenticate(presented, route.is_public).map_err(|cause| {
-            metrics::counter!("eelgrasspier_keys_refused_total", "cause" => cause.to_string())
-                .increment(1);
-            if let Some(skipped) = self.authentication.refused_lines.try_take(now_ms) {
-                log::info!(
-                    "event=key_refused id={} route={} cause={cause} version={} unconfirmed_ms={} \
-                     skipped={skipped}",
-                    request.id_text(),
-                    route.name,
-                    view.configuration_version(),
-                    sources.unconfirmed_ms(now_ms)
-                );
-            }
+            let unconfirmed_ms = sources.unconfirmed_ms(now_ms);
+            self.record_key_refusal(view, route, request, (cause, unconfirmed_ms), now_ms);
             to_refusal(cause)
         })?;
         request.customer = customer.map(|c| Arc::clone(&c.name));
@@ -99,6 +89,28 @@
         Ok(Arc::new(Route { priority, ..Route::clone(route) }))
     }
 
+    /// Counts a request that is refused by its key, and logs it within the budget.
+    fn record_key_refusal(
+        &self,
+        view: &View,
+        route: &Route,
+        request: &Request,
+        (cause, unconfirmed_ms): (KeyRefusal, u64),
+        now_ms: u64,
+    ) {
+        metrics::counter!("eelgrasspier_keys_refused_total", "cause" => cause.to_string())
+            .increment(1);
+        if let Some(skipped) = self.authentication.refused_lines.try_take(now_ms) {
+            log::info!(
+                "event=key_refused id={} route={} cause={cause} version={} \
+                 unconfirmed_ms={unconfirmed_ms} skipped={skipped}",
+                request.id_text(),
+                route.name,
+                view.configuration_version()
+            );
+        }
+    }
+
     /// Removes the headers that state an identity.
     pub(crate) fn remove_identity_headers(&self, request: &mut Request) {
         for name in self.backend.identity_headers() {
--- a/crates/router/src/customer_limiter/asks.rs
+++ b/crates/router/src/customer_limiter/asks.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Asks the owner, and the deputy if the owner does not grant or refuse.
+    /// Asks the owner, and the deputy if the owner does not answer or may not grant.
     ///
     /// The deputy is asked first while the owner seems unhealthy.
     async fn ask(
@@ -143,18 +143,7 @@
         request_id: &[u8],
     ) -> Result<Settled, Failures> {
         let mut failures = Failures::default();
-        let mut targets: Vec<(usize, AskTarget)> =
-            self.limit_targets(view, &customer.name).into_iter().enumerate().collect();
-        if request.returned > 0 {
-            // An owner whose answer is late may have credited them already.
-            targets.truncate(1);
-        } else if let [(_, AskTarget::Peer(owner)), _] = &targets[..]
-            && self.is_unhealthy(owner)
-        {
-            count_ask("unhealthy");
-            targets.reverse();
-        }
-        for (rank, target) in targets {
+        for (rank, target) in self.ordered_targets(view, customer, request) {
             let answer = match &target {
                 AskTarget::Own { standing } => {
                     // Tokens in advance only save messages.
@@ -186,6 +175,27 @@
         Err(failures)
     }
 
+    /// Returns the instances to ask with their positions in the ranking, in the order to ask them.
+    fn ordered_targets(
+        &self,
+        view: &View,
+        customer: &LimitedCustomer,
+        request: TokenRequest,
+    ) -> Vec<(usize, AskTarget)> {
+        let mut targets: Vec<(usize, AskTarget)> =
+            self.limit_targets(view, &customer.name).into_iter().enumerate().collect();
+        if request.returned > 0 {
+            // An owner whose answer is late may have credited them already.
+            targets.truncate(1);
+        } else if let [(_, AskTarget::Peer(owner)), _] = &targets[..]
+            && self.is_unhealthy(owner)
+        {
+            count_ask("unhealthy");
+            targets.reverse();
+        }
+        targets
+    }
+
     async fn send_limit_request(
         &self,
         peer: &Peer,
--- a/crates/router/src/gather/admission.rs
+++ b/crates/router/src/gather/admission.rs
@@ -42,20 +42,8 @@
         let now_ms = self.router.shared.now_ms();
         let left_ms = self.deadlines.target_at_ms.saturating_sub(now_ms);
         let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
-        let answer_ms: Vec<f64> =
-            (0..self.shards.len()).map(|i| self.answer_ms(i, left_ms)).collect();
-        let limit = self.queue_limit(left_ms, has_all_shards, now_ms);
-        let plan = plan_with_priority(
-            &answer_ms,
-            (max_omitted, may_leave_out),
-            &self.candidate(left_ms),
-            &limit,
-            rand::random(),
-        );
-        if has_all_shards {
-            let is_admitted = matches!(plan, PriorityPlan::Usual(Plan::Send { .. }));
-            self.record_plan(left_ms, is_admitted, now_ms);
-        }
+        let plan =
+            self.plan_and_record((max_omitted, may_leave_out), has_all_shards, left_ms, now_ms);
         let (id, route) = (self.request.id_text(), &self.route.name);
         match plan {
             PriorityPlan::Usual(Plan::Send { left_out }) => {
@@ -76,13 +64,9 @@
             PriorityPlan::MakesRoom { protected, late_count, retry_after_ms } => {
                 self.gathered.is_low_priority = protected.priority < self.route.priority;
                 if let Some(skipped) = self.router.priority_lines.try_take(now_ms) {
-                    let priority = self.route.priority;
-                    let Protected { priority: for_priority, headroom_ms, refused, late, .. } =
-                        protected;
+                    let fields = priority_fields(self.route.priority, &protected);
                     log::info!(
-                        "event=priority_refused id={id} route={route} priority={priority} \
-                         for_priority={for_priority} headroom_ms={headroom_ms:.1} \
-                         its_refused={refused} its_late={late} late={late_count} \
+                        "event=priority_refused id={id} route={route} {fields} late={late_count} \
                          may_miss={max_omitted} whole={has_all_shards} outcome=refused \
                          retry_after_ms={retry_after_ms} skipped={skipped}"
                     );
@@ -92,6 +76,33 @@
         }
     }
 
+    /// Plans the request, or the part of it that another instance requests.
+    ///
+    /// The result is recorded for its priority if it has all shards.
+    fn plan_and_record(
+        &mut self,
+        (max_omitted, may_leave_out): (usize, usize),
+        has_all_shards: bool,
+        left_ms: f64,
+        now_ms: u64,
+    ) -> PriorityPlan {
+        let answer_ms: Vec<f64> =
+            (0..self.shards.len()).map(|i| self.answer_ms(i, left_ms)).collect();
+        let limit = self.queue_limit(left_ms, has_all_shards, now_ms);
+        let plan = plan_with_priority(
+            &answer_ms,
+            (max_omitted, may_leave_out),
+            &self.candidate(left_ms),
+            &limit,
+            rand::random(),
+        );
+        if has_all_shards {
+            let is_admitted = matches!(plan, PriorityPlan::Usual(Plan::Send { .. }));
+            self.record_plan(left_ms, is_admitted, now_ms);
+        }
+        plan
+    }
+
     /// Returns the number of shards that may still be missed.
     pub(super) fn max_omitted(&self) -> usize {
         let is_lost = |s: &&Shard| matches!(s.state, ShardState::Failed | ShardState::LeftOut);
@@ -113,3 +124,12 @@
         best.map_or(0.0, |best| if best.cost_ms > left_ms { best.cost_ms } else { best.answer_ms })
     }
 }
+
+/// Returns the log fields for the priority that a refused request makes room for.
+fn priority_fields(priority: u32, protected: &Protected) -> String {
+    let Protected { priority: for_priority, headroom_ms, refused, late, .. } = protected;
+    format!(
+        "priority={priority} for_priority={for_priority} headroom_ms={headroom_ms:.1} \
+         its_refused={refused} its_late={late}"
+    )
+}
