--- a/crates/router/src/customer_limiter/asks.rs
+++ b/crates/router/src/customer_limiter/asks.rs
@@ -41,8 +41,8 @@
     }
 }
 
-/// Answer that settles a request for tokens.
-struct Settled {
+/// Answer that decides a request for tokens.
+struct Decision {
     target: AskTarget,
     /// Position in the ranking of the customer.
     rank: usize,
@@ -73,12 +73,12 @@
         let (id_text, name) = (request.id_text(), &customer.name);
         let limiter = &self.customer_limiter;
         let (cause, retry_after_ms) = match self.ask(view, customer, needed, id).await {
-            Ok(Settled { target, advance: Some(advance), .. }) => {
+            Ok(Decision { target, advance: Some(advance), .. }) => {
                 let token = self.token(name, target.source());
                 self.hold_tokens(name, advance);
                 return TokenOutcome::Taken(token);
             }
-            Ok(Settled { target, rank, retry_after_ms, .. }) => {
+            Ok(Decision { target, rank, retry_after_ms, .. }) => {
                 if let Some(skipped) = limiter.refused_lines.try_take(self.shared.now_ms()) {
                     let role = if rank == 0 { "owner" } else { "deputy" };
                     log::info!(
@@ -127,7 +127,7 @@
         customer: &LimitedCustomer,
         request: TokenRequest,
     ) {
-        if let Ok(Settled { advance, .. }) = self.ask(view, customer, request, &[]).await {
+        if let Ok(Decision { advance, .. }) = self.ask(view, customer, request, &[]).await {
             self.hold_tokens(&customer.name, advance.unwrap_or(0));
         }
     }
@@ -141,7 +141,7 @@
         customer: &LimitedCustomer,
         request: TokenRequest,
         request_id: &[u8],
-    ) -> Result<Settled, Failures> {
+    ) -> Result<Decision, Failures> {
         let mut failures = Failures::default();
         for (rank, target) in self.ordered_targets(view, customer, request) {
             let answer = match &target {
@@ -157,10 +157,10 @@
             let cause = match answer {
                 Ok(TokenAnswer::Granted { advance }) => {
                     let advance = Some(advance);
-                    return Ok(Settled { target, rank, advance, retry_after_ms: 0 });
+                    return Ok(Decision { target, rank, advance, retry_after_ms: 0 });
                 }
                 Ok(TokenAnswer::Limited { retry_after_ms }) => {
-                    return Ok(Settled { target, rank, advance: None, retry_after_ms });
+                    return Ok(Decision { target, rank, advance: None, retry_after_ms });
                 }
                 Ok(TokenAnswer::Unavailable { retry_after_ms }) => {
                     failures.retry_after_ms = failures.retry_after_ms.max(retry_after_ms);
