--- a/crates/router/src/gather/send.rs
+++ b/crates/router/src/gather/send.rs
@@ -7,6 +7,7 @@
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::prelude::Verdict;
+use tokio::sync::mpsc;
 
 use super::send_permission::Permission;
 use super::shard::{Shard, ShardState};
@@ -15,6 +16,7 @@
 use crate::cold_limiter::ColdAdmission;
 use crate::model::Request;
 use crate::retry_pool::{ExtraSend, PoolAdmission, PoolAsk};
+use crate::router::Router;
 
 /// Interval at which a postponed hedge is reconsidered, in milliseconds.
 ///
@@ -167,19 +169,15 @@
         let send_future = Rc::clone(self.router).send(attempt, state, self.timing.typical_ms);
         self.tasks.sends.push(actix_rt::spawn(async move {
             if let Some(ask) = pool_ask {
-                let service = &replica.service;
-                let is_granted = router.request_retry_token(&ask, service, &request).await;
-                if event_sender.is_closed() {
-                    // The request was answered or given up while the owner was asked.
-                    return router.end_trial(&request, &replica);
-                }
-                let paid = if is_granted { "pool" } else { "no" };
-                record_extra_send(&request, service, ask.purpose.cause, paid);
-                if !is_granted {
+                let granted = ask_pool(&router, &ask, &replica, &request, &event_sender).await;
+                if granted != Some(true) {
                     router.end_trial(&request, &replica);
-                    let (replica, is_hedge) = (Arc::clone(&replica.id), ask.purpose.is_hedge);
-                    let event = Event::Unpaid { shard: index, replica, is_hedge };
-                    return drop(event_sender.send(event));
+                    if granted == Some(false) {
+                        let (replica, is_hedge) = (Arc::clone(&replica.id), ask.purpose.is_hedge);
+                        let event = Event::Unpaid { shard: index, replica, is_hedge };
+                        drop(event_sender.send(event));
+                    }
+                    return;
                 }
             }
             let is_allowed = match &admission {
@@ -345,6 +343,25 @@
     }
 }
 
+/// Asks the owner of the pool for an extra send to `replica`.
+///
+/// Returns `None` if the request was answered or given up while the owner was asked.
+async fn ask_pool(
+    router: &Router,
+    ask: &PoolAsk,
+    replica: &ReplicaEntry,
+    request: &Request,
+    event_sender: &mpsc::UnboundedSender<Event>,
+) -> Option<bool> {
+    let is_granted = router.request_retry_token(ask, &replica.service, request).await;
+    if event_sender.is_closed() {
+        return None;
+    }
+    let paid = if is_granted { "pool" } else { "no" };
+    record_extra_send(request, &replica.service, ask.purpose.cause, paid);
+    Some(is_granted)
+}
+
 /// Logs and counts an extra send, or one that was not paid for and therefore not sent.
 fn record_extra_send(request: &Request, service: &str, cause: &'static str, paid: &'static str) {
     metrics::counter!("eelgrasspier_repeats_total", "cause" => cause, "paid" => paid).increment(1);
