--- a/crates/decide/src/customer_limits.rs
+++ b/crates/decide/src/customer_limits.rs
@@ -127,7 +127,7 @@
     /// Highest burst of the last window, and the time when it was last in force, in milliseconds.
     highest_burst: u64,
     highest_burst_ms: u64,
-    /// Time of the last token that was announced to a refused caller, in milliseconds.
+    /// Due time of the last token that was announced to a refused caller, in milliseconds.
     announced_ms: u64,
     /// Grant times of the tokens in advance that may be unused, oldest first, in milliseconds.
     advances_ms: VecDeque<u64>,
--- a/crates/router/src/log_budget.rs
+++ b/crates/router/src/log_budget.rs
@@ -4,6 +4,7 @@
 
 /// Default number of lines per second; enough to show the affected customers.
 const MAX_LINES_PER_S: u32 = 10;
+/// Length of the window in which lines are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
 /// Number of lines that may still be written in the current second.
