--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -77,7 +77,6 @@
         R::KeyUnconfirmed => (StatusCode::SERVICE_UNAVAILABLE, "key-unconfirmed"),
         R::CustomerLimit(_) => (StatusCode::TOO_MANY_REQUESTS, "customer-limit"),
         R::LimitUnavailable(_) => (StatusCode::SERVICE_UNAVAILABLE, "limit-unavailable"),
-        R::RetryBudget => (StatusCode::SERVICE_UNAVAILABLE, "retry-budget"),
         R::LowPriority => (StatusCode::SERVICE_UNAVAILABLE, "low-priority"),
     }
 }
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -65,8 +65,6 @@
     CustomerLimit(String),
     /// the rate limit of customer {0} can't be checked now
     LimitUnavailable(String),
-    /// the retry budget does not suffice to complete the request
-    RetryBudget,
     /// more urgent requests need the capacity
     LowPriority,
 }
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -89,7 +89,6 @@
         RefusalReason::KeyUnconfirmed => "key_unconfirmed",
         RefusalReason::CustomerLimit(_) => "customer_limit",
         RefusalReason::LimitUnavailable(_) => "limit_unavailable",
-        RefusalReason::RetryBudget => "retry_budget",
         RefusalReason::LowPriority => "low_priority",
         _ => "other",
     }
