Send a request to the same replica again on another connection

A replica may answer a request a second time, later, where the next answer is expected; the request id tells it apart. Since rejected requests are sent to the same replica again, the second answer to the first send has the id of the second one. The pool now never uses the connection whose last request was the same.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -59,6 +59,11 @@
     pub time_left: Duration,
     /// Maximum size of the answer's body in bytes.
     pub max_bytes: usize,
+    /// Tag by which a second send of the same request is known; `None` if there is none.
+    ///
+    /// It never follows the first one on a connection: a late second answer to the first would be
+    /// taken for its own, since both have the same id.
+    pub tag: Option<u64>,
     /// Set once the request is handed to a connection.
     pub dispatched: DispatchFlag,
 }
@@ -120,6 +125,8 @@
     open_count: Rc<Cell<u32>>,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// Tag of the last request; `None` before the first.
+    last_tag: Option<u64>,
 }
 
 impl Drop for Connection {
@@ -166,7 +173,8 @@
             AnswerLimits { keep_alive: exchange.keep_alive, max_bytes: exchange.max_bytes };
         let mut request = exchange.request;
         for _ in 0..MAX_REUSE_ATTEMPTS {
-            let Some(mut connection) = pool.take_idle(exchange.is_repeatable) else { break };
+            let idle = pool.take_idle(exchange.is_repeatable, exchange.tag);
+            let Some(mut connection) = idle else { break };
             exchange.dispatched.set();
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return read_answer(pool, connection, answer, limits).await,
@@ -181,6 +189,7 @@
             }
         }
         let mut connection = pool.connect(exchange.addr, exchange.max_connections).await?;
+        connection.last_tag = exchange.tag;
         exchange.dispatched.set();
         match connection.sender.try_send_request(request).await {
             Ok(answer) => read_answer(pool, connection, answer, limits).await,
@@ -258,15 +267,18 @@
 
 impl ServerPool {
     /// Takes the most recently used idle connection, so that the others can time out.
-    fn take_idle(&self, is_repeatable: bool) -> Option<Connection> {
+    ///
+    /// The last request on it must not have the same tag.
+    fn take_idle(&self, is_repeatable: bool, tag: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|c| c.is_usable(true));
-        let connection = idle.pop()?;
-        if connection.is_usable(is_repeatable) {
-            return Some(connection);
+        let newest = idle.iter().rposition(|c| tag.is_none() || c.last_tag != tag)?;
+        if !idle[newest].is_usable(is_repeatable) {
+            return None;
         }
-        idle.push(connection);
-        None
+        let mut connection = idle.remove(newest);
+        connection.last_tag = tag;
+        Some(connection)
     }
 
     async fn connect(
@@ -301,6 +313,7 @@
             open_count: slot.commit(),
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            last_tag: None,
         })
     }
 }
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -68,6 +68,7 @@
         is_repeatable: true,
         time_left: Duration::from_secs(5),
         max_bytes: 1 << 16,
+        tag: None,
         keep_alive: true,
         dispatched: DispatchFlag::default(),
     }
@@ -187,6 +188,7 @@
         is_repeatable: true,
         time_left: once,
         max_bytes: 1 << 16,
+        tag: None,
         keep_alive: true,
         dispatched: dispatched.clone(),
     };
@@ -194,3 +196,27 @@
     assert_eq!(failure.verdict(), Verdict::NotRun, "{failure}");
     assert!(!dispatched.is_set());
 }
+
+/// Guards against an answer with the wrong body: a replica that rejects a request and answers it a
+/// second time later, while the request is sent to it again on the same connection.
+#[actix_rt::test]
+async fn a_second_send_of_a_request_uses_another_connection() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                while read_request(&mut stream).await {
+                    stream.write_all(OK).await.unwrap();
+                }
+            });
+        }
+    });
+    let pool = ConnectionPool::default();
+    for (tag, expected) in [(1, 1), (1, 2), (2, 2)] {
+        let request = ExchangeRequest { tag: Some(tag), ..exchange_request(addr) };
+        exchange(&pool, request).await.unwrap();
+        assert_eq!(pool.open_connections("i-1"), expected, "request {tag}");
+    }
+}
