Bound the retry pool of a service without holders to a third of the slack

A service that becomes a shard of a route had its pool lent and its holders' parts used in the same window: 129 of 100 permitted extra sends by the production functions. A third of three quarters is what the holders and the pool of a shard leave.

--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -36,6 +36,12 @@
 /// They send nearly all retries.
 const HOLDERS_SLACK_PERCENT: u64 = 80;
 
+/// Divisor of the slack that gives the pool of a service without holders.
+///
+/// The service may become a shard within a window. Its holders and its new pool then use three
+/// quarters of the slack, and a third of three quarters is the rest.
+const NO_HOLDERS_POOL_DIVISOR: u64 = 3;
+
 /// Returns the number by which the slack of a service is divided for each instance that holds
 /// connections to its replicas.
 ///
@@ -78,7 +84,8 @@
     /// previous owner may have lent the remaining part.
     #[must_use]
     pub fn of_pool(has_holders: bool, is_established: bool) -> Self {
-        let divisor = if has_holders { 100 / (100 - HOLDERS_SLACK_PERCENT) } else { 1 };
+        let divisor =
+            if has_holders { 100 / (100 - HOLDERS_SLACK_PERCENT) } else { NO_HOLDERS_POOL_DIVISOR };
         Self { divisor, used_milli: tenure_milli(is_established) }
     }
 
