Identify crashes by the send again in the own daemon

The own daemon identified the crash that ends an isolated trial by the server's address and start time. Two instances whose trials end with one crash count twice again in the own daemon, as before; the router is not affected, since the store names the start of each replica.

--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -91,7 +91,9 @@
         let lost = LostSend {
             request: self.fingerprint,
             send_id,
-            crash_id: replica.crash_id().unwrap_or(send_id),
+            // The start time of a server is known from its last answer only. By it, the crash of a
+            // server that has restarted since would count as the one before.
+            crash_id: send_id,
             is_trial: self.is_trial.get(),
         };
         if self.shared.record_loss(server, lost) != ServerState::Unknown {
--- a/crates/eelgrasspier/src/replica.rs
+++ b/crates/eelgrasspier/src/replica.rs
@@ -5,7 +5,6 @@
 
 use eelgrasspier_backend::ServerReport;
 use eelgrasspier_decide::draining::{DrainingServers, ServerIncarnation};
-use eelgrasspier_decide::relays;
 use eelgrasspier_decide::replica::ReplicaLoad;
 use eelgrasspier_decide::service_config::ReplicaSpec;
 use eelgrasspier_decide::snapshot::HeldVersion;
@@ -180,14 +179,6 @@
         self.last_contact_ms.get()
     }
 
-    /// Returns the id of the crash that would end this incarnation of the server.
-    ///
-    /// `None` if the server does not report its start time: its crashes can't be told apart.
-    pub(crate) fn crash_id(&self) -> Option<u32> {
-        let incarnation = self.report.borrow().incarnation;
-        (incarnation != 0).then(|| relays::replica_hash(&format!("{} {incarnation}", self.spec.id)))
-    }
-
     fn server(&self, incarnation: u64) -> ServerIncarnation {
         ServerIncarnation { address_hash: self.spec.id, incarnation }
     }
