Keep the ports of test processes that run side by side apart

Copies of the soak or of the stand-in tests that ran side by side drew their ports at random from one range and knew only their own. A port that was closed for a moment, while a daemon restarted or a simulated server was down, could be taken by another copy: daemons that did not start (E707), or that asked the servers of another copy whether theirs had crashed. A series of copies could not tell a fault of the product from one of the harness.

Ports now come in blocks of 50. A listener on the first port of a block belongs to the process that uses the block, and keeps all others out of it until that process exits. The crash proxies of the stand-in tests use the same function in place of their own range of 700 ports. The module moves from the soak to the stand-in, which both use; its test moves with it, unchanged.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gossip_net;
 pub mod load;
 pub mod platform;
+pub mod ports;
 pub mod process;
 pub mod report;
 pub mod slopes;
--- a/crates/standin/tests/common/fuse.rs
+++ b/crates/standin/tests/common/fuse.rs
@@ -4,10 +4,11 @@
 //! again after [`DOWNTIME`].
 
 use std::cell::Cell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use eelgrasspier_standin::ports::free_port;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,9 +19,6 @@
 pub const CRASH_TRIGGER: &[u8] = b"ends the server";
 /// Time between a crash and the restart.
 const DOWNTIME: Duration = Duration::from_millis(700);
-/// Ports outside the ephemeral range, so that the port stays free during a crash.
-const PORT_RANGE: std::ops::Range<u16> = 32_000..32_700;
-const MAX_BIND_ATTEMPTS: usize = 200;
 
 /// Proxy in front of one backend server.
 #[derive(Debug)]
@@ -35,16 +33,9 @@
 impl CrashProxy {
     /// Starts a proxy in front of `server`.
     pub async fn start(server: SocketAddr) -> Rc<Self> {
-        let mut bound = None;
-        for _ in 0..MAX_BIND_ATTEMPTS {
-            let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, rand::random_range(PORT_RANGE)));
-            bound = TcpListener::bind(addr).await.ok();
-            if bound.is_some() {
-                break;
-            }
-        }
-        let listener = bound.expect("a port in the range should be free");
-        let addr = listener.local_addr().unwrap();
+        // The port stays free during a crash.
+        let addr = free_port().unwrap();
+        let listener = TcpListener::bind(addr).await.unwrap();
         let (crashes, _) = watch::channel(0);
         let proxy = Rc::new(Self { addr, server, crashes, last_crash: Cell::new(None) });
         actix_web::rt::spawn(Rc::clone(&proxy).serve(listener));
