Recognize a crash whose listener is closed after its connections

Cause: a lost connection counts as a crash only if the server refuses another one. The check followed the loss within 0.1 to 0.4 ms, and a process closes its sockets one after another: where the listener came last, the check was accepted by a server that was already ending, and the loss counted as a reset. An isolated trial that ended so proved nothing, and another replica was sent the request.

Mend: a check that was accepted looks 30 ms later whether its connection is still open. If not, it connects once more, and only a refused connection proves the crash, so that a server that resets connections is still taken for running. The check of the router and that of the own daemon share this.

Tests: two of the pool, and one of real daemons whose servers close their listeners last; they fail on the code before.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -29,6 +29,10 @@
 /// Timeout for opening a connection. Zones are a few milliseconds apart and a server takes up to
 /// 6 ms to accept, so a longer wait means that packets were lost or the server is full.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a check for a listening server looks whether its connection is still open.
+///
+/// A process that ends closes its sockets one after another, and its listener may be the last.
+const RECHECK_DELAY: Duration = Duration::from_millis(30);
 /// Idle timeout of a connection if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Margin subtracted from the server's stated keep-alive timeout, which is in whole seconds. Covers
@@ -222,6 +226,7 @@
     /// Checks that a server still accepts connections by opening a new one.
     ///
     /// The connection is kept for the next request, replacing the lost one that prompted the check.
+    /// If it is closed meanwhile, another one is opened.
     ///
     /// # Errors
     /// Fails with [`PartFailure::NotListening`] if the server process has ended.
@@ -232,12 +237,18 @@
         max_connections: u32,
     ) -> Result<(), PartFailure> {
         let pool = self.server_pool(server);
-        match pool.connect(addr, max_connections).await {
-            Ok(connection) => pool.idle.borrow_mut().push(connection),
-            // The connection limit is reached: open one outside the pool and close it immediately.
-            Err(PartFailure::Crowded) => drop(connect(addr).await?),
+        let connection = match pool.connect(addr, max_connections).await {
+            Ok(connection) => connection,
+            // The connection limit is reached: open one outside the pool.
+            Err(PartFailure::Crowded) => return check_listening(addr).await,
             Err(failure) => return Err(failure),
+        };
+        actix_rt::time::sleep(RECHECK_DELAY).await;
+        if connection.sender.is_closed() {
+            drop(connection);
+            return connect(addr).await.map(drop);
         }
+        pool.idle.borrow_mut().push(connection);
         Ok(())
     }
 
@@ -320,7 +331,14 @@
 
 /// Returns true if the server process has ended, that is, its address refuses connections.
 pub async fn refuses_connections(addr: SocketAddr) -> bool {
-    matches!(connect(addr).await, Err(PartFailure::NotListening))
+    matches!(check_listening(addr).await, Err(PartFailure::NotListening))
+}
+
+async fn check_listening(addr: SocketAddr) -> Result<(), PartFailure> {
+    let stream = connect(addr).await?;
+    actix_rt::time::sleep(RECHECK_DELAY).await;
+    let is_open = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+    if is_open { Ok(()) } else { connect(addr).await.map(drop) }
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, PartFailure> {
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasspier_backend::{ConnectionPool, DispatchFlag, ExchangeRequest, PartFailure, RawAnswer};
+use eelgrasspier_backend::{
+    ConnectionPool, DispatchFlag, ExchangeRequest, PartFailure, RawAnswer, refuses_connections,
+};
 use eelgrasspier_decide::verdict::Verdict;
 use http::Request;
 use http_body_util::Full;
@@ -220,3 +222,39 @@
         assert_eq!(pool.open_connections("i-1"), expected, "request {tag}");
     }
 }
+
+/// Starts a server that closes each connection at once, and its listener a little after the first.
+async fn ending_server(is_ending: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        loop {
+            drop(listener.accept().await.unwrap());
+            if is_ending {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                return;
+            }
+        }
+    });
+    addr
+}
+
+/// Guards against a crash being taken for a reset connection because the listener of the process
+/// was closed after its connections.
+#[actix_rt::test]
+async fn a_server_whose_listener_closes_last_has_ended() {
+    assert!(refuses_connections(ending_server(true).await).await);
+    let pool = ConnectionPool::default();
+    let addr = ending_server(true).await;
+    let checked = pool.check_listening(&"i-1".into(), addr, 2).await;
+    assert_eq!(checked, Err(PartFailure::NotListening));
+}
+
+/// Guards against a reset connection being taken for a crash.
+#[actix_rt::test]
+async fn a_server_that_closes_new_connections_is_running() {
+    assert!(!refuses_connections(ending_server(false).await).await);
+    let pool = ConnectionPool::default();
+    let addr = ending_server(false).await;
+    assert_eq!(pool.check_listening(&"i-1".into(), addr, 2).await, Ok(()));
+}
--- a/crates/standin/tests/common/fuse.rs
+++ b/crates/standin/tests/common/fuse.rs
@@ -25,19 +25,22 @@
 pub struct CrashProxy {
     pub addr: SocketAddr,
     server: SocketAddr,
+    /// Time between the end of the connections and that of the listener in a crash.
+    listener_delay: Duration,
     /// Number of crashes.
     crashes: watch::Sender<u32>,
     last_crash: Cell<Option<Instant>>,
 }
 
 impl CrashProxy {
-    /// Starts a proxy in front of `server`.
-    pub async fn start(server: SocketAddr) -> Rc<Self> {
+    /// Starts a proxy in front of `server`, which closes its listener last.
+    pub async fn start(server: SocketAddr, listener_delay: Duration) -> Rc<Self> {
         // The port stays free during a crash.
         let addr = free_port().unwrap();
         let listener = TcpListener::bind(addr).await.unwrap();
         let (crashes, _) = watch::channel(0);
-        let proxy = Rc::new(Self { addr, server, crashes, last_crash: Cell::new(None) });
+        let proxy =
+            Rc::new(Self { addr, server, listener_delay, crashes, last_crash: Cell::new(None) });
         actix_web::rt::spawn(Rc::clone(&proxy).serve(listener));
         proxy
     }
@@ -51,6 +54,7 @@
         loop {
             let mut crashes = self.crashes.subscribe();
             self.accept(&listener, &mut crashes).await;
+            tokio::time::sleep(self.listener_delay).await;
             drop(listener);
             tokio::time::sleep(DOWNTIME).await;
             listener = TcpListener::bind(self.addr)
--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -20,12 +20,17 @@
 
 /// Starts a test cluster whose backend servers crash on requests that contain [`CRASH_TRIGGER`].
 async fn cluster() -> (TestCluster, Vec<Rc<CrashProxy>>) {
+    cluster_with(Duration::ZERO).await
+}
+
+/// Starts the cluster with servers that close their listeners later than their connections.
+async fn cluster_with(listener_delay: Duration) -> (TestCluster, Vec<Rc<CrashProxy>>) {
     let cluster = TestCluster::start_idle(common::cluster_spec(INSTANCES, SHARDS)).unwrap();
     cluster.publish_instances(0).await.unwrap();
     let mut text = cluster.text();
     let mut proxies = Vec::new();
     for addr in cluster.backends[SERVICE].addrs() {
-        let proxy = CrashProxy::start(addr.parse().unwrap()).await;
+        let proxy = CrashProxy::start(addr.parse().unwrap(), listener_delay).await;
         text = text.replace(&addr, &proxy.addr.to_string());
         proxies.push(proxy);
     }
@@ -62,6 +67,24 @@
     assert!(verdicts["not_run"] >= 7, "{verdicts:?}");
 }
 
+/// Guards against crashes being taken for reset connections because the servers close their
+/// listeners after their connections.
+#[actix_web::test]
+async fn query_is_refused_if_servers_close_their_listeners_last() {
+    let (cluster, proxies) = cluster_with(Duration::from_millis(5)).await;
+    let deadline = [("deadline-ms", "2000"), ("least-coverage-percent", "50")];
+    for attempt in 0..4 {
+        let body = [CRASH_TRIGGER, b" listeners last"].concat();
+        let reply =
+            common::send_query(&cluster, attempt % INSTANCES, SERVICE, &deadline, body).await;
+        let verdict = reply.problem().verdict;
+        assert!(attempt < 2 || verdict == "not_run", "attempt {attempt}: {verdict}");
+        wait_for_recovery().await;
+    }
+    let crashes = crash_count(&proxies);
+    assert!(crashes <= SHARDS + 4, "{crashes} servers crashed");
+}
+
 #[actix_web::test]
 async fn queries_concurrent_with_crashing_query_are_answered() {
     let (cluster, _proxies) = cluster().await;
