--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -48,10 +48,10 @@
 impl ReplicaEntry {
     /// Returns the id of the crash that would end this run of the replica.
     ///
-    /// `None` if its id has no start time: its second crash would look like the first.
+    /// An id without a start time belongs to a single run.
     #[must_use]
-    pub fn crash_id(&self) -> Option<u32> {
-        (self.id != self.name).then(|| relays::replica_hash(&self.id))
+    pub fn crash_id(&self) -> u32 {
+        relays::replica_hash(&self.id)
     }
 
     /// Returns true if the entries differ at most in report number and remaining warm-up time.
--- a/crates/decide/src/lost_sends.rs
+++ b/crates/decide/src/lost_sends.rs
@@ -16,6 +16,8 @@
 const STATE_RETENTION_MS: u64 = 500;
 /// Maximum number of requests that wait for the state of one server; it runs only a few at a time.
 const MAX_WAITING: usize = 32;
+/// Maximum number of servers whose last crash is stored.
+const MAX_LAST_CRASHES: usize = 1024;
 
 /// Lost send of a request that has no answer yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,8 +41,10 @@
     pub send_id: u32,
     /// Id of the crash, the same at all instances whose sends it ended.
     ///
-    /// It equals `send_id` where the runs of a server can't be told apart.
+    /// It equals `send_id` if the run of the server is unknown.
     pub crash_id: u32,
+    /// True if the send was a trial.
+    pub is_trial: bool,
     /// True if the send was a trial and no other unanswered request was lost in the crash.
     pub is_isolated: bool,
 }
@@ -61,6 +65,8 @@
 #[derive(Debug, Clone)]
 struct ServerLosses {
     at_ms: u64,
+    /// Id of the crash, if it is one.
+    crash_id: u32,
     waiting: Vec<LostSend>,
     /// True if the server has crashed, false if it is running, `None` if not known yet.
     has_crashed: Option<bool>,
@@ -70,6 +76,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct LostSends {
     by_server: HashMap<u64, ServerLosses>,
+    /// Id of the last crash of each server, with its time.
+    last_crashes: HashMap<u64, (u32, u64)>,
 }
 
 impl LostSends {
@@ -77,17 +85,24 @@
     pub fn record_loss(&mut self, server: u64, lost: LostSend, now_ms: u64) -> ServerState {
         self.by_server
             .retain(|_, s| s.has_crashed.is_none() || now_ms < s.at_ms + STATE_RETENTION_MS);
+        let crash_id = self.current_crash_id(server, &lost);
         let Some(server_losses) = self.by_server.get_mut(&server) else {
-            let first = ServerLosses { at_ms: now_ms, waiting: vec![lost], has_crashed: None };
+            let waiting = vec![lost];
+            let first = ServerLosses { at_ms: now_ms, crash_id, waiting, has_crashed: None };
             self.by_server.insert(server, first);
             return ServerState::Unknown;
         };
+        if lost.is_trial {
+            // A trial knows the run of its server for certain.
+            server_losses.crash_id = crash_id;
+        }
         match server_losses.has_crashed {
             // Another send was lost in the same crash.
             Some(true) => {
-                let LostSend { request, send_id, crash_id, .. } = lost;
-                let is_isolated = false;
-                ServerState::Crashed(CrashedSend { request, send_id, crash_id, is_isolated })
+                let LostSend { request, send_id, is_trial, .. } = lost;
+                let (crash_id, is_isolated) = (server_losses.crash_id, false);
+                let crashed = CrashedSend { request, send_id, crash_id, is_trial, is_isolated };
+                ServerState::Crashed(crashed)
             }
             Some(false) => ServerState::Running,
             None => {
@@ -108,20 +123,45 @@
     ) -> Vec<CrashedSend> {
         let Some(server_losses) = self.by_server.get_mut(&server) else { return Vec::new() };
         (server_losses.has_crashed, server_losses.at_ms) = (Some(has_crashed), now_ms);
+        let crash_id = server_losses.crash_id;
         let mut lost = std::mem::take(&mut server_losses.waiting);
+        if !has_crashed {
+            return Vec::new();
+        }
+        self.record_last_crash(server, crash_id, now_ms);
         lost.sort_by_key(|l| (l.request, !l.is_trial));
         lost.dedup_by_key(|l| l.request);
-        lost.retain(|_| has_crashed);
         let is_only = lost.len() == 1;
-        let ended = |LostSend { request, send_id, crash_id, is_trial }| CrashedSend {
+        let ended = |LostSend { request, send_id, is_trial, .. }| CrashedSend {
             request,
             send_id,
             crash_id,
+            is_trial,
             is_isolated: is_trial && is_only,
         };
         lost.into_iter().map(ended).collect()
     }
 
+    /// Returns the id of the crash that may have ended a send.
+    ///
+    /// If that crash is already over, the server has restarted since and its new run is not known
+    /// here yet.
+    fn current_crash_id(&self, server: u64, lost: &LostSend) -> u32 {
+        let is_over = !self.by_server.contains_key(&server)
+            && self.last_crashes.get(&server).is_some_and(|(id, _)| *id == lost.crash_id);
+        if is_over { lost.send_id } else { lost.crash_id }
+    }
+
+    fn record_last_crash(&mut self, server: u64, crash_id: u32, now_ms: u64) {
+        if self.last_crashes.len() >= MAX_LAST_CRASHES {
+            let oldest = self.last_crashes.iter().min_by_key(|(_, (_, at_ms))| *at_ms);
+            if let Some(oldest) = oldest.map(|(server, _)| *server) {
+                self.last_crashes.remove(&oldest);
+            }
+        }
+        self.last_crashes.insert(server, (crash_id, now_ms));
+    }
+
     /// Records that another server answered the request, so its losses are no evidence.
     pub fn discard_answered(&mut self, request: Fingerprint) {
         for server in self.by_server.values_mut() {
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -6,12 +6,17 @@
 //! answer of any kind clears the request. A request without an answer whose replicas crashed twice
 //! is tried on one replica at a time, which costs an innocent request one extra exchange. It is
 //! refused for some minutes only if, twice, a replica crashes in such a trial with no other
-//! unanswered request on it. Trials of several instances that end with one crash count once.
+//! unanswered request on it.
+//!
+//! Evidence is counted by crash, not by send: sends of several instances that end with one crash
+//! count once. A crash in which another suspect lost a send, at whichever instance, is contested
+//! and proves nothing until an answer clears one of the two. Since such a report takes some time to
+//! arrive, a refusal starts with a short wait in which the request is neither sent nor refused.
 //!
 //! Instances exchange [`Report`]s, which are merged: all instances reach the same state, in
 //! whatever order and however often the reports arrive.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::fingerprint::Fingerprint;
 use crate::lost_sends::CrashedSend;
@@ -27,9 +32,13 @@
 /// A single one may be a coincidence: another request crashed the replica in the same milliseconds.
 const MIN_CRASHES_IN_ISOLATION: usize = 2;
 /// Maximum number of crashes per request that are stored and reported, at four bytes each.
+const MAX_CRASHES_PER_REQUEST: usize = 24;
+/// Maximum number of those outside of isolated trials that one instance adds.
 ///
-/// More of them add no evidence.
-const MAX_CRASHES_PER_REQUEST: usize = 16;
+/// More of them add no evidence, while those in trials may contest evidence against others.
+const MAX_CRASHES_OUTSIDE_TRIALS: usize = 12;
+/// Maximum number of crashes that ended isolated trials; a new one replaces the oldest.
+const MAX_ISOLATED_CRASHES: usize = 8;
 /// Duration of the first refusal, in milliseconds.
 ///
 /// Operators need about this long to notice; each next trial after it costs one replica.
@@ -52,6 +61,11 @@
 ///
 /// Refused requests are evicted last, so this also limits how many are refused at a time.
 const MAX_REQUESTS: usize = 256;
+/// Wait for reports of other instances before a refusal takes effect, in milliseconds.
+///
+/// A loss is reported at most 25 ms after the crash check, which takes one round trip, and reaches
+/// up to 100 instances in one message.
+pub const REPORT_WAIT_MS: u64 = 300;
 /// Minimum extension of a refusal that counts as a change, in milliseconds.
 ///
 /// Smaller differences come from the delivery time of the report.
@@ -64,6 +78,8 @@
     Normal,
     /// Sent to one replica at a time until one answers.
     OneReplicaAtATime,
+    /// Not sent for this time, in milliseconds, in which other instances may contest the evidence.
+    AwaitsReports(u64),
     /// Refused for this time, in milliseconds.
     Refused(u64),
 }
@@ -74,16 +90,14 @@
     /// Fingerprint of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
-    /// Ids of the sends whose replica crashed.
+    /// Ids of the crashes in which a send of the request was lost.
     ///
-    /// Replica ids would not do: a restarted replica may crash again under the same name, and that
-    /// counts as further evidence.
+    /// Earlier versions write the ids of the sends here: then a crash counts once per send.
     #[prost(fixed32, repeated, tag = "2")]
     pub ended: Vec<u32>,
     /// Ids of the crashes that ended isolated trials.
     ///
     /// Trials of two instances on one replica may end with the same crash, which is one proof.
-    /// Earlier versions write the ids of the sends here: then a crash counts once per send.
     #[prost(fixed32, repeated, tag = "3")]
     pub ended_alone: Vec<u32>,
     /// Remaining time of the refusal, in milliseconds; 0 if the request is not refused.
@@ -133,6 +147,8 @@
     /// Time at which the record expires.
     expires_at_ms: u64,
     refused_until_ms: u64,
+    /// Time from which a refusal takes effect.
+    confirmed_at_ms: u64,
     refusals: u32,
     /// Time at which the request was cleared.
     cleared_ms: Option<u64>,
@@ -149,11 +165,15 @@
         !self.is_cleared() && self.ended.len() >= MIN_CRASHES_FOR_SUSPECT
     }
 
-    fn treatment(&self, now_ms: u64) -> Treatment {
+    fn treatment(&self, is_contested: bool, now_ms: u64) -> Treatment {
         if self.is_cleared() || now_ms >= self.expires_at_ms {
             Treatment::Normal
-        } else if now_ms < self.refused_until_ms {
-            Treatment::Refused(self.refused_until_ms - now_ms)
+        } else if now_ms < self.refused_until_ms && !is_contested {
+            if now_ms < self.confirmed_at_ms {
+                Treatment::AwaitsReports(self.confirmed_at_ms - now_ms)
+            } else {
+                Treatment::Refused(self.refused_until_ms - now_ms)
+            }
         } else if self.is_suspect() {
             Treatment::OneReplicaAtATime
         } else {
@@ -183,12 +203,13 @@
         }
     }
 
-    fn report(&self, fingerprint: Fingerprint, now_ms: u64) -> Report {
+    fn report(&self, fingerprint: Fingerprint, is_contested: bool, now_ms: u64) -> Report {
+        let refused_ms = self.refused_until_ms.saturating_sub(now_ms);
         Report {
             fingerprint: fingerprint.0,
             ended: self.ended.clone(),
             ended_alone: self.ended_alone.clone(),
-            refused_ms: self.refused_until_ms.saturating_sub(now_ms),
+            refused_ms: if is_contested { 0 } else { refused_ms },
             refusals: self.refusals,
             is_cleared: self.is_cleared(),
             left_ms: self.expires_at_ms.saturating_sub(now_ms),
@@ -200,26 +221,81 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     records: HashMap<Fingerprint, Record>,
+    /// Wait before a refusal takes effect, in milliseconds.
+    report_wait_ms: u64,
+    /// Requests whose evidence was contested at the last [`Self::contest_changes`].
+    contested: BTreeSet<Fingerprint>,
 }
 
 impl Quarantine {
+    /// Sets the wait before a refusal takes effect, in milliseconds.
+    ///
+    /// It is 0 for an instance that knows no other, and [`REPORT_WAIT_MS`] otherwise.
+    pub fn set_report_wait(&mut self, report_wait_ms: u64) {
+        self.report_wait_ms = report_wait_ms;
+    }
+
     /// Returns the current treatment of a request.
     #[must_use]
     pub fn treatment(&self, fingerprint: Fingerprint, now_ms: u64) -> Treatment {
         let record = self.records.get(&fingerprint);
-        record.map_or(Treatment::Normal, |r| r.treatment(now_ms))
+        record.map_or(Treatment::Normal, |r| {
+            r.treatment(self.is_contested(fingerprint, r, now_ms), now_ms)
+        })
+    }
+
+    /// Returns the requests whose evidence is contested (true) or no longer (false) since the last
+    /// call.
+    pub fn contest_changes(&mut self, now_ms: u64) -> Vec<(Fingerprint, bool)> {
+        let is_contested = |(f, r): &(&Fingerprint, &Record)| self.is_contested(**f, r, now_ms);
+        let contested = self.records.iter().filter(is_contested);
+        let contested: BTreeSet<Fingerprint> = contested.map(|(f, _)| *f).collect();
+        let before = std::mem::replace(&mut self.contested, contested);
+        let changed = self.contested.symmetric_difference(&before);
+        changed.map(|f| (*f, self.contested.contains(f))).collect()
+    }
+
+    /// True if too few of the crashes that prove a request's guilt are its alone.
+    ///
+    /// Only suspects contest a crash: a request that was lost once, and not sent again, would
+    /// otherwise protect a crashing one in a busy service.
+    fn is_contested(&self, fingerprint: Fingerprint, record: &Record, now_ms: u64) -> bool {
+        if record.ended_alone.len() < MIN_CRASHES_IN_ISOLATION {
+            return false;
+        }
+        let is_shared = |crash_id: &&u32| {
+            self.records.iter().any(|(other, r)| {
+                let is_current_suspect = r.is_suspect() && now_ms < r.expires_at_ms;
+                let was_lost = r.ended.contains(*crash_id) || r.ended_alone.contains(*crash_id);
+                *other != fingerprint && is_current_suspect && was_lost
+            })
+        };
+        let shared = record.ended_alone.iter().filter(is_shared).count();
+        shared > 0 && record.ended_alone.len() - shared < MIN_CRASHES_IN_ISOLATION
     }
 
     /// Records that a replica crashed while it ran a request that had no answer yet.
     pub fn record_crash(&mut self, ended: CrashedSend, now_ms: u64) -> EvidenceEffect {
-        let CrashedSend { request, send_id, crash_id, is_isolated } = ended;
+        let CrashedSend { request, crash_id, is_trial, is_isolated, .. } = ended;
+        let max_crashes =
+            if is_trial { MAX_CRASHES_PER_REQUEST } else { MAX_CRASHES_OUTSIDE_TRIALS };
+        let confirmed_at_ms = now_ms + self.report_wait_ms;
         self.update(request, now_ms, |record| {
             if record.is_cleared() {
                 // A crash after an answer: start over with new evidence.
                 *record = Record::default();
             }
-            let is_new = add_id(&mut record.ended, send_id);
-            let is_new_isolated = is_isolated && add_id(&mut record.ended_alone, crash_id);
+            let is_new = add_id(&mut record.ended, crash_id, max_crashes);
+            let is_new_isolated = is_isolated && !record.ended_alone.contains(&crash_id);
+            if is_new_isolated && record.ended_alone.len() >= MAX_ISOLATED_CRASHES {
+                record.ended_alone.remove(0);
+            }
+            if is_new_isolated {
+                record.ended_alone.push(crash_id);
+            }
+            if is_new_isolated {
+                record.confirmed_at_ms = confirmed_at_ms;
+            }
             record.refuse_if_proven(is_new_isolated, now_ms);
             record.extend_retention(now_ms);
             is_new || is_new_isolated
@@ -247,7 +323,16 @@
         if report.left_ms == 0 || (report.ended.is_empty() && report.refused_ms == 0) {
             return EvidenceEffect::Unchanged;
         }
-        self.update(fingerprint, now_ms, |record| merge_into(record, report, now_ms))
+        let confirmed_at_ms = now_ms + self.report_wait_ms;
+        self.update(fingerprint, now_ms, |record| {
+            merge_into(record, report, confirmed_at_ms, now_ms)
+        })
+    }
+
+    /// True if the request is known to have lost a send in this crash.
+    #[must_use]
+    pub fn has_crash(&self, fingerprint: Fingerprint, crash_id: u32) -> bool {
+        self.records.get(&fingerprint).is_some_and(|r| r.ended.contains(&crash_id))
     }
 
     /// Begins a trial and returns true, or returns false if another trial is in progress.
@@ -273,14 +358,15 @@
     #[must_use]
     pub fn report(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<Report> {
         let record = self.records.get(&fingerprint)?;
-        Some(record.report(fingerprint, now_ms))
+        Some(record.report(fingerprint, self.is_contested(fingerprint, record, now_ms), now_ms))
     }
 
     /// Returns the requests that are not sent normally, for instances that start.
     #[must_use]
     pub fn reports(&self, now_ms: u64) -> Vec<Report> {
-        let wanted = self.records.iter().filter(|(_, r)| r.treatment(now_ms) != Treatment::Normal);
-        wanted.map(|(fingerprint, record)| record.report(*fingerprint, now_ms)).collect()
+        let requests = self.records.keys().copied();
+        let wanted = requests.filter(|f| self.treatment(*f, now_ms) != Treatment::Normal);
+        wanted.filter_map(|fingerprint| self.report(fingerprint, now_ms)).collect()
     }
 
     /// Returns a digest of the requests that are not sent normally.
@@ -288,12 +374,15 @@
     /// Two instances with the same digest need not exchange reports.
     #[must_use]
     pub fn digest(&self, now_ms: u64) -> u64 {
-        let one = |(fingerprint, record): (&Fingerprint, &Record)| match record.treatment(now_ms) {
+        let one = |fingerprint: &Fingerprint| match self.treatment(*fingerprint, now_ms) {
             Treatment::Normal => 0,
             Treatment::OneReplicaAtATime => rendezvous::weight(fingerprint.0, 0),
-            Treatment::Refused(_) => rendezvous::weight(fingerprint.0, 1),
+            // The wait ends at different times at different instances.
+            Treatment::AwaitsReports(_) | Treatment::Refused(_) => {
+                rendezvous::weight(fingerprint.0, 1)
+            }
         };
-        self.records.iter().fold(0, |digest, record| digest ^ one(record))
+        self.records.keys().fold(0, |digest, fingerprint| digest ^ one(fingerprint))
     }
 
     /// Returns the number of records.
@@ -316,16 +405,18 @@
         change: impl FnOnce(&mut Record) -> bool,
     ) -> EvidenceEffect {
         self.make_room(fingerprint, now_ms);
+        let before = self.treatment(fingerprint, now_ms);
         let record = self.records.entry(fingerprint).or_default();
-        let before = record.treatment(now_ms);
         let has_changed = change(record);
-        let after = record.treatment(now_ms);
+        let is_cleared = record.is_cleared();
+        let after = self.treatment(fingerprint, now_ms);
+        let is_refusal = |t| matches!(t, Treatment::AwaitsReports(_) | Treatment::Refused(_));
         match (before, after) {
             _ if !has_changed => EvidenceEffect::Unchanged,
-            (Treatment::Refused(_), Treatment::Refused(_)) => EvidenceEffect::Recorded,
-            (_, Treatment::Refused(_)) => EvidenceEffect::Refused,
+            _ if is_refusal(before) && is_refusal(after) => EvidenceEffect::Recorded,
+            _ if is_refusal(after) => EvidenceEffect::Refused,
             (Treatment::Normal, Treatment::OneReplicaAtATime) => EvidenceEffect::Suspected,
-            _ if record.is_cleared() => EvidenceEffect::Cleared,
+            _ if is_cleared => EvidenceEffect::Cleared,
             _ => EvidenceEffect::Recorded,
         }
     }
@@ -344,8 +435,8 @@
     }
 }
 
-fn add_id(ids: &mut Vec<u32>, id: u32) -> bool {
-    let is_new = !ids.contains(&id) && ids.len() < MAX_CRASHES_PER_REQUEST;
+fn add_id(ids: &mut Vec<u32>, id: u32, max_ids: usize) -> bool {
+    let is_new = !ids.contains(&id) && ids.len() < max_ids;
     if is_new {
         ids.push(id);
     }
@@ -361,18 +452,18 @@
     has_changed
 }
 
-fn merge_into(record: &mut Record, report: &Report, now_ms: u64) -> bool {
+fn merge_into(record: &mut Record, report: &Report, confirmed_at_ms: u64, now_ms: u64) -> bool {
     // The report is most likely older than the answer; newer evidence follows with the next crash.
     if record.is_cleared() {
         return false;
     }
     let mut has_changed = false;
-    for &send_id in &report.ended {
-        has_changed |= add_id(&mut record.ended, send_id);
+    for &crash_id in &report.ended {
+        has_changed |= add_id(&mut record.ended, crash_id, MAX_CRASHES_PER_REQUEST);
     }
     let mut has_new_isolated_crash = false;
     for &crash_id in &report.ended_alone {
-        has_new_isolated_crash |= add_id(&mut record.ended_alone, crash_id);
+        has_new_isolated_crash |= add_id(&mut record.ended_alone, crash_id, MAX_ISOLATED_CRASHES);
     }
     let until_ms = now_ms + report.refused_ms.min(FIRST_REFUSAL_MS << MAX_REFUSAL_DOUBLINGS);
     let is_extended =
@@ -380,6 +471,9 @@
     if is_extended {
         record.refused_until_ms = until_ms;
     }
+    if has_new_isolated_crash {
+        record.confirmed_at_ms = confirmed_at_ms;
+    }
     record.refusals = record.refusals.max(report.refusals);
     has_changed |= has_new_isolated_crash || is_extended;
     // Expires together with the reporter's record, unless there is more evidence here.
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -17,7 +17,7 @@
 const MINUTE_MS: u64 = 60_000;
 
 fn crashed(request: Fingerprint, send_id: u32, is_isolated: bool) -> CrashedSend {
-    CrashedSend { request, send_id, crash_id: send_id, is_isolated }
+    CrashedSend { request, send_id, crash_id: send_id, is_trial: is_isolated, is_isolated }
 }
 
 /// Records the simultaneous crash of all replicas of a request to `shards` shards.
@@ -163,10 +163,104 @@
         cold_left_ms: 0,
     };
     let first_run = replica("a@1").crash_id();
-    assert!(first_run.is_some());
     assert_eq!(first_run, ReplicaEntry { cold_left_ms: 9, ..replica("a@1") }.crash_id());
     assert_ne!(first_run, replica("a@2").crash_id());
-    assert_eq!(replica("a").crash_id(), None);
+    assert_ne!(replica("a").crash_id(), replica("b").crash_id());
+}
+
+/// Guards against the crash of a restarted server being taken for the one before, if its new run
+/// has the same id or is not known yet.
+#[test]
+fn the_crash_of_a_server_that_restarted_unnoticed_is_another_one() {
+    let mut losses = LostSends::default();
+    let lost = |send_id| LostSend { send_id, ..lost(CRASHING, true) };
+    losses.record_loss(1, lost(21), 0);
+    assert_eq!(losses.record_server_state(1, true, 3)[0].crash_id, 7);
+    // A loss that is detected later belongs to the same crash.
+    let late = losses.record_loss(1, lost(22), 4);
+    assert!(matches!(late, ServerState::Crashed(CrashedSend { crash_id: 7, .. })), "{late:?}");
+    losses.record_loss(1, lost(31), SECOND_MS);
+    assert_eq!(losses.record_server_state(1, true, SECOND_MS + 3)[0].crash_id, 31);
+}
+
+/// Guards against an innocent request being suspected because sends of several instances were lost
+/// in one crash.
+#[test]
+fn sends_lost_in_one_crash_are_one_crash() {
+    let mut all: Vec<Quarantine> = vec![Quarantine::default(); 3];
+    for (send_id, quarantine) in (21..).zip(&mut all) {
+        let ended = CrashedSend { crash_id: 7, ..crashed(INNOCENT, send_id, false) };
+        quarantine.record_crash(ended, 0);
+    }
+    let reports: Vec<Report> = all.iter().map(|q| q.report(INNOCENT, 0).unwrap()).collect();
+    for quarantine in &mut all {
+        for report in &reports {
+            quarantine.merge_report(report, 1);
+        }
+        assert_eq!(quarantine.treatment(INNOCENT, 2), Treatment::Normal);
+    }
+}
+
+/// Records two trials at two instances that end with the same crashes, of which the crashing
+/// request is the cause.
+fn record_shared_trials(at_innocent: &mut Quarantine, at_crashing: &mut Quarantine) {
+    for crash_id in [7, 8] {
+        let trial = |request, send_id| CrashedSend { crash_id, ..crashed(request, send_id, true) };
+        at_innocent.record_crash(trial(INNOCENT, 20 + crash_id), 0);
+        at_crashing.record_crash(trial(CRASHING, 30 + crash_id), 0);
+    }
+}
+
+/// Guards against an innocent request being refused because two different crashes, caused by
+/// another request at another instance, ended both of its isolated trials.
+#[test]
+fn crashes_that_another_instance_lost_a_suspect_in_prove_nothing() {
+    let mut all: Vec<Quarantine> = vec![Quarantine::default(); 3];
+    for quarantine in &mut all {
+        quarantine.set_report_wait(300);
+    }
+    let [first, second, third] = &mut all[..] else { unreachable!() };
+    record_shared_trials(first, second);
+    let reports = [first.report(INNOCENT, 0).unwrap(), second.report(CRASHING, 0).unwrap()];
+    for quarantine in [first, second, third] {
+        for report in &reports {
+            quarantine.merge_report(report, 50);
+        }
+        for request in [INNOCENT, CRASHING] {
+            assert_eq!(quarantine.treatment(request, 400), Treatment::OneReplicaAtATime);
+        }
+        // The innocent request is tried elsewhere and answered: the other one caused the crashes.
+        quarantine.record_answer(INNOCENT, 500);
+        assert!(is_refused(quarantine, CRASHING, 500));
+        assert_eq!(quarantine.treatment(INNOCENT, 500), Treatment::Normal);
+    }
+}
+
+/// Guards against a refusal before the report that contests its evidence has arrived.
+#[test]
+fn a_refusal_waits_for_reports_and_ends_if_one_contests_it() {
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    here.set_report_wait(300);
+    record_shared_trials(&mut here, &mut there);
+    assert_eq!(here.treatment(INNOCENT, 299), Treatment::AwaitsReports(1));
+    assert!(is_refused(&here, INNOCENT, 300));
+    // The report is later than the wait.
+    here.merge_report(&there.report(CRASHING, 400).unwrap(), 400);
+    assert_eq!(here.contest_changes(400), [(CRASHING, true), (INNOCENT, true)]);
+    assert_eq!(here.treatment(INNOCENT, 400), Treatment::OneReplicaAtATime);
+}
+
+/// Guards against a request that crashes replicas being protected by others that ran beside it
+/// once and that nobody sent again.
+#[test]
+fn a_request_that_was_lost_in_one_crash_contests_nothing() {
+    let mut quarantine = Quarantine::default();
+    for (send_id, crash_id) in [(1, 7), (2, 8)] {
+        quarantine.record_crash(CrashedSend { crash_id, ..crashed(CRASHING, send_id, true) }, 0);
+        let bystander = Fingerprint(100 + u64::from(crash_id));
+        quarantine.record_crash(crashed(bystander, crash_id, false), 0);
+    }
+    assert!(is_refused(&quarantine, CRASHING, 1));
 }
 
 /// Guards against reports without new information circulating forever.
@@ -300,7 +394,8 @@
     let mut losses = LostSends::default();
     losses.record_loss(1, lost(CRASHING, true), 0);
     assert_eq!(losses.record_loss(1, lost(INNOCENT, false), 0), ServerState::Checking);
-    let both = [crashed(CRASHING, 7, false), crashed(INNOCENT, 7, false)];
+    let trial = CrashedSend { is_trial: true, ..crashed(CRASHING, 7, false) };
+    let both = [trial, crashed(INNOCENT, 7, false)];
     assert_eq!(losses.record_server_state(1, true, 3), both);
 }
 
--- a/crates/decide/tests/report_exchange.rs
+++ b/crates/decide/tests/report_exchange.rs
@@ -16,12 +16,23 @@
     ([127, 0, 0, 1], number).into()
 }
 
+/// Returns the id of one of four crashes that ended sends of this request only.
+fn crash_id(request: Fingerprint, send_id: u32) -> u32 {
+    u32::try_from(request.0 * 4).unwrap() + send_id
+}
+
 /// Returns a report of a request that is refused.
 fn refused_report(request: Fingerprint) -> Report {
     let mut quarantine = Quarantine::default();
     for send_id in 0..4 {
         quarantine.record_crash(
-            CrashedSend { request, send_id, crash_id: send_id, is_isolated: send_id > 1 },
+            CrashedSend {
+                request,
+                send_id,
+                crash_id: crash_id(request, send_id),
+                is_trial: send_id > 1,
+                is_isolated: send_id > 1,
+            },
             0,
         );
     }
@@ -33,7 +44,13 @@
     let mut quarantine = Quarantine::default();
     for send_id in 0..2 {
         quarantine.record_crash(
-            CrashedSend { request, send_id, crash_id: send_id, is_isolated: false },
+            CrashedSend {
+                request,
+                send_id,
+                crash_id: crash_id(request, send_id),
+                is_trial: false,
+                is_isolated: false,
+            },
             0,
         );
     }
--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -2,10 +2,11 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::lost_sends::{LostSend, ServerState};
+use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::relays;
 
@@ -18,8 +19,8 @@
 const MIN_LOSSES_TO_DEFER: usize = 2;
 /// Time between polls for the result of crash checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
-/// Maximum wait for crash checks; a refused connection takes one round trip.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time in milliseconds between polls for the end of another trial of the same request.
+const TRIAL_POLL_MS: u64 = 5;
 /// Maximum time in milliseconds for which a trial delays other requests with its fingerprint.
 const MAX_TRIAL_MS: u64 = 100;
 
@@ -33,6 +34,8 @@
     loss_count: Cell<usize>,
     /// True while the request is on an isolated trial.
     is_trial: Cell<bool>,
+    /// Id of the crash that would end the server of the trial.
+    trial_crash_id: Cell<Option<u32>>,
 }
 
 impl CrashTracker {
@@ -53,9 +56,18 @@
             is_answered: Cell::new(false),
             loss_count: Cell::new(0),
             is_trial: Cell::new(false),
+            trial_crash_id: Cell::new(None),
         }
     }
 
+    /// Records the server of an isolated trial, which has just reported its state.
+    ///
+    /// A crash with its id that is already known was that of an earlier run of the server.
+    pub(crate) fn record_trial_server(&self, replica: &Replica) {
+        let is_over = |crash_id: &u32| self.shared.has_crash(self.fingerprint, *crash_id);
+        self.trial_crash_id.set(replica.crash_id().filter(|crash_id| !is_over(crash_id)));
+    }
+
     /// Returns the current treatment of the request.
     pub(crate) fn treatment(&self) -> Treatment {
         self.shared.treatment(self.fingerprint)
@@ -88,14 +100,10 @@
         self.loss_count.set(self.loss_count.get() + 1);
         let (server, addr) = (replica.spec.id, replica.spec.addr);
         let send_id = relays::replica_hash(&format!("{} {server}", self.request_id));
-        let lost = LostSend {
-            request: self.fingerprint,
-            send_id,
-            // The start time of a server is known from its last answer only. By it, the crash of a
-            // server that has restarted since would count as the one before.
-            crash_id: send_id,
-            is_trial: self.is_trial.get(),
-        };
+        let is_trial = self.is_trial.get();
+        let crash_id = if is_trial { self.trial_crash_id.get() } else { replica.crash_id() };
+        let crash_id = crash_id.unwrap_or(send_id);
+        let lost = LostSend { request: self.fingerprint, send_id, crash_id, is_trial };
         if self.shared.record_loss(server, lost) != ServerState::Unknown {
             return;
         }
@@ -106,20 +114,49 @@
         });
     }
 
-    /// Waits until all crash checks for the request have finished or timed out.
-    pub(crate) async fn wait_for_crash_checks(&self) {
-        let polls = CRASH_CHECK_TIMEOUT.as_millis() / POLL_INTERVAL.as_millis();
-        for _ in 0..polls {
+    /// Waits until all crash checks for the request have finished, at most until `until`.
+    ///
+    /// A check ends with the timeout for opening a connection at the latest.
+    pub(crate) async fn wait_for_crash_checks(&self, until: Instant) {
+        while self.shared.pending_crash_checks(self.fingerprint) > 0 && Instant::now() < until {
             tokio::time::sleep(POLL_INTERVAL).await;
-            if self.shared.pending_crash_checks(self.fingerprint) == 0 {
-                break;
-            }
         }
         self.loss_count.set(0);
     }
 
+    /// Waits until the request may be sent, and begins an isolated trial if it needs one.
+    ///
+    /// # Errors
+    /// Returns a refusal if it is quarantined or can't be sent before `until`.
+    pub(crate) async fn wait_for_permission(
+        &self,
+        until: Instant,
+    ) -> Result<Option<Trial<'_>>, Refusal> {
+        loop {
+            let is_checking = self.shared.pending_crash_checks(self.fingerprint) > 0;
+            let wait_ms = match self.treatment() {
+                Treatment::Normal => return Ok(None),
+                Treatment::Refused(left_ms) => {
+                    return Err(Refusal::not_run(RefusalReason::CrashesReplicas, Some(left_ms)));
+                }
+                Treatment::AwaitsReports(left_ms) => left_ms,
+                Treatment::OneReplicaAtATime if is_checking => TRIAL_POLL_MS,
+                Treatment::OneReplicaAtATime => match self.begin_trial() {
+                    Some(trial) => return Ok(Some(trial)),
+                    None => TRIAL_POLL_MS,
+                },
+            };
+            let wait = Duration::from_millis(wait_ms);
+            if Instant::now() + wait >= until {
+                let retry_after_ms = wait_ms.max(MAX_TRIAL_MS);
+                return Err(Refusal::not_run(RefusalReason::NoReplica, Some(retry_after_ms)));
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
     /// Begins an isolated trial that lasts until dropped; `None` if another one is in progress.
-    pub(crate) fn begin_trial(&self) -> Option<Trial<'_>> {
+    fn begin_trial(&self) -> Option<Trial<'_>> {
         let is_free = self.shared.begin_trial(self.fingerprint, MAX_TRIAL_MS);
         is_free.then(|| self.enter_trial())
     }
@@ -127,6 +164,7 @@
     /// Enters the trial mode without reserving a trial, for one begun by another instance or a run.
     pub(crate) fn enter_trial(&self) -> Trial<'_> {
         self.is_trial.set(true);
+        self.trial_crash_id.set(None);
         Trial(self)
     }
 
--- a/crates/eelgrasspier/src/event.rs
+++ b/crates/eelgrasspier/src/event.rs
@@ -67,6 +67,8 @@
 pub const REQUEST_REFUSED: Event = event(406, Level::Warn, "request that ends servers refused");
 /// A server has answered a request that was suspected or refused.
 pub const REQUEST_CLEARED: Event = event(407, Level::Info, "suspected request cleared");
+/// Another suspect was lost in the same crashes, or was cleared: a refusal is suspended or resumed.
+pub const EVIDENCE_CONTESTED: Event = event(408, Level::Info, "evidence contested");
 /// The idempotency key of a run was claimed.
 pub const RUN_CLAIMED: Event = event(501, Level::Debug, "run claimed");
 /// A run was sent to a backend server.
@@ -87,7 +89,7 @@
 pub const RESTORED: Event = event(603, Level::Warn, "platform restored from a copy");
 
 /// All kinds of events, ordered by number.
-pub const CATALOGUE: [Event; 34] = [
+pub const CATALOGUE: [Event; 35] = [
     STARTED,
     READY,
     LEAVING,
@@ -113,6 +115,7 @@
     REQUEST_SUSPECTED,
     REQUEST_REFUSED,
     REQUEST_CLEARED,
+    EVIDENCE_CONTESTED,
     RUN_CLAIMED,
     RUN_SENT,
     RUN_DONE,
--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -96,6 +96,9 @@
         in_flight: FuturesUnordered::new(),
         remote_hedge: None,
     };
+    if context.crash_tracker.is_trial() {
+        context.traffic.refresh_replicas(&context.service, Some(shard)).await;
+    }
     part.start_first_exchange().await?;
     context.service.hedges.borrow_mut().earn();
     context.service.retries.borrow_mut().earn();
@@ -284,6 +287,9 @@
             return false;
         };
         let Some(permit) = replica.acquire(ConnectionKind::Query) else { return false };
+        if context.crash_tracker.is_trial() {
+            context.crash_tracker.record_trial_server(replica);
+        }
         let id = format!("{}.{}.{}", context.request_id, self.shard, self.tried.len());
         self.tried.push(replica.spec.id);
         let request = PartRequest {
--- a/crates/eelgrasspier/src/quarantine.rs
+++ b/crates/eelgrasspier/src/quarantine.rs
@@ -4,7 +4,9 @@
 
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::lost_sends::{CrashedSend, LostSend, LostSends, ServerState};
-use eelgrasspier_decide::quarantine::{EvidenceEffect, Quarantine, Report, Treatment};
+use eelgrasspier_decide::quarantine::{
+    EvidenceEffect, Quarantine, REPORT_WAIT_MS, Report, Treatment,
+};
 
 use crate::event;
 use crate::shared::{ControlRequest, Shared};
@@ -31,7 +33,10 @@
     pub(crate) fn record_answer(&self, request: Fingerprint) {
         lock(&self.quarantine.losses).discard_answered(request);
         let finding = lock(&self.quarantine.requests).record_answer(request, self.now_ms());
-        self.publish_finding(request, finding);
+        if finding != EvidenceEffect::Unchanged {
+            self.publish_finding(request, finding);
+            self.record_contest();
+        }
     }
 
     /// Records that a server lost an unanswered request; returns what is known about the server.
@@ -69,13 +74,38 @@
 
     /// Merges a report from another instance.
     pub(crate) fn apply_peer_report(&self, report: &Report) {
+        self.update_report_wait();
         let finding = lock(&self.quarantine.requests).merge_report(report, self.now_ms());
         self.record_finding(Fingerprint(report.fingerprint), finding, "another instance");
+        self.record_contest();
     }
 
     fn record_crash(&self, ended: CrashedSend) {
+        self.update_report_wait();
         let finding = lock(&self.quarantine.requests).record_crash(ended, self.now_ms());
         self.publish_finding(ended.request, finding);
+        self.record_contest();
+    }
+
+    /// Returns true if the request is known to have lost a send in this crash.
+    pub(crate) fn has_crash(&self, request: Fingerprint, crash_id: u32) -> bool {
+        lock(&self.quarantine.requests).has_crash(request, crash_id)
+    }
+
+    /// Sets the wait before refusals, which is needed only if there are other instances.
+    fn update_report_wait(&self) {
+        let has_others = !self.view.load().peers.is_empty();
+        let report_wait_ms = if has_others { REPORT_WAIT_MS } else { 0 };
+        lock(&self.quarantine.requests).set_report_wait(report_wait_ms);
+    }
+
+    /// Records the requests whose evidence is contested, or is so no longer.
+    fn record_contest(&self) {
+        let changes = lock(&self.quarantine.requests).contest_changes(self.now_ms());
+        for (request, is_contested) in changes {
+            let detail = if is_contested { "refusal suspended" } else { "refusal resumed" };
+            self.timeline.record(event::EVIDENCE_CONTESTED, &request.to_string(), detail);
+        }
     }
 
     /// Records a local finding and sends it to the other instances.
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -36,8 +36,6 @@
 ///
 /// Two crashes are sufficient evidence, and one trial may be inconclusive.
 const MAX_TRIALS: usize = 3;
-/// Time between polls while another query with the same fingerprint is on trial.
-const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A validated query.
 #[derive(Debug)]
@@ -207,23 +205,21 @@
             gathered.defer(deferred);
             break;
         }
-        if !crash_tracker.is_answered() {
-            crash_tracker.wait_for_crash_checks().await;
-        }
-        let treatment = crash_tracker.treatment();
-        if crash_tracker.is_answered() || treatment == Treatment::Normal {
+        if crash_tracker.is_answered() {
             gathered.merge(gather(context, &deferred).await);
             continue;
         }
-        if matches!(treatment, Treatment::Refused(_)) {
-            gathered.defer(deferred);
-            break;
-        }
-        let Some(trial) = crash_tracker.begin_trial() else {
-            // Another query with the same fingerprint is on trial; its result applies here too.
-            tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
-            gathered.defer(deferred);
-            continue;
+        crash_tracker.wait_for_crash_checks(context.cutoff).await;
+        let trial = match crash_tracker.wait_for_permission(context.cutoff).await {
+            Ok(Some(trial)) => trial,
+            Ok(None) => {
+                gathered.merge(gather(context, &deferred).await);
+                continue;
+            }
+            Err(_) => {
+                gathered.defer(deferred);
+                break;
+            }
         };
         deferred.sort_by_key(|shard| crash_tracker.fingerprint.shard_order_key(&shard.to_string()));
         let trial_shard = deferred.remove(0);
--- a/crates/eelgrasspier/src/replica.rs
+++ b/crates/eelgrasspier/src/replica.rs
@@ -5,6 +5,7 @@
 
 use eelgrasspier_backend::ServerReport;
 use eelgrasspier_decide::draining::{DrainingServers, ServerIncarnation};
+use eelgrasspier_decide::relays;
 use eelgrasspier_decide::replica::ReplicaLoad;
 use eelgrasspier_decide::service_config::ReplicaSpec;
 use eelgrasspier_decide::snapshot::HeldVersion;
@@ -179,6 +180,15 @@
         self.last_contact_ms.get()
     }
 
+    /// Returns the id of the crash that would end the current run of the server.
+    ///
+    /// `None` if the server has not reported its start time.
+    pub(crate) fn crash_id(&self) -> Option<u32> {
+        let incarnation = self.report.borrow().incarnation;
+        let run = || format!("{}@{incarnation}", self.spec.id);
+        (incarnation != 0).then(|| relays::replica_hash(&run()))
+    }
+
     fn server(&self, incarnation: u64) -> ServerIncarnation {
         ServerIncarnation { address_hash: self.spec.id, incarnation }
     }
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -69,16 +69,16 @@
         self.check_shard()?;
         let scope = (&*self.service.name, RUN_KIND);
         let crash_tracker = CrashTracker::new(&traffic.shared, scope, &self.body, &self.request_id);
-        let treatment = crash_tracker.treatment();
-        if let Treatment::Refused(left_ms) = treatment {
+        if let Treatment::Refused(left_ms) = crash_tracker.treatment() {
             return Err(Refusal::not_run(RefusalReason::CrashesReplicas, Some(left_ms)));
         }
-        // A run goes to a single server anyway, so it needs no further isolation.
-        let trial =
-            (treatment == Treatment::OneReplicaAtATime).then(|| crash_tracker.enter_trial());
         let common = &self.params.common;
         let admitted =
             self.service.admit(&common.team, common.weight, self.deadline, epoch_ms).await?;
+        let trial = crash_tracker.wait_for_permission(self.deadline).await?;
+        if trial.is_some() {
+            traffic.refresh_replicas(&self.service, self.target_shard()).await;
+        }
         let result = self.claim_and_send(traffic, &crash_tracker).await;
         drop(trial);
         drop(admitted);
@@ -125,6 +125,9 @@
             };
             claim.attempt = sent;
             let replica = Rc::clone(permit.replica());
+            if crash_tracker.is_trial() {
+                crash_tracker.record_trial_server(&replica);
+            }
             record(event::RUN_SENT, &replica.spec.addr.to_string());
             let completed = self.send(traffic, permit).await;
             traffic.on_exchange_completed(&self.service, &completed);
--- a/crates/eelgrasspier/src/traffic.rs
+++ b/crates/eelgrasspier/src/traffic.rs
@@ -9,16 +9,17 @@
 
 use eelgrasspier_backend::{BackendClient, HttpBackendClient, PartFailure, ServerReport};
 use eelgrasspier_decide::draining::DrainingServers;
-use eelgrasspier_decide::prelude::Service;
+use eelgrasspier_decide::prelude::{Service, ShardId};
 use eelgrasspier_decide::service_config::ReplicaSpec;
 use eelgrasspier_decide::snapshot::Snapshot;
 use eelgrasspier_peer::PeerConnections;
+use futures_util::future::join_all;
 use tokio::sync::{Notify, mpsc};
 
 use crate::event;
 use crate::exchange::CompletedExchange;
 use crate::forward;
-use crate::replica::{ConnectionKind, Replica, ReportChange};
+use crate::replica::{ConnectionKind, Permit, Replica, ReportChange};
 use crate::service::ServiceState;
 use crate::shared::{ControlRequest, SharedRef};
 use crate::view::View;
@@ -27,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time that an isolated trial waits for the answers to its probes.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time between two maintenance rounds.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of maintenance rounds for which missing snapshots delay readiness.
@@ -270,14 +273,28 @@
     fn probe(self: &Rc<Self>, replica: &Rc<Replica>) {
         let Some(permit) = replica.acquire(ConnectionKind::Query) else { return };
         let traffic = Rc::clone(self);
-        let exchange = self.backend_client().probe(replica.spec.addr, PROBE_TIMEOUT);
-        actix_rt::spawn(async move {
-            let result = exchange.await;
-            match &result {
-                Ok(report) => traffic.apply_report(permit.replica(), report),
-                Err(failure) => traffic.record_failure(permit.replica(), failure),
-            }
-        });
+        actix_rt::spawn(async move { traffic.probe_with(&permit).await });
+    }
+
+    async fn probe_with(&self, permit: &Permit) {
+        let replica = permit.replica();
+        match self.backend_client().probe(replica.spec.addr, PROBE_TIMEOUT).await {
+            Ok(report) => self.apply_report(replica, &report),
+            Err(failure) => self.record_failure(replica, &failure),
+        }
+    }
+
+    /// Probes all replicas of a shard, so that their current runs are known.
+    ///
+    /// An isolated trial identifies the crash of its server by the run of the server, which may
+    /// have restarted since its last answer.
+    pub(crate) async fn refresh_replicas(&self, service: &ServiceState, shard: Option<ShardId>) {
+        let replicas = shard.and_then(|shard| service.shards.get(shard as usize));
+        let permits = replicas.into_iter().flatten();
+        let permits: Vec<Permit> =
+            permits.filter_map(|r| r.acquire(ConnectionKind::Query)).collect();
+        let probes = join_all(permits.iter().map(|permit| self.probe_with(permit)));
+        drop(tokio::time::timeout(REFRESH_TIMEOUT, probes).await);
     }
 
     /// Counts this thread as warm once every service has a complete snapshot.
--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -21,11 +21,13 @@
             return;
         }
         let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
+        let trial = request.progress.trial_on(&replica.id);
+        let is_restarted = trial.as_ref().is_some_and(|t| t.is_restarted);
         let lost = LostSend {
             request: request.fingerprint(),
             send_id,
-            crash_id: replica.crash_id().unwrap_or(send_id),
-            is_trial: request.progress.isolated_trials.borrow().contains(&replica.id),
+            crash_id: if is_restarted { send_id } else { replica.crash_id() },
+            is_trial: trial.is_some(),
         };
         let replica_hash = rendezvous::hash(&replica.id);
         let known =
@@ -55,8 +57,11 @@
         let crashed =
             self.lost_sends.borrow_mut().record_server_state(replica_hash, listens == "no", now_ms);
         let requests: Vec<String> = crashed.iter().map(|e| e.request.to_string()).collect();
+        let crash_id = crashed.first().map_or(0, |c| c.crash_id);
+        let is_isolated = crashed.iter().any(|c| c.is_isolated);
         log::info!(
-            "event=loss_checked replica={} service={} listens={listens} fingerprints=[{}]",
+            "event=loss_checked replica={} service={} listens={listens} fingerprints=[{}] \
+             crash={crash_id:08x} isolated={is_isolated}",
             replica.id,
             replica.service,
             requests.join(",")
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -96,6 +96,7 @@
     event(789, "limit_role"),
     event(790, "budget_refused"),
     event(791, "priority_refused"),
+    event(792, "evidence_contested"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/send_permission.rs
+++ b/crates/router/src/gather/send_permission.rs
@@ -99,9 +99,15 @@
         if self.request.progress.is_answered.get() {
             return Permission::Now;
         }
-        match self.treatment() {
+        let treatment = self.treatment();
+        let is_normal = treatment == Treatment::Normal;
+        match treatment {
             Treatment::Refused(_) => Permission::Never,
-            Treatment::OneReplicaAtATime if !self.trials.run_locally => Permission::Never,
+            _ if !is_normal && !self.trials.run_locally => Permission::Never,
+            Treatment::AwaitsReports(left_ms) if now_ms + left_ms < self.deadlines.limit_at_ms => {
+                Permission::Later
+            }
+            Treatment::AwaitsReports(_) => Permission::Never,
             Treatment::OneReplicaAtATime => self.check_trial(index, replica, now_ms),
             Treatment::Normal if self.unresolved_losses() >= LOSSES_TO_HOLD => Permission::Later,
             Treatment::Normal => Permission::Now,
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -1,6 +1,6 @@
 //! Protocol-independent model of a caller's request and its outcome.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, Ref, RefCell};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -76,8 +76,27 @@
     ///
     /// An answered request does not crash replicas.
     pub(crate) is_answered: Cell<bool>,
-    /// Replicas on which the request was tried in isolation because others had crashed during it.
-    pub(crate) isolated_trials: RefCell<Vec<Arc<str>>>,
+    /// Isolated trials of the request, made because replicas had crashed during it.
+    pub(crate) isolated_trials: RefCell<Vec<IsolatedTrial>>,
+}
+
+/// Isolated trial of a request on one replica.
+#[derive(Debug)]
+pub(crate) struct IsolatedTrial {
+    /// Id of the replica.
+    pub(crate) replica: Arc<str>,
+    /// True if the request was already lost in a crash with the id of the replica's next one.
+    ///
+    /// The replica has restarted under the same id.
+    pub(crate) is_restarted: bool,
+}
+
+impl RequestProgress {
+    /// Returns the isolated trial on a replica.
+    pub(crate) fn trial_on(&self, replica: &str) -> Option<Ref<'_, IsolatedTrial>> {
+        let trials = self.isolated_trials.borrow();
+        Ref::filter_map(trials, |trials| trials.iter().find(|t| *t.replica == *replica)).ok()
+    }
 }
 
 impl Request {
--- a/crates/router/src/quarantine_state.rs
+++ b/crates/router/src/quarantine_state.rs
@@ -9,12 +9,14 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fingerprint::Fingerprint;
 use eelgrasspier_decide::lost_sends::CrashedSend;
-use eelgrasspier_decide::quarantine::{EvidenceEffect, Quarantine, Report, Treatment};
+use eelgrasspier_decide::quarantine::{
+    EvidenceEffect, Quarantine, REPORT_WAIT_MS, Report, Treatment,
+};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 use crate::control::ControlRequest;
-use crate::model::Request;
+use crate::model::{IsolatedTrial, Request};
 use crate::router::Router;
 
 /// Delay before a single crash during a request is reported to other instances.
@@ -57,18 +59,27 @@
         let now_ms = self.shared.now_ms();
         let finding =
             self.quarantine_state.quarantine.borrow_mut().record_answer(fingerprint, now_ms);
-        self.publish_finding(fingerprint, finding);
+        if finding != EvidenceEffect::Unchanged {
+            self.publish_finding(fingerprint, finding);
+            self.log_contested();
+        }
     }
 
     /// Records that a replica has crashed while it ran a request.
     pub(crate) fn record_crash(&self, crashed: CrashedSend) {
         let now_ms = self.shared.now_ms();
+        self.update_report_wait();
         let finding = self.quarantine_state.quarantine.borrow_mut().record_crash(crashed, now_ms);
         self.publish_finding(crashed.request, finding);
+        self.log_contested();
     }
 
     /// Merges reports of other instances; `source` names the channel for the log.
     pub(crate) fn merge_reports(&self, reports: &[Report], source: &str) {
+        if reports.is_empty() {
+            return;
+        }
+        self.update_report_wait();
         for report in reports {
             let fingerprint = Fingerprint(report.fingerprint);
             let finding = self
@@ -78,6 +89,25 @@
                 .merge_report(report, self.shared.now_ms());
             self.log_finding(fingerprint, finding, source);
         }
+        self.log_contested();
+    }
+
+    /// Sets the wait before refusals, which is needed only if there are other instances.
+    fn update_report_wait(&self) {
+        let has_others = self.shared.view.load().instance_count > 1;
+        let report_wait_ms = if has_others { REPORT_WAIT_MS } else { 0 };
+        self.quarantine_state.quarantine.borrow_mut().set_report_wait(report_wait_ms);
+    }
+
+    /// Logs the requests whose evidence is contested, or is so no longer.
+    fn log_contested(&self) {
+        let now_ms = self.shared.now_ms();
+        let changes = self.quarantine_state.quarantine.borrow_mut().contest_changes(now_ms);
+        for (fingerprint, is_contested) in changes {
+            log::info!(
+                "event=evidence_contested fingerprint={fingerprint} contested={is_contested}"
+            );
+        }
     }
 
     /// Starts an isolated trial of a request on a replica; returns false if one is in progress.
@@ -94,7 +124,9 @@
         if !quarantine.begin_trial(fingerprint, now_ms, max_ms) {
             return false;
         }
-        request.progress.isolated_trials.borrow_mut().push(Arc::clone(&replica.id));
+        let is_restarted = quarantine.has_crash(fingerprint, replica.crash_id());
+        let trial = IsolatedTrial { replica: Arc::clone(&replica.id), is_restarted };
+        request.progress.isolated_trials.borrow_mut().push(trial);
         let id = request.id_text();
         metrics::counter!("eelgrasspier_trials_total").increment(1);
         log::info!("event=tried_alone id={id} fingerprint={fingerprint} replica={}", replica.id);
@@ -103,7 +135,7 @@
 
     /// Ends the isolated trial, if the send was one.
     pub(crate) fn end_trial(&self, request: &Request, replica: &ReplicaEntry) {
-        if request.progress.isolated_trials.borrow().contains(&replica.id) {
+        if request.progress.trial_on(&replica.id).is_some() {
             self.quarantine_state.quarantine.borrow_mut().end_trial(request.fingerprint());
         }
     }
--- a/crates/standin/src/backends.rs
+++ b/crates/standin/src/backends.rs
@@ -100,7 +100,7 @@
 struct Replica {
     options: BackendOptions,
     shard: u32,
-    started_ms: u64,
+    started_ms: AtomicU64,
     slots: Semaphore,
     load: AtomicU64,
     open_connections: AtomicU64,
@@ -161,6 +161,7 @@
             .route("/state", web::get().to(handlers::state))
             .route("/requests/{id}", web::delete().to(handlers::cancel))
             .route("/standin/faults", web::put().to(handlers::put_faults))
+            .route("/standin/restart", web::put().to(handlers::restart))
             .route("/standin/counters", web::get().to(handlers::get_counters))
     })
     .workers(2)
@@ -192,7 +193,7 @@
         let versions = vec![(1, options.shards)];
         Self {
             shard,
-            started_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(1),
+            started_ms: AtomicU64::new(u64::try_from(since_epoch.as_millis()).unwrap_or(1)),
             slots: Semaphore::new(options.slots as usize),
             load: AtomicU64::new(0),
             open_connections: AtomicU64::new(0),
@@ -215,7 +216,7 @@
         response
             .insert_header(("index-versions", versions.join(",")))
             .insert_header(("server-load", load))
-            .insert_header(("server-started-ms", self.started_ms));
+            .insert_header(("server-started-ms", self.started_ms.load(Ordering::Acquire)));
         if faults.is_draining {
             response.insert_header(("server-draining", "1"));
         }
--- a/crates/standin/src/backends/handlers.rs
+++ b/crates/standin/src/backends/handlers.rs
@@ -154,6 +154,15 @@
     HttpResponse::NoContent().finish()
 }
 
+/// Gives the replica another start time, as after a restart of its process.
+pub(super) async fn restart(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
+    let Some(replica) = replica_of(&request, &replicas) else {
+        return HttpResponse::NotFound().finish();
+    };
+    replica.started_ms.fetch_add(1, Ordering::AcqRel);
+    HttpResponse::NoContent().finish()
+}
+
 pub(super) async fn get_counters(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
     let Some(replica) = replica_of(&request, &replicas) else {
         return HttpResponse::NotFound().finish();
--- a/crates/standin/tests/common/fuse.rs
+++ b/crates/standin/tests/common/fuse.rs
@@ -1,7 +1,7 @@
 //! Loopback proxy in front of one backend server that simulates crashes of the server.
 //!
 //! It closes all connections and its port when a request contains [`CRASH_TRIGGER`], and listens
-//! again after [`DOWNTIME`].
+//! again after [`DOWNTIME`]; the server then has another start time.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -57,6 +57,8 @@
             tokio::time::sleep(self.listener_delay).await;
             drop(listener);
             tokio::time::sleep(DOWNTIME).await;
+            let url = format!("http://{}/standin/restart", self.server);
+            awc::Client::default().put(url).send().await.expect("the server should restart");
             listener = TcpListener::bind(self.addr)
                 .await
                 .expect("the port should still be free after the downtime");
