Answer a failed request once other instances know of its crashes

Cause: the caller was told that its request had failed before the instance knew of the crashes. The caller's next attempt then reached another instance, which knew as little, and took down the second replica of each of 20 shards.

Request refused at 51.880 s (target of 100 ms passed on a busy machine), crash checks ended at 51.882, the others heard at 51.888, the second attempt was sent by then: 20 crashed replicas, then 20 more.

Mend: a request that nobody has answered and that lost a send is answered after its crash checks have ended, at most 60 ms later, and if it is suspect then, another 25 ms later, never beyond its deadline. Both the router and the own daemon, queries and runs.

Test: with crash checks of 30 ms and crashes just before the target, the code before answers while 20 checks are under way.

--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -19,6 +19,10 @@
 const MIN_LOSSES_TO_DEFER: usize = 2;
 /// Time between polls for the result of crash checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Maximum time for which a failed request waits for its crash checks.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(60);
+/// Time in which a report reaches the other instances, also if they are busy.
+const REPORT_TIME: Duration = Duration::from_millis(25);
 /// Time in milliseconds between polls for the end of another trial of the same request.
 const TRIAL_POLL_MS: u64 = 5;
 /// Maximum time in milliseconds for which a trial delays other requests with its fingerprint.
@@ -32,6 +36,8 @@
     request_id: Rc<str>,
     is_answered: Cell<bool>,
     loss_count: Cell<usize>,
+    /// True if a send of the unanswered request was lost.
+    was_lost: Cell<bool>,
     /// True while the request is on an isolated trial.
     is_trial: Cell<bool>,
     /// Id of the crash that would end the server of the trial.
@@ -55,6 +61,7 @@
             request_id: Rc::clone(request_id),
             is_answered: Cell::new(false),
             loss_count: Cell::new(0),
+            was_lost: Cell::new(false),
             is_trial: Cell::new(false),
             trial_crash_id: Cell::new(None),
         }
@@ -98,6 +105,7 @@
             return;
         }
         self.loss_count.set(self.loss_count.get() + 1);
+        self.was_lost.set(true);
         let (server, addr) = (replica.spec.id, replica.spec.addr);
         let send_id = relays::replica_hash(&format!("{} {server}", self.request_id));
         let is_trial = self.is_trial.get();
@@ -124,6 +132,21 @@
         self.loss_count.set(0);
     }
 
+    /// Delays the failure of a request until other instances know of its crashes.
+    ///
+    /// Its caller sends it to another instance next, within a millisecond. Ends at `until` at the
+    /// latest.
+    pub(crate) async fn delay_failure(&self, until: Instant) {
+        if self.is_answered() || !self.was_lost.get() {
+            return;
+        }
+        self.wait_for_crash_checks(until.min(Instant::now() + MAX_CHECK_WAIT)).await;
+        if self.treatment() != Treatment::Normal {
+            let left = until.saturating_duration_since(Instant::now());
+            tokio::time::sleep(REPORT_TIME.min(left)).await;
+        }
+    }
+
     /// Waits until the request may be sent, and begins an isolated trial if it needs one.
     ///
     /// # Errors
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -228,5 +228,6 @@
         gathered.merge(outcome);
         gathered.defer(deferred);
     }
+    crash_tracker.delay_failure(context.cutoff).await;
     gathered
 }
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -81,6 +81,7 @@
         }
         let result = self.claim_and_send(traffic, &crash_tracker).await;
         drop(trial);
+        crash_tracker.delay_failure(self.deadline).await;
         drop(admitted);
         if let Err(refusal) = &result {
             let detail = format!("{}: {}", refusal.verdict, refusal.reason);
--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -20,6 +20,7 @@
         if request.progress.is_answered.get() {
             return;
         }
+        request.progress.was_lost.set(true);
         let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
         let trial = request.progress.trial_on(&replica.id);
         let is_restarted = trial.as_ref().is_some_and(|t| t.is_restarted);
--- a/crates/router/src/gather/mod.rs
+++ b/crates/router/src/gather/mod.rs
@@ -239,6 +239,7 @@
                 break true;
             }
         };
+        self.delay_failure().await;
         // A request that is in flight may still run, so it must not be reported as not run.
         self.gathered.may_have_run |= self.write_flags.iter().any(DispatchFlag::is_set);
         self.token.settle(self.gathered.may_have_run);
--- a/crates/router/src/gather/send_permission.rs
+++ b/crates/router/src/gather/send_permission.rs
@@ -7,6 +7,7 @@
 //! answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::quarantine::Treatment;
@@ -25,6 +26,13 @@
 /// loss is common.
 const LOSSES_TO_HOLD: usize = 2;
 
+/// Maximum time for which a failed request waits for its crash checks, in milliseconds.
+const MAX_CHECK_WAIT_MS: u64 = 60;
+/// Interval at which it is looked whether they have ended.
+const CHECK_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Time in which a report reaches the other instances, also if they are busy.
+const REPORT_TIME: Duration = Duration::from_millis(25);
+
 /// Number of shards from which hedges wait for the first answer.
 ///
 /// With this many shards at least one usually answers before hedges are due.
@@ -169,6 +177,25 @@
         waiting.min_by_key(|&i| fingerprint.shard_order_key(&self.shards[i].service))
     }
 
+    /// Delays the failure of a request until other instances know of its crashes.
+    ///
+    /// Its caller sends it to another instance next, within a millisecond.
+    pub(super) async fn delay_failure(&self) {
+        let progress = &self.request.progress;
+        if progress.is_answered.get() || !progress.was_lost.get() {
+            return;
+        }
+        let now_ms = || self.router.shared.now_ms();
+        let until_ms = self.deadlines.limit_at_ms.min(now_ms() + MAX_CHECK_WAIT_MS);
+        while self.unresolved_losses() > 0 && now_ms() < until_ms {
+            tokio::time::sleep(CHECK_POLL_INTERVAL).await;
+        }
+        if self.is_suspect() {
+            let left_ms = self.deadlines.limit_at_ms.saturating_sub(now_ms());
+            tokio::time::sleep(REPORT_TIME.min(Duration::from_millis(left_ms))).await;
+        }
+    }
+
     fn treatment(&self) -> Treatment {
         self.router.treatment(self.request.fingerprint())
     }
--- a/crates/router/src/model.rs
+++ b/crates/router/src/model.rs
@@ -76,6 +76,8 @@
     ///
     /// An answered request does not crash replicas.
     pub(crate) is_answered: Cell<bool>,
+    /// True if a send of the unanswered request was lost.
+    pub(crate) was_lost: Cell<bool>,
     /// Isolated trials of the request, made because replicas had crashed during it.
     pub(crate) isolated_trials: RefCell<Vec<IsolatedTrial>>,
 }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -68,6 +68,10 @@
     started: RefCell<Option<Instant>>,
     /// Time that a crashing request runs before the crash, in milliseconds, in addition to 1 ms.
     pub crash_delay_ms: Cell<u64>,
+    /// Time that a check for a listening replica takes, in milliseconds, in addition to 1 ms.
+    pub check_delay_ms: Cell<u64>,
+    /// Number of checks that have not ended.
+    pub pending_checks: Cell<u32>,
 }
 
 impl ScriptedReplicas {
@@ -174,8 +178,11 @@
     fn check_listening(&self, replica: Arc<ReplicaEntry>, _: u32) -> BackendFuture<()> {
         let has_crashed = self.0.crashed.borrow().contains(&*replica.id);
         let result = if has_crashed { Err(PartFailure::NotListening) } else { Ok(()) };
+        let replicas = Rc::clone(&self.0);
+        replicas.pending_checks.update(|count| count + 1);
         Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(1)).await;
+            tokio::time::sleep(Duration::from_millis(1 + replicas.check_delay_ms.get())).await;
+            replicas.pending_checks.update(|count| count - 1);
             result
         })
     }
--- a/crates/router/tests/suspects.rs
+++ b/crates/router/tests/suspects.rs
@@ -71,6 +71,21 @@
     });
 }
 
+/// Guards against a request that takes down a second replica of each shard: its caller was told of
+/// the failure before the instance knew of the crashes, and sent it to another instance, which could
+/// not know of them either.
+#[test]
+fn a_failed_request_is_answered_once_its_crashes_are_known() {
+    in_virtual_time(async {
+        let fixture = Fixture::new(route(SHARDS), SHARDS);
+        fixture.replicas.crash_delay_ms.set(70);
+        fixture.replicas.check_delay_ms.set(30);
+        let Outcome::Refused(refusal) = serve(&fixture, "ends", "r1").await else { panic!() };
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+        assert_eq!(fixture.replicas.pending_checks.get(), 0);
+    });
+}
+
 /// Trials of one request must not overlap. Otherwise it reaches more replicas than the two whose
 /// crashes are sufficient proof.
 #[test]
