Check a server again if the connection of the check was reset

Cause: the listener of an ending server may also close while the connection of the crash check is being opened. The attempt then ends with a reset in place of a refusal, which was taken for a running server at once: loss at 590044 us, listener closed at 590250, check answered at 591382 (crashed=false).

Mend: only a refused connection, or one that could not be opened in time, ends the check at once; after any other error it connects again 30 ms later.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -31,7 +31,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a check for a listening server looks whether its connection is still open.
 ///
-/// A process that ends closes its sockets one after another, and its listener may be the last.
+/// A process that ends closes its sockets one after another, and its listener may be the last. A
+/// connection that is accepted or being opened meanwhile is reset.
 const RECHECK_DELAY: Duration = Duration::from_millis(30);
 /// Idle timeout of a connection if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -237,19 +238,20 @@
         max_connections: u32,
     ) -> Result<(), PartFailure> {
         let pool = self.server_pool(server);
-        let connection = match pool.connect(addr, max_connections).await {
-            Ok(connection) => connection,
+        let opened = match pool.connect(addr, max_connections).await {
             // The connection limit is reached: open one outside the pool.
             Err(PartFailure::Crowded) => return check_listening(addr).await,
-            Err(failure) => return Err(failure),
+            Err(failure) if is_final(&failure) => return Err(failure),
+            opened => opened,
         };
         actix_rt::time::sleep(RECHECK_DELAY).await;
-        if connection.sender.is_closed() {
-            drop(connection);
-            return connect(addr).await.map(drop);
+        match opened {
+            Ok(connection) if !connection.sender.is_closed() => {
+                pool.idle.borrow_mut().push(connection);
+                Ok(())
+            }
+            _ => connect(addr).await.map(drop),
         }
-        pool.idle.borrow_mut().push(connection);
-        Ok(())
     }
 
     /// Returns true if a connection is idle or another one may be opened.
@@ -335,10 +337,22 @@
 }
 
 async fn check_listening(addr: SocketAddr) -> Result<(), PartFailure> {
-    let stream = connect(addr).await?;
+    let opened = connect(addr).await;
+    if let Err(failure) = &opened
+        && is_final(failure)
+    {
+        return Err(failure.clone());
+    }
     actix_rt::time::sleep(RECHECK_DELAY).await;
-    let is_open = stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
-    if is_open { Ok(()) } else { connect(addr).await.map(drop) }
+    let is_open = |stream: TcpStream| {
+        stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    };
+    if opened.is_ok_and(is_open) { Ok(()) } else { connect(addr).await.map(drop) }
+}
+
+/// True if another attempt to connect shows nothing else: the server has ended or is silent.
+fn is_final(failure: &PartFailure) -> bool {
+    *failure == PartFailure::NotListening || *failure == connect_timed_out()
 }
 
 async fn connect(addr: SocketAddr) -> Result<TcpStream, PartFailure> {
