Never reuse a connection on which another request was answered

What a caller could see: a wrong answer given as right. That this is its cause is NOT proven.

Two ways were open in which a connection is off by one answer: - An answer with another request's id was refused, but its connection had already returned to the pool, although the answer to the present request was still to come on it. The id is checked before that now, in the pool. - A second send of a request avoided a connection on which the first was the last request, but not one on which another request had followed.

Tests: both fail on the code before. A third one, an answer without a length whose connection is reset in the middle, passed before as well.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -7,7 +7,7 @@
 //! connection that showed any irregularity is never reused.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http::header::CONNECTION;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -42,6 +42,8 @@
 /// Maximum idle time of a connection reused for a non-repeatable request, to reduce the risk of
 /// losing the request while the server closes the connection.
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(1500);
+/// Maximum number of tags stored for each connection.
+const MAX_TAGS: usize = 64;
 /// Maximum number of idle connections that are tried before a new one is opened.
 const MAX_REUSE_ATTEMPTS: usize = 4;
 
@@ -66,9 +68,13 @@
     pub max_bytes: usize,
     /// Tag by which a second send of the same request is known; `None` if there is none.
     ///
-    /// It never follows the first one on a connection: a late second answer to the first would be
+    /// It never uses a connection of the first one: a late second answer to the first would be
     /// taken for its own, since both have the same id.
     pub tag: Option<u64>,
+    /// Header in which the server names the request that it answers, and its value for this one.
+    ///
+    /// An answer without the header is accepted.
+    pub answer_id: Option<(HeaderName, HeaderValue)>,
     /// Set once the request is handed to a connection.
     pub dispatched: DispatchFlag,
 }
@@ -130,8 +136,8 @@
     open_count: Rc<Cell<u32>>,
     idle_since: Instant,
     idle_timeout: Duration,
-    /// Tag of the last request; `None` before the first.
-    last_tag: Option<u64>,
+    /// Tags of the last requests, at most [`MAX_TAGS`].
+    tags: VecDeque<u64>,
 }
 
 impl Drop for Connection {
@@ -142,6 +148,13 @@
 }
 
 impl Connection {
+    fn add_tag(&mut self, tag: Option<u64>) {
+        if self.tags.len() >= MAX_TAGS {
+            self.tags.pop_front();
+        }
+        self.tags.extend(tag);
+    }
+
     fn is_usable(&self, is_repeatable: bool) -> bool {
         let max_idle = if is_repeatable {
             self.idle_timeout
@@ -174,8 +187,11 @@
         exchange: ExchangeRequest,
     ) -> Result<RawAnswer, PartFailure> {
         let pool = self.server_pool(&exchange.server);
-        let limits =
-            AnswerLimits { keep_alive: exchange.keep_alive, max_bytes: exchange.max_bytes };
+        let limits = AnswerLimits {
+            keep_alive: exchange.keep_alive,
+            max_bytes: exchange.max_bytes,
+            answer_id: exchange.answer_id,
+        };
         let mut request = exchange.request;
         for _ in 0..MAX_REUSE_ATTEMPTS {
             let idle = pool.take_idle(exchange.is_repeatable, exchange.tag);
@@ -194,7 +210,7 @@
             }
         }
         let mut connection = pool.connect(exchange.addr, exchange.max_connections).await?;
-        connection.last_tag = exchange.tag;
+        connection.add_tag(exchange.tag);
         exchange.dispatched.set();
         match connection.sender.try_send_request(request).await {
             Ok(answer) => read_answer(pool, connection, answer, limits).await,
@@ -281,16 +297,16 @@
 impl ServerPool {
     /// Takes the most recently used idle connection, so that the others can time out.
     ///
-    /// The last request on it must not have the same tag.
+    /// None of the last requests on it may have the same tag.
     fn take_idle(&self, is_repeatable: bool, tag: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|c| c.is_usable(true));
-        let newest = idle.iter().rposition(|c| tag.is_none() || c.last_tag != tag)?;
+        let newest = idle.iter().rposition(|c| tag.is_none_or(|tag| !c.tags.contains(&tag)))?;
         if !idle[newest].is_usable(is_repeatable) {
             return None;
         }
         let mut connection = idle.remove(newest);
-        connection.last_tag = tag;
+        connection.add_tag(tag);
         Some(connection)
     }
 
@@ -326,7 +342,7 @@
             open_count: slot.commit(),
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            last_tag: None,
+            tags: VecDeque::new(),
         })
     }
 }
@@ -393,19 +409,26 @@
 }
 
 /// Limits on an answer, and whether its connection is kept alive.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct AnswerLimits {
     keep_alive: bool,
     max_bytes: usize,
+    answer_id: Option<(HeaderName, HeaderValue)>,
 }
 
 async fn read_answer(
     pool: Rc<ServerPool>,
     connection: Connection,
     answer: Response<Incoming>,
-    AnswerLimits { keep_alive, max_bytes }: AnswerLimits,
+    AnswerLimits { keep_alive, max_bytes, answer_id }: AnswerLimits,
 ) -> Result<RawAnswer, PartFailure> {
     let (head, body) = answer.into_parts();
+    // The answer to this request is still to come, so the connection must not be used again.
+    if let Some((name, id)) = &answer_id
+        && head.headers.get(name).is_some_and(|found| found != id)
+    {
+        return Err(PartFailure::Unusable("the answer belongs to another request".to_owned()));
+    }
     let body = Limited::new(body, max_bytes).collect().await.map_err(|error| match error
         .downcast_ref::<LengthLimitError>(
     ) {
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -71,6 +71,7 @@
         time_left: Duration::from_secs(5),
         max_bytes: 1 << 16,
         tag: None,
+        answer_id: None,
         keep_alive: true,
         dispatched: DispatchFlag::default(),
     }
@@ -191,6 +192,7 @@
         time_left: once,
         max_bytes: 1 << 16,
         tag: None,
+        answer_id: None,
         keep_alive: true,
         dispatched: dispatched.clone(),
     };
@@ -216,7 +218,8 @@
         }
     });
     let pool = ConnectionPool::default();
-    for (tag, expected) in [(1, 1), (1, 2), (2, 2)] {
+    // The second answer may also come after that to another request.
+    for (tag, expected) in [(1, 1), (2, 1), (1, 2), (2, 2), (3, 2)] {
         let request = ExchangeRequest { tag: Some(tag), ..exchange_request(addr) };
         exchange(&pool, request).await.unwrap();
         assert_eq!(pool.open_connections("i-1"), expected, "request {tag}");
@@ -258,3 +261,41 @@
     let addr = ending_server(false).await;
     assert_eq!(pool.check_listening(&"i-1".into(), addr, 2).await, Ok(()));
 }
+
+/// Guards against a wrong answer: the answer to an earlier request comes first, and that to the
+/// present one is taken for the answer to the next.
+#[actix_rt::test]
+async fn a_connection_with_the_answer_to_another_request_is_not_reused() {
+    let answers: &[&str] = &[
+        "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\nid: 3\r\ncontent-length: 5\r\n\r\nthird",
+    ];
+    let (addr, connections) = server(answers).await;
+    let pool = ConnectionPool::default();
+    for (id, is_own, expected) in [("1", true, 1), ("2", false, 1), ("3", true, 2)] {
+        let answer_id = Some(("id".parse().unwrap(), id.parse().unwrap()));
+        let request = ExchangeRequest { answer_id, ..exchange_request(addr) };
+        let answer = exchange(&pool, request).await;
+        assert_eq!(answer.is_ok(), is_own, "request {id}");
+        assert_eq!(*connections.borrow(), expected, "request {id}");
+    }
+}
+
+/// Guards against an answer without a length being taken for complete although its connection was
+/// reset in the middle of the body.
+#[actix_rt::test]
+async fn an_answer_without_a_length_that_is_reset_is_lost() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            read_request(&mut stream).await;
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            stream.set_zero_linger().unwrap();
+        }
+    });
+    let failure = get(&ConnectionPool::default(), addr).await.unwrap_err();
+    assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{failure}");
+}
