Let a test of delegates wait for the belief that it needs

The fault is the test's: its warm-up of six requests runs in real time, and the losses by which the large instance finds its replicas too slow age meanwhile, so that the request was admitted and rightly answered with "may have run".

The warm-up now goes on until the large instance itself refuses a request as overloaded, 50 requests at the most. The checks are unchanged.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use eelgrasspier_backend::PartFailure;
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::history::Edition;
+use eelgrasspier_decide::prelude::RefusalReason;
 use eelgrasspier_decide::retry_budget::RetryLimits;
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
 use eelgrasspier_router::{
@@ -279,6 +280,20 @@
     pub async fn serve(&self, id: &str, deadline_ms: u64) -> Outcome {
         self.router.serve(request(id, deadline_ms)).await
     }
+
+    /// Serves requests whose answers are lost until the router refuses one as overloaded.
+    ///
+    /// In real time the losses of a fixed number of requests may not be enough, since they age.
+    pub async fn lose_answers_until_refused(&self, deadline_ms: u64) {
+        const MAX_REQUESTS: usize = 50;
+        for number in 0..MAX_REQUESTS {
+            let outcome = self.serve(&format!("t{number}"), deadline_ms).await;
+            if matches!(outcome, Outcome::Refused(r) if r.reason == RefusalReason::Overloaded) {
+                return;
+            }
+        }
+        panic!("no request was refused as overloaded");
+    }
 }
 
 /// Headers that state the caller's identity.
--- a/crates/router/tests/delegates.rs
+++ b/crates/router/tests/delegates.rs
@@ -155,9 +155,7 @@
                 );
             }
         }
-        for number in 0..6 {
-            local.fixture.serve(&format!("t{number}"), DEADLINE_MS).await;
-        }
+        local.fixture.lose_answers_until_refused(DEADLINE_MS).await;
         let before = local.fixture.replicas.arrivals.borrow().len();
         let fixture = small_instance(vec![local.peer.clone()]);
         let Outcome::Refused(refusal) = fixture.serve("r1", DEADLINE_MS).await else { panic!() };
