--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -299,3 +299,32 @@
     let failure = get(&ConnectionPool::default(), addr).await.unwrap_err();
     assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{failure}");
 }
+
+/// Guards against a wrong answer given as right: a replica's late second answer to a request, taken
+/// for that to another send of the same request, by which an instance took over a lost one's work.
+#[actix_rt::test]
+async fn a_late_second_answer_is_not_taken_for_that_to_another_send_of_the_request() {
+    let answer = |id: u32, body: &str| {
+        format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 5\r\n\r\n{body}").into_bytes()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                read_request(&mut stream).await;
+                stream.write_all(&answer(1, "right")).await.unwrap();
+                // The second answer comes where the next one is expected.
+                while read_request(&mut stream).await {
+                    stream.write_all(&answer(1, "wrong")).await.unwrap();
+                }
+            });
+        }
+    });
+    let pool = ConnectionPool::default();
+    for _ in 0..3 {
+        let answer_id = Some(("id".parse().unwrap(), "1".parse().unwrap()));
+        let request = ExchangeRequest { answer_id, tag: Some(1), ..exchange_request(addr) };
+        assert_eq!(&exchange(&pool, request).await.unwrap().body[..], b"right");
+    }
+}
