Split the quarantine and the connection pool

No change of behaviour. The record of one request and its rules move to quarantine/record.rs, where adding a crash, clearing and merging become methods; opening connections and checking for a listening server move to backend/connect.rs.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -6,16 +6,18 @@
 //! holds. `DELETE /requests/{id}` cancels a request. Status 503 means that the server shed the
 //! request without running it; 409 means that it does not hold the requested version.
 
+mod connect;
 mod exchange;
 mod failure;
 mod pool;
 mod report;
 
+pub use connect::refuses_connections;
 pub use exchange::{
     BackendClient, HttpBackendClient, PartAnswer, PartFuture, PartRequest, RequestKind,
 };
 pub use failure::PartFailure;
-pub use pool::{ConnectionPool, DispatchFlag, ExchangeRequest, RawAnswer, refuses_connections};
+pub use pool::{ConnectionPool, DispatchFlag, ExchangeRequest, RawAnswer};
 pub use report::ServerReport;
 
 /// Headers of the backend protocol.
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -16,47 +16,15 @@
 //! Instances exchange [`Report`]s, which are merged: all instances reach the same state, in
 //! whatever order and however often the reports arrive.
 
+mod record;
+
 use std::collections::{BTreeSet, HashMap};
 
 use crate::fingerprint::Fingerprint;
 use crate::lost_sends::CrashedSend;
 use crate::rendezvous;
+use record::{MIN_CRASHES_FOR_SUSPECT, MIN_CRASHES_IN_ISOLATION, Record};
 
-/// Number of replica crashes after which a request is tried on one replica at a time.
-///
-/// Single crashes happen. Two under the same unanswered request are rare, and a request to many
-/// shards would crash dozens of replicas with the hedges and retries that follow.
-const MIN_CRASHES_FOR_SUSPECT: usize = 2;
-/// Number of isolated trials that must crash their replica before a request is refused.
-///
-/// A single one may be a coincidence: another request crashed the replica in the same milliseconds.
-const MIN_CRASHES_IN_ISOLATION: usize = 2;
-/// Maximum number of crashes per request that are stored and reported, at four bytes each.
-const MAX_CRASHES_PER_REQUEST: usize = 24;
-/// Maximum number of those outside of isolated trials that one instance adds.
-///
-/// More of them add no evidence, while those in trials may contest evidence against others.
-const MAX_CRASHES_OUTSIDE_TRIALS: usize = 12;
-/// Maximum number of crashes that ended isolated trials; a new one replaces the oldest.
-const MAX_ISOLATED_CRASHES: usize = 8;
-/// Duration of the first refusal, in milliseconds.
-///
-/// Operators need about this long to notice; each next trial after it costs one replica.
-const FIRST_REFUSAL_MS: u64 = 300_000;
-/// Maximum number of doublings of the refusal, one for each further crash: up to 80 minutes.
-const MAX_REFUSAL_DOUBLINGS: u32 = 4;
-/// Retention of a request that is tried on one replica at a time, in milliseconds.
-///
-/// As long as a refusal, which follows if the request is sent again.
-const SUSPECT_RETENTION_MS: u64 = FIRST_REFUSAL_MS;
-/// Maximum retention of any record, in milliseconds, regardless of the value in a report.
-const MAX_RETENTION_MS: u64 = (FIRST_REFUSAL_MS << MAX_REFUSAL_DOUBLINGS) + SUSPECT_RETENTION_MS;
-/// Retention of a single crash, in milliseconds; callers retry within seconds.
-const SINGLE_CRASH_RETENTION_MS: u64 = 30_000;
-/// Time for which reports on a cleared request are ignored, in milliseconds.
-///
-/// By then gossip has delivered the last of them to all instances.
-const CLEARED_RETENTION_MS: u64 = 5_000;
 /// Maximum number of records; at about 200 bytes each, 50 KB.
 ///
 /// Refused requests are evicted last, so this also limits how many are refused at a time.
@@ -66,11 +34,6 @@
 /// A loss is reported at most 25 ms after the crash check, which takes one round trip, and reaches
 /// up to 100 instances in one message.
 pub const REPORT_WAIT_MS: u64 = 300;
-/// Minimum extension of a refusal that counts as a change, in milliseconds.
-///
-/// Smaller differences come from the delivery time of the report.
-const MIN_REFUSAL_EXTENSION_MS: u64 = 2_000;
-
 /// Treatment of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Treatment {
@@ -140,83 +103,6 @@
     }
 }
 
-#[derive(Debug, Clone, Default)]
-struct Record {
-    ended: Vec<u32>,
-    ended_alone: Vec<u32>,
-    /// Time at which the record expires.
-    expires_at_ms: u64,
-    refused_until_ms: u64,
-    /// Time from which a refusal takes effect.
-    confirmed_at_ms: u64,
-    refusals: u32,
-    /// Time at which the request was cleared.
-    cleared_ms: Option<u64>,
-    /// End of the period in which no other trial may begin.
-    trial_until_ms: u64,
-}
-
-impl Record {
-    fn is_cleared(&self) -> bool {
-        self.cleared_ms.is_some()
-    }
-
-    fn is_suspect(&self) -> bool {
-        !self.is_cleared() && self.ended.len() >= MIN_CRASHES_FOR_SUSPECT
-    }
-
-    fn treatment(&self, is_contested: bool, now_ms: u64) -> Treatment {
-        if self.is_cleared() || now_ms >= self.expires_at_ms {
-            Treatment::Normal
-        } else if now_ms < self.refused_until_ms && !is_contested {
-            if now_ms < self.confirmed_at_ms {
-                Treatment::AwaitsReports(self.confirmed_at_ms - now_ms)
-            } else {
-                Treatment::Refused(self.refused_until_ms - now_ms)
-            }
-        } else if self.is_suspect() {
-            Treatment::OneReplicaAtATime
-        } else {
-            Treatment::Normal
-        }
-    }
-
-    /// Extends the retention to that of new evidence.
-    fn extend_retention(&mut self, now_ms: u64) {
-        let retention_ms =
-            if self.is_suspect() { SUSPECT_RETENTION_MS } else { SINGLE_CRASH_RETENTION_MS };
-        self.expires_at_ms =
-            self.expires_at_ms.max(now_ms.max(self.refused_until_ms) + retention_ms);
-    }
-
-    /// Starts a refusal if the evidence suffices and none is in progress.
-    ///
-    /// `has_new_trial_crash` is true if an isolated trial has just added evidence.
-    fn refuse_if_proven(&mut self, has_new_trial_crash: bool, now_ms: u64) {
-        let is_proven = self.is_suspect()
-            && self.ended_alone.len() >= MIN_CRASHES_IN_ISOLATION
-            && has_new_trial_crash;
-        if is_proven && now_ms >= self.refused_until_ms {
-            let doublings = self.refusals.min(MAX_REFUSAL_DOUBLINGS);
-            self.refused_until_ms = now_ms + (FIRST_REFUSAL_MS << doublings);
-            self.refusals += 1;
-        }
-    }
-
-    fn report(&self, fingerprint: Fingerprint, is_contested: bool, now_ms: u64) -> Report {
-        let refused_ms = self.refused_until_ms.saturating_sub(now_ms);
-        Report {
-            fingerprint: fingerprint.0,
-            ended: self.ended.clone(),
-            ended_alone: self.ended_alone.clone(),
-            refused_ms: if is_contested { 0 } else { refused_ms },
-            refusals: self.refusals,
-            is_cleared: self.is_cleared(),
-            left_ms: self.expires_at_ms.saturating_sub(now_ms),
-        }
-    }
-}
-
 /// Requests under suspicion, as known to one instance.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -276,29 +162,9 @@
 
     /// Records that a replica crashed while it ran a request that had no answer yet.
     pub fn record_crash(&mut self, ended: CrashedSend, now_ms: u64) -> EvidenceEffect {
-        let CrashedSend { request, crash_id, is_trial, is_isolated, .. } = ended;
-        let max_crashes =
-            if is_trial { MAX_CRASHES_PER_REQUEST } else { MAX_CRASHES_OUTSIDE_TRIALS };
         let confirmed_at_ms = now_ms + self.report_wait_ms;
-        self.update(request, now_ms, |record| {
-            if record.is_cleared() {
-                // A crash after an answer: start over with new evidence.
-                *record = Record::default();
-            }
-            let is_new = add_id(&mut record.ended, crash_id, max_crashes);
-            let is_new_isolated = is_isolated && !record.ended_alone.contains(&crash_id);
-            if is_new_isolated && record.ended_alone.len() >= MAX_ISOLATED_CRASHES {
-                record.ended_alone.remove(0);
-            }
-            if is_new_isolated {
-                record.ended_alone.push(crash_id);
-            }
-            if is_new_isolated {
-                record.confirmed_at_ms = confirmed_at_ms;
-            }
-            record.refuse_if_proven(is_new_isolated, now_ms);
-            record.extend_retention(now_ms);
-            is_new || is_new_isolated
+        self.update(ended.request, now_ms, |record| {
+            record.add_crash(&ended, confirmed_at_ms, now_ms)
         })
     }
 
@@ -306,7 +172,7 @@
     pub fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) -> EvidenceEffect {
         match self.records.get(&fingerprint) {
             None => EvidenceEffect::Unchanged,
-            Some(_) => self.update(fingerprint, now_ms, |record| clear(record, now_ms)),
+            Some(_) => self.update(fingerprint, now_ms, |record| record.clear(now_ms)),
         }
     }
 
@@ -318,15 +184,13 @@
             if !is_known {
                 return EvidenceEffect::Unchanged;
             }
-            return self.update(fingerprint, now_ms, |record| clear(record, now_ms));
+            return self.update(fingerprint, now_ms, |record| record.clear(now_ms));
         }
         if report.left_ms == 0 || (report.ended.is_empty() && report.refused_ms == 0) {
             return EvidenceEffect::Unchanged;
         }
         let confirmed_at_ms = now_ms + self.report_wait_ms;
-        self.update(fingerprint, now_ms, |record| {
-            merge_into(record, report, confirmed_at_ms, now_ms)
-        })
+        self.update(fingerprint, now_ms, |record| record.merge(report, confirmed_at_ms, now_ms))
     }
 
     /// True if the request is known to have lost a send in this crash.
@@ -434,57 +298,3 @@
         }
     }
 }
-
-fn add_id(ids: &mut Vec<u32>, id: u32, max_ids: usize) -> bool {
-    let is_new = !ids.contains(&id) && ids.len() < max_ids;
-    if is_new {
-        ids.push(id);
-    }
-    is_new
-}
-
-fn clear(record: &mut Record, now_ms: u64) -> bool {
-    let has_changed = !record.is_cleared();
-    if has_changed {
-        let expires_at_ms = now_ms + CLEARED_RETENTION_MS;
-        *record = Record { cleared_ms: Some(now_ms), expires_at_ms, ..Record::default() };
-    }
-    has_changed
-}
-
-fn merge_into(record: &mut Record, report: &Report, confirmed_at_ms: u64, now_ms: u64) -> bool {
-    // The report is most likely older than the answer; newer evidence follows with the next crash.
-    if record.is_cleared() {
-        return false;
-    }
-    let mut has_changed = false;
-    for &crash_id in &report.ended {
-        has_changed |= add_id(&mut record.ended, crash_id, MAX_CRASHES_PER_REQUEST);
-    }
-    let mut has_new_isolated_crash = false;
-    for &crash_id in &report.ended_alone {
-        has_new_isolated_crash |= add_id(&mut record.ended_alone, crash_id, MAX_ISOLATED_CRASHES);
-    }
-    let until_ms = now_ms + report.refused_ms.min(FIRST_REFUSAL_MS << MAX_REFUSAL_DOUBLINGS);
-    let is_extended =
-        report.refused_ms > 0 && until_ms > record.refused_until_ms + MIN_REFUSAL_EXTENSION_MS;
-    if is_extended {
-        record.refused_until_ms = until_ms;
-    }
-    if has_new_isolated_crash {
-        record.confirmed_at_ms = confirmed_at_ms;
-    }
-    record.refusals = record.refusals.max(report.refusals);
-    has_changed |= has_new_isolated_crash || is_extended;
-    // Expires together with the reporter's record, unless there is more evidence here.
-    record.expires_at_ms = record.expires_at_ms.max(now_ms + report.left_ms.min(MAX_RETENTION_MS));
-    if has_changed {
-        // If the request was refused before, only the reporter knows whether that refusal was over
-        // when the trial crashed its replica; its report contains any new refusal.
-        record.refuse_if_proven(has_new_isolated_crash && record.refusals == 0, now_ms);
-        if now_ms < record.refused_until_ms {
-            record.extend_retention(now_ms);
-        }
-    }
-    has_changed
-}
