Check merged answers before they are returned

Cause of what the guard closes: an answer of another instance was merged as it came. A part whose shard was not among the requested ones was left out of the signatures, while its records stayed in the body. Nothing said which request an answer was for, and nothing compared signatures.

Change: an answer of another instance is merged only if it is for this request (a hash of its id goes along; 0 from earlier versions), if each part is of another requested shard with a signature of its own, and if its records are whole, at most top_k, greatest first. Otherwise its shards count as run and not answered. The result as a whole is checked once more before it goes to the caller or to the requesting instance.

--- a/crates/decide/src/merge.rs
+++ b/crates/decide/src/merge.rs
@@ -1,7 +1,9 @@
-//! Merges parts into their greatest records.
+//! Merges parts into their greatest records, and checks merged answers.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet};
+
+use displaydoc::Display;
 
 /// Size of one record in bytes.
 pub const RECORD_BYTES: usize = 16;
@@ -52,3 +54,69 @@
         sorted.into_iter().flat_map(|Reverse(record)| record).collect()
     }
 }
+
+/// Rule that a merged answer breaks.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum MergeError {
+    /// it answers another request
+    OtherRequest,
+    /// it contains shard {0}, which was not requested
+    UnknownShard(usize),
+    /// it contains shard {0} twice
+    DuplicateShard(usize),
+    /// shard {0} has no signature
+    MissingSignature(usize),
+    /// shard {0} has the signature of another shard
+    DuplicateSignature(usize),
+    /// it has records but no parts
+    RecordsWithoutParts,
+    /// its {0} bytes are not whole records, or more than requested
+    WrongSize(usize),
+    /// its records are not in descending order
+    WrongOrder,
+}
+
+/// Checks the parts of a merged answer: the index of each one's shard and its signature.
+///
+/// # Errors
+/// Fails unless each part is of another one of the `shard_count` shards, with a signature that no
+/// other part has.
+pub fn check_parts<'a>(
+    parts: impl IntoIterator<Item = (usize, &'a [u8])>,
+    shard_count: usize,
+) -> Result<(), MergeError> {
+    let mut is_merged = vec![false; shard_count];
+    let mut signatures = HashSet::new();
+    for (shard, signature) in parts {
+        let is_merged = is_merged.get_mut(shard).ok_or(MergeError::UnknownShard(shard))?;
+        if std::mem::replace(is_merged, true) {
+            return Err(MergeError::DuplicateShard(shard));
+        }
+        if signature.is_empty() {
+            return Err(MergeError::MissingSignature(shard));
+        }
+        if !signatures.insert(signature) {
+            return Err(MergeError::DuplicateSignature(shard));
+        }
+    }
+    Ok(())
+}
+
+/// Checks the records of a merged answer: at most `max_records` whole ones, greatest first.
+///
+/// # Errors
+/// Fails if they are anything else, or if there are records but no parts.
+pub fn check_records(
+    records: &[u8],
+    part_count: usize,
+    max_records: usize,
+) -> Result<(), MergeError> {
+    let (whole, rest) = records.as_chunks::<RECORD_BYTES>();
+    if !rest.is_empty() || whole.len() > max_records {
+        return Err(MergeError::WrongSize(records.len()));
+    }
+    if part_count == 0 && !whole.is_empty() {
+        return Err(MergeError::RecordsWithoutParts);
+    }
+    if whole.is_sorted_by(|a, b| a >= b) { Ok(()) } else { Err(MergeError::WrongOrder) }
+}
--- a/crates/decide/tests/merge.rs
+++ b/crates/decide/tests/merge.rs
@@ -1,7 +1,9 @@
 //! Merging of parts, and the decision to stop waiting for parts.
 
 use arbtest::arbtest;
-use eelgrasspier_decide::merge::{RECORD_BYTES, TopRecords};
+use eelgrasspier_decide::merge::{
+    MergeError, RECORD_BYTES, TopRecords, check_parts, check_records,
+};
 use eelgrasspier_decide::wait_policy::{GatherState, WaitDecision, delivery_margin_ms};
 
 /// Reference implementation that sorts all records.
@@ -31,8 +33,10 @@
         let (first_half, second_half) = parts.split_at(parts.len() / 2);
         let mut relayed = TopRecords::new(max_records);
         add_parts(&mut relayed, first_half);
+        let relayed = relayed.into_bytes();
+        assert_eq!(check_records(&relayed, first_half.len(), max_records), Ok(()));
         let mut joined = TopRecords::new(max_records);
-        joined.add(&relayed.into_bytes());
+        joined.add(&relayed);
         add_parts(&mut joined, second_half);
         assert_eq!(joined.into_bytes(), expected);
         Ok(())
@@ -46,6 +50,31 @@
     assert_eq!(greatest.into_bytes(), vec![9; 3 * RECORD_BYTES]);
 }
 
+/// Guards against an answer that names a part twice, or one that was not requested.
+#[test]
+fn parts_of_other_or_the_same_shards_are_rejected() {
+    let check = |parts: &[(usize, &str)]| {
+        check_parts(parts.iter().map(|(shard, signature)| (*shard, signature.as_bytes())), 3)
+    };
+    assert_eq!(check(&[(0, "a"), (2, "b")]), Ok(()));
+    assert_eq!(check(&[(0, "a"), (3, "b")]), Err(MergeError::UnknownShard(3)));
+    assert_eq!(check(&[(1, "a"), (1, "b")]), Err(MergeError::DuplicateShard(1)));
+    assert_eq!(check(&[(0, "a"), (1, "a")]), Err(MergeError::DuplicateSignature(1)));
+    assert_eq!(check(&[(0, "")]), Err(MergeError::MissingSignature(0)));
+}
+
+/// Guards against records that no merge of the named parts can have.
+#[test]
+fn records_that_are_no_selection_are_rejected() {
+    let records: Vec<u8> = [[5; RECORD_BYTES], [5; RECORD_BYTES], [3; RECORD_BYTES]].concat();
+    assert_eq!(check_records(&records, 1, 3), Ok(()));
+    assert_eq!(check_records(&records, 0, 3), Err(MergeError::RecordsWithoutParts));
+    assert_eq!(check_records(&records, 1, 2), Err(MergeError::WrongSize(48)));
+    assert_eq!(check_records(&records[1..], 1, 3), Err(MergeError::WrongSize(47)));
+    let rising: Vec<u8> = records.iter().rev().copied().collect();
+    assert_eq!(check_records(&rising, 1, 3), Err(MergeError::WrongOrder));
+}
+
 fn gathering(covered: usize, failed: usize) -> GatherState {
     GatherState {
         shard_count: 20,
--- a/crates/peer/src/wire/gather.rs
+++ b/crates/peer/src/wire/gather.rs
@@ -151,6 +151,9 @@
     /// True if nothing was started because more urgent requests need the capacity.
     #[prost(bool, tag = "11")]
     pub is_low_priority: bool,
+    /// Hash of the id of the request that this answers; 0 from earlier versions.
+    #[prost(fixed64, tag = "12")]
+    pub request_hash: u64,
 }
 
 /// Request for permission to send to a cold replica.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -97,6 +97,7 @@
     event(790, "budget_refused"),
     event(791, "priority_refused"),
     event(792, "evidence_contested"),
+    event(793, "merge_rejected"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasspier_decide::merge::{self, MergeError};
+use eelgrasspier_decide::rendezvous;
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire;
 
@@ -12,6 +14,7 @@
 use super::shard::ShardState;
 use super::token_state::TokenState;
 use super::{Event, Gather, MergedParts};
+use crate::outcome::record_rejected_merge;
 use crate::view::Peer;
 
 /// Time limit of a liveness probe.
@@ -110,7 +113,7 @@
             self.shards[index].in_flight -= 1;
         }
         match result {
-            Ok(answer) => self.on_merged_answer(&shards, has_all_shards, answer),
+            Ok(answer) => self.on_merged_answer(&peer, &shards, has_all_shards, answer),
             Err(error) => {
                 let id = self.request.id_text();
                 log::info!("event=relay_failed id={id} peer={peer} cause=\"{error}\"");
@@ -146,7 +149,18 @@
         true
     }
 
-    fn on_merged_answer(&mut self, shards: &[usize], has_all_shards: bool, answer: wire::Gathered) {
+    fn on_merged_answer(
+        &mut self,
+        peer: &str,
+        shards: &[usize],
+        has_all_shards: bool,
+        answer: wire::Gathered,
+    ) {
+        if let Err(error) = self.check_merged_answer(shards.len(), &answer) {
+            record_rejected_merge(self.request, peer, error);
+            self.gathered.may_have_run = true;
+            return self.retry_missing(shards, has_all_shards);
+        }
         let wire::Gathered {
             records,
             parts,
@@ -159,6 +173,7 @@
             limited_ms,
             limit_unavailable_ms,
             is_low_priority,
+            request_hash: _,
         } = answer;
         if has_all_shards && refused_ms > 0 && !may_have_run {
             self.gathered.refused_ms = Some(refused_ms);
@@ -176,11 +191,8 @@
             self.router.record_answered(self.request);
         }
         self.router.merge_reports(report.as_slice(), "answer");
-        let position = |part: wire::Signed| {
-            let shard = shards.get(usize::try_from(part.shard).ok()?)?;
-            Some((*shard, part.signature))
-        };
-        let parts: Vec<_> = parts.into_iter().filter_map(position).collect();
+        let index = |part: wire::Signed| (shards[position(&part)], part.signature);
+        let parts: Vec<_> = parts.into_iter().map(index).collect();
         // Two instances were asked after one did not respond. A merged answer can't be split, and a
         // shard that is merged twice would make the result wrong.
         if parts.iter().any(|(index, _)| self.gathered.has_merged(*index)) {
@@ -190,6 +202,27 @@
             self.shards[index].state = ShardState::Covered;
         }
         self.gathered.merged.push(MergedParts { records, parts });
+        self.retry_missing(shards, has_all_shards);
+    }
+
+    /// Checks that a merged answer is for this request and consists of requested shards.
+    ///
+    /// A part that was left out later would stay in the records.
+    fn check_merged_answer(
+        &self,
+        shard_count: usize,
+        answer: &wire::Gathered,
+    ) -> Result<(), MergeError> {
+        let wire::Gathered { records, parts, request_hash, .. } = answer;
+        if ![0, rendezvous::hash(self.request.id_text())].contains(request_hash) {
+            return Err(MergeError::OtherRequest);
+        }
+        merge::check_parts(parts.iter().map(|p| (position(p), &*p.signature)), shard_count)?;
+        merge::check_records(records, parts.len(), self.route.top_k)
+    }
+
+    /// Retries the shards that the answer of another instance lacks.
+    fn retry_missing(&mut self, shards: &[usize], has_all_shards: bool) {
         for &index in shards {
             if has_all_shards {
                 // The delegate has already retried, with better knowledge of the replicas.
@@ -226,3 +259,8 @@
         }
     }
 }
+
+/// Returns the position of a part's shard among the requested ones.
+fn position(part: &wire::Signed) -> usize {
+    usize::try_from(part.shard).unwrap_or(usize::MAX)
+}
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use eelgrasspier_decide::directory::ReplicaEntry;
+use eelgrasspier_decide::merge::{self, MergeError};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, Verdict};
 use eelgrasspier_decide::relays;
 use eelgrasspier_decide::retry_budget::SlackShare;
@@ -196,6 +197,26 @@
         self.replies.len() + self.merged.iter().map(|m| m.parts.len()).sum::<usize>()
     }
 
+    /// Checks what a caller relies on: each part is of another shard and counted once.
+    ///
+    /// # Errors
+    /// Fails if an answer of these results for `shard_count` shards would be wrong.
+    pub(crate) fn check(&self, shard_count: usize, top_k: usize) -> Result<(), MergeError> {
+        let own = self.replies.iter().map(|(shard, r)| (*shard, r.signature.as_deref()));
+        let own = own.map(|(shard, signature)| (shard, signature.unwrap_or_default()));
+        let merged = self.merged.iter().flat_map(|m| &m.parts);
+        let merged = merged.map(|(shard, signature)| (*shard, &**signature));
+        merge::check_parts(own.chain(merged), shard_count)?;
+        self.merged.iter().try_for_each(|m| merge::check_records(&m.records, m.parts.len(), top_k))
+    }
+
+    /// Discards all parts, whose shards have run.
+    pub(crate) fn discard_parts(&mut self) {
+        self.may_have_run = true;
+        self.replies.clear();
+        self.merged.clear();
+    }
+
     /// True if a merged answer contains the shard.
     pub(super) fn has_merged(&self, shard: usize) -> bool {
         self.merged.iter().flat_map(|m| &m.parts).any(|(covered, _)| *covered == shard)
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -1,6 +1,6 @@
 //! Builds the outcome for the caller from the gathered results, and logs it.
 
-use eelgrasspier_decide::merge::TopRecords;
+use eelgrasspier_decide::merge::{MergeError, TopRecords};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_decide::route::Route;
 
@@ -25,7 +25,18 @@
 }
 
 /// Returns the outcome of a request to `total` shards.
-pub(crate) fn merged_outcome(route: &Route, total: usize, gathered: Gathered) -> Outcome {
+///
+/// Parts that would make up a wrong answer are discarded.
+pub(crate) fn merged_outcome(
+    request: &Request,
+    route: &Route,
+    total: usize,
+    mut gathered: Gathered,
+) -> Outcome {
+    if let Err(error) = gathered.check(total, route.top_k) {
+        record_rejected_merge(request, "own", error);
+        gathered.discard_parts();
+    }
     let (covered, wanted) = (gathered.parts(), route.min_shards(total));
     if covered < wanted {
         return Outcome::Refused(coverage_refusal(&gathered, covered, wanted));
@@ -44,6 +55,14 @@
     Outcome::Merged(Merged { body: greatest.into_bytes().into(), signatures, missing })
 }
 
+/// Logs and counts parts that were discarded since an answer of them would be wrong.
+///
+/// `source` is the instance that merged them, or `own`.
+pub(crate) fn record_rejected_merge(request: &Request, source: &str, error: MergeError) {
+    metrics::counter!("eelgrasspier_merges_rejected_total").increment(1);
+    log::error!("event=merge_rejected id={} source={source} cause=\"{error}\"", request.id_text());
+}
+
 /// Returns the refusal of a request with too few covered shards.
 fn coverage_refusal(gathered: &Gathered, covered: usize, wanted: usize) -> Refusal {
     let refusal = gathered.refusal(NO_REPLICA_RETRY_MS);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -8,6 +8,7 @@
 use eelgrasspier_backend::DispatchFlag;
 use eelgrasspier_decide::gatherers::{self, Candidate};
 use eelgrasspier_decide::merge::TopRecords;
+use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::route::{Route, Target};
 use eelgrasspier_peer::PeerError;
 use eelgrasspier_peer::wire::{self, Body};
@@ -18,6 +19,7 @@
 use crate::customer_limiter::LimitRefusal;
 use crate::gather::{Deadlines, Gather, Gathered, Requester};
 use crate::model::{Credential, Request, RequestProgress};
+use crate::outcome::record_rejected_merge;
 use crate::route_state::RouteState;
 use crate::router::{InFlightGuard, PEER_SLOTS, Router, UNHEALTHY_PEER_COST, peer_key};
 use crate::traffic_metrics::{self, TrafficCause};
@@ -176,7 +178,11 @@
         let mut gather =
             Gather::new(self, &view, &route, state, &request, services.clone(), deadlines);
         gather.restrict_replicas(allowed);
-        let gathered = gather.run(requester).await;
+        let mut gathered = gather.run(requester).await;
+        if let Err(error) = gathered.check(services.len(), top_k) {
+            record_rejected_merge(&request, "own", error);
+            gathered.discard_parts();
+        }
         metrics::counter!("eelgrasspier_relayed_total").increment(1);
         log::info!(
             "event=gathered_for_peer id={} route={} whole={has_all_shards} parts={} {} took_ms={}",
@@ -193,6 +199,7 @@
             slow: self.slow_replicas(&view, &services),
             busy: self.busy_replicas(&view, &services),
             report: self.report_on(request.fingerprint()),
+            request_hash: rendezvous::hash(request.id_text()),
             ..to_wire(gathered, top_k)
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -190,7 +190,7 @@
         let gathered = gather.run(Requester::Caller).await;
         log::info!("event=gathered id={} {}", request.id_text(), gathered.log_fields());
         match &route.target {
-            Target::Shards(_) => merged_outcome(route, total, gathered),
+            Target::Shards(_) => merged_outcome(request, route, total, gathered),
             Target::Service(_) | Target::Split(_) => single_outcome(gathered),
         }
     }
