Check the shards that another instance returns to the own daemon

The same fault as at the router's merge, found by reading: the parts of another instance's answer went to the caller as they came, so that a shard returned twice, or one that was not requested, would have been counted in the coverage. Such an answer now counts as a failure of that instance and its shards as missed. Test: shards_are_answered_once_and_on_request.

--- a/crates/decide/src/merge.rs
+++ b/crates/decide/src/merge.rs
@@ -5,6 +5,8 @@
 
 use displaydoc::Display;
 
+use crate::prelude::ShardId;
+
 /// Size of one record in bytes.
 pub const RECORD_BYTES: usize = 16;
 
@@ -120,3 +122,12 @@
     }
     if whole.is_sorted_by(|a, b| a >= b) { Ok(()) } else { Err(MergeError::WrongOrder) }
 }
+
+/// True if the answered shards are requested ones, each at most once.
+pub fn has_requested_once(
+    answered: impl IntoIterator<Item = ShardId>,
+    requested: &[ShardId],
+) -> bool {
+    let mut seen = HashSet::new();
+    answered.into_iter().all(|shard| requested.contains(&shard) && seen.insert(shard))
+}
--- a/crates/decide/tests/merge.rs
+++ b/crates/decide/tests/merge.rs
@@ -2,7 +2,7 @@
 
 use arbtest::arbtest;
 use eelgrasspier_decide::merge::{
-    MergeError, RECORD_BYTES, TopRecords, check_parts, check_records,
+    MergeError, RECORD_BYTES, TopRecords, check_parts, check_records, has_requested_once,
 };
 use eelgrasspier_decide::wait_policy::{GatherState, WaitDecision, delivery_margin_ms};
 
@@ -63,6 +63,15 @@
     assert_eq!(check(&[(0, "")]), Err(MergeError::MissingSignature(0)));
 }
 
+/// Guards against an instance that returns a shard twice, or one that it wasn't asked for.
+#[test]
+fn shards_are_answered_once_and_on_request() {
+    let check = |answered: &[u32]| has_requested_once(answered.iter().copied(), &[2, 5, 7]);
+    assert!(check(&[7, 2]));
+    assert!(!check(&[2, 7, 2]));
+    assert!(!check(&[2, 3]));
+}
+
 /// Guards against records that no merge of the named parts can have.
 #[test]
 fn records_that_are_no_selection_are_rejected() {
--- a/crates/eelgrasspier/src/forward.rs
+++ b/crates/eelgrasspier/src/forward.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use eelgrasspier_decide::merge;
 use eelgrasspier_decide::prelude::ShardId;
 use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::rendezvous;
@@ -103,7 +104,14 @@
     };
     metrics::counter!("eelgrasspier_slices_asked_total").increment(1);
     match context.traffic.peer_connections.request(peer, Body::Parts(parts), left).await {
-        Ok(Body::PartsDone(reply)) => results_from_wire(reply),
+        Ok(Body::PartsDone(reply)) => {
+            let results = results_from_wire(reply);
+            if merge::has_requested_once(results.iter().map(|(shard, _)| *shard), &shards) {
+                results
+            } else {
+                all_missed(&shards, "peer answered with shards that were not requested")
+            }
+        }
         Ok(_) => all_missed(&shards, "peer refused"),
         Err(error) => all_missed(&shards, &error.to_string()),
     }
