Show crashes without a bound if listeners stay open, or servers fall silent

What callers and operators see: a query that crashes its servers is sent to every replica of every shard, by every attempt, for ever, unless the servers' listeners close within 30 ms of their connections. Listeners of parent processes, supervisors, sidecars and load balancers never do.

Innocent queries beside crashes of servers that keep listening are answered.

--- a/crates/standin/tests/ending.rs
+++ b/crates/standin/tests/ending.rs
@@ -12,25 +12,20 @@
 use std::time::Duration;
 
 use common::SERVICE;
-use common::fuse::{CRASH_TRIGGER, CrashProxy};
+use common::fuse::{CRASH_TRIGGER, CrashKind, CrashProxy};
 use eelgrasspier_standin::cluster::TestCluster;
 
 const SHARDS: u32 = 6;
 const INSTANCES: usize = 3;
 
 /// Starts a test cluster whose backend servers crash on requests that contain [`CRASH_TRIGGER`].
-async fn cluster() -> (TestCluster, Vec<Rc<CrashProxy>>) {
-    cluster_with(Duration::ZERO).await
-}
-
-/// Starts the cluster with servers that close their listeners later than their connections.
-async fn cluster_with(listener_delay: Duration) -> (TestCluster, Vec<Rc<CrashProxy>>) {
+async fn cluster_with(kind: CrashKind) -> (TestCluster, Vec<Rc<CrashProxy>>) {
     let cluster = TestCluster::start_idle(common::cluster_spec(INSTANCES, SHARDS)).unwrap();
     cluster.publish_instances(0).await.unwrap();
     let mut text = cluster.text();
     let mut proxies = Vec::new();
     for addr in cluster.backends[SERVICE].addrs() {
-        let proxy = CrashProxy::start(addr.parse().unwrap(), listener_delay).await;
+        let proxy = CrashProxy::start(addr.parse().unwrap(), kind).await;
         text = text.replace(&addr, &proxy.addr.to_string());
         proxies.push(proxy);
     }
@@ -48,30 +43,66 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
 }
 
-#[actix_web::test]
-async fn query_that_crashes_servers_is_refused_on_all_instances() {
-    let (cluster, proxies) = cluster().await;
+/// Sends a query that crashes its servers to each instance three times; returns the verdicts.
+async fn send_nine_attempts(cluster: &TestCluster) -> BTreeMap<String, u32> {
     let deadline = [("deadline-ms", "2000"), ("least-coverage-percent", "50")];
     let mut verdicts: BTreeMap<String, u32> = BTreeMap::new();
     for attempt in 0..9 {
         let body = [CRASH_TRIGGER, b" at once"].concat();
         let reply =
-            common::send_query(&cluster, attempt % INSTANCES, SERVICE, &deadline, body).await;
+            common::send_query(cluster, attempt % INSTANCES, SERVICE, &deadline, body).await;
         *verdicts.entry(reply.problem().verdict).or_default() += 1;
         wait_for_recovery().await;
     }
+    verdicts
+}
+
+/// Checks that the query is refused before it has crashed more than one server per shard and a few.
+async fn check_query_is_refused(kind: CrashKind) {
+    let (cluster, proxies) = cluster_with(kind).await;
+    let verdicts = send_nine_attempts(&cluster).await;
     // One server per shard, one more before the second crash is detected, and two trials.
     let crashes = crash_count(&proxies);
-    println!("{crashes} servers crashed: {verdicts:?}");
+    println!("{kind:?}: {crashes} servers crashed: {verdicts:?}");
     assert!(crashes <= SHARDS + 4, "{crashes} servers crashed: {verdicts:?}");
     assert!(verdicts["not_run"] >= 7, "{verdicts:?}");
 }
 
+#[actix_web::test]
+async fn query_that_crashes_servers_is_refused_on_all_instances() {
+    check_query_is_refused(CrashKind::ClosesListenerAfter(Duration::ZERO)).await;
+}
+
+/// Guards against crashes without a bound if a check finds the listener of an ended server open.
+#[actix_web::test]
+async fn query_is_refused_if_listeners_outlive_the_connections() {
+    let delays_ms = [20, 40, 100, 400].map(Duration::from_millis);
+    let kinds =
+        delays_ms.map(|delay| check_query_is_refused(CrashKind::ClosesListenerAfter(delay)));
+    futures_util::future::join_all(kinds).await;
+}
+
+/// Guards against crashes without a bound of servers whose workers share a listener.
+#[actix_web::test]
+async fn query_is_refused_if_listeners_never_close() {
+    check_query_is_refused(CrashKind::KeepsListening).await;
+}
+
+/// Guards against a query that locks up one server after the other.
+#[actix_web::test]
+async fn query_that_silences_servers_reaches_few_of_them() {
+    let (cluster, proxies) = cluster_with(CrashKind::FallsSilent).await;
+    let verdicts = send_nine_attempts(&cluster).await;
+    let silenced = crash_count(&proxies);
+    assert!(silenced <= SHARDS + 4, "{silenced} servers fell silent: {verdicts:?}");
+}
+
 /// Guards against crashes being taken for reset connections because the servers close their
 /// listeners after their connections.
 #[actix_web::test]
 async fn query_is_refused_if_servers_close_their_listeners_last() {
-    let (cluster, proxies) = cluster_with(Duration::from_millis(5)).await;
+    let (cluster, proxies) =
+        cluster_with(CrashKind::ClosesListenerAfter(Duration::from_millis(5))).await;
     let deadline = [("deadline-ms", "2000"), ("least-coverage-percent", "50")];
     for attempt in 0..4 {
         let body = [CRASH_TRIGGER, b" listeners last"].concat();
@@ -85,9 +116,8 @@
     assert!(crashes <= SHARDS + 4, "{crashes} servers crashed");
 }
 
-#[actix_web::test]
-async fn queries_concurrent_with_crashing_query_are_answered() {
-    let (cluster, _proxies) = cluster().await;
+async fn check_concurrent_queries_are_answered(kind: CrashKind) {
+    let (cluster, _proxies) = cluster_with(kind).await;
     let deadline = [("deadline-ms", "2000"), ("least-coverage-percent", "50")];
     for round in 0..5 {
         let crashing = common::send_query(
@@ -115,3 +145,14 @@
         }
     }
 }
+
+#[actix_web::test]
+async fn queries_concurrent_with_crashing_query_are_answered() {
+    check_concurrent_queries_are_answered(CrashKind::ClosesListenerAfter(Duration::ZERO)).await;
+}
+
+/// Guards against innocent queries being refused for crashes that look like lost connections.
+#[actix_web::test]
+async fn queries_concurrent_with_unexplained_losses_are_answered() {
+    check_concurrent_queries_are_answered(CrashKind::KeepsListening).await;
+}
