--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -71,6 +71,7 @@
         R::AnswerLost => (StatusCode::BAD_GATEWAY, "answer-lost"),
         R::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no-replica"),
         R::CrashesReplicas => (StatusCode::SERVICE_UNAVAILABLE, "ends-replicas"),
+        R::NeverAnswered => (StatusCode::SERVICE_UNAVAILABLE, "never-answered"),
         R::BackendRefused(_) => (StatusCode::BAD_GATEWAY, "backend-refused"),
         R::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
         R::UnknownKey => (StatusCode::UNAUTHORIZED, "unknown-key"),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gossip;
 pub mod hedge;
 pub mod history;
+mod loss_rate;
 pub mod lost_sends;
 pub mod membership;
 pub mod merge;
--- a/crates/decide/src/lost_sends.rs
+++ b/crates/decide/src/lost_sends.rs
@@ -1,13 +1,18 @@
 //! Lost connections with requests in progress, and whether their backend server crashed.
 //!
 //! A connection may be lost for many reasons: the server resets those beyond its limit, aborts an
-//! answer midway, or its process ends. Only the last is evidence against a request, and only
-//! another connection attempt shows it, because nothing listens any more. Losses in the meantime
-//! wait for the result.
+//! answer midway, or its process ends. Only the last is evidence against a request. Another
+//! connection attempt shows it if nothing listens any more. Losses in the meantime wait for the
+//! result.
+//!
+//! If the server still listens, it may have crashed all the same: its listener may be that of a
+//! parent process, of a supervisor or of a proxy. Such a loss is unexplained; it is weighed by how
+//! rarely other requests lose sends.
 
 use std::collections::HashMap;
 
 use crate::fingerprint::Fingerprint;
+use crate::loss_rate::LossRate;
 
 /// Time for which the state found for a server applies to further losses, in milliseconds.
 ///
@@ -49,6 +54,25 @@
     pub is_isolated: bool,
 }
 
+/// Lost send of an unanswered request that may or may not have crashed its server.
+///
+/// The server still accepts connections, or it crashed with another unanswered request on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnexplainedLoss {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Id of the send.
+    pub send_id: u32,
+    /// Id of the crash that it may have been, see [`CrashedSend::crash_id`].
+    pub crash_id: u32,
+    /// True if the send was a trial.
+    pub is_trial: bool,
+    /// How strongly it speaks against the request, in thousandths of a natural logarithm.
+    ///
+    /// 0 unless the send was a trial.
+    pub weight_milli: u32,
+}
+
 /// State of the server at one more loss.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
@@ -78,11 +102,30 @@
     by_server: HashMap<u64, ServerLosses>,
     /// Id of the last crash of each server, with its time.
     last_crashes: HashMap<u64, (u32, u64)>,
+    rate: LossRate,
+    /// Unexplained losses that were not taken yet.
+    unexplained: Vec<UnexplainedLoss>,
 }
 
 impl LostSends {
+    /// Records that a server was the first to answer a request.
+    pub fn record_answer(&mut self, server: u64, now_ms: u64) {
+        self.rate.record_answer(server, now_ms);
+    }
+
+    /// Records that a request that has been answered lost another send.
+    pub fn record_answered_loss(&mut self, server: u64, request: Fingerprint, now_ms: u64) {
+        self.rate.record_loss(server, request, now_ms);
+    }
+
+    /// Takes the losses that turned out to be unexplained since the last call.
+    pub fn take_unexplained(&mut self) -> Vec<UnexplainedLoss> {
+        std::mem::take(&mut self.unexplained)
+    }
+
     /// Records a loss and returns the state of its server.
     pub fn record_loss(&mut self, server: u64, lost: LostSend, now_ms: u64) -> ServerState {
+        self.rate.record_loss(server, lost.request, now_ms);
         self.by_server
             .retain(|_, s| s.has_crashed.is_none() || now_ms < s.at_ms + STATE_RETENTION_MS);
         let crash_id = self.current_crash_id(server, &lost);
@@ -102,9 +145,15 @@
                 let LostSend { request, send_id, is_trial, .. } = lost;
                 let (crash_id, is_isolated) = (server_losses.crash_id, false);
                 let crashed = CrashedSend { request, send_id, crash_id, is_trial, is_isolated };
+                if is_trial {
+                    self.add_unexplained(server, crash_id, lost, now_ms);
+                }
                 ServerState::Crashed(crashed)
             }
-            Some(false) => ServerState::Running,
+            Some(false) => {
+                self.add_unexplained(server, crash_id, lost, now_ms);
+                ServerState::Running
+            }
             None => {
                 if server_losses.waiting.len() < MAX_WAITING {
                     server_losses.waiting.push(lost);
@@ -126,12 +175,18 @@
         let crash_id = server_losses.crash_id;
         let mut lost = std::mem::take(&mut server_losses.waiting);
         if !has_crashed {
+            for lost in lost {
+                self.add_unexplained(server, crash_id, lost, now_ms);
+            }
             return Vec::new();
         }
         self.record_last_crash(server, crash_id, now_ms);
         lost.sort_by_key(|l| (l.request, !l.is_trial));
         lost.dedup_by_key(|l| l.request);
         let is_only = lost.len() == 1;
+        for trial in lost.iter().filter(|l| l.is_trial && !is_only) {
+            self.add_unexplained(server, crash_id, *trial, now_ms);
+        }
         let ended = |LostSend { request, send_id, is_trial, .. }| CrashedSend {
             request,
             send_id,
@@ -142,6 +197,20 @@
         lost.into_iter().map(ended).collect()
     }
 
+    /// Adds an unexplained loss, and weighs it if the send was a trial.
+    fn add_unexplained(&mut self, server: u64, crash_id: u32, lost: LostSend, now_ms: u64) {
+        let LostSend { request, send_id, is_trial, .. } = lost;
+        let weight_milli =
+            if is_trial { self.rate.weight_milli(request, server, now_ms) } else { 0 };
+        self.unexplained.push(UnexplainedLoss {
+            request,
+            send_id,
+            crash_id,
+            is_trial,
+            weight_milli,
+        });
+    }
+
     /// Returns the id of the crash that may have ended a send.
     ///
     /// If that crash is already over, the server has restarted since and its new run is not known
@@ -169,6 +238,11 @@
         }
     }
 
+    /// Records that a server whose state was unknown has answered a probe: it has lost nothing.
+    pub fn record_probe_answer(&mut self, server: u64) {
+        self.by_server.remove(&server);
+    }
+
     /// Returns the number of servers of unknown state that have lost the request.
     #[must_use]
     pub fn pending_checks(&self, request: Fingerprint) -> usize {
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -13,6 +13,13 @@
 //! and proves nothing until an answer clears one of the two. Since such a report takes some time to
 //! arrive, a refusal starts with a short wait in which the request is neither sent nor refused.
 //!
+//! A server may crash without any sign but the loss of its connections. A request that loses two
+//! sends for no known reason is therefore tried on one replica at a time as well. If these trials
+//! are lost too, while other requests rarely are, it is paused: refused for some seconds, then for
+//! longer, until a replica answers. The trials are a sequential probability ratio test: their losses
+//! are weighed by [`UnexplainedLoss::weight_milli`], and an innocent request is paused with a
+//! probability of one in a million.
+//!
 //! Instances exchange [`Report`]s, which are merged: all instances reach the same state, in
 //! whatever order and however often the reports arrive.
 
@@ -21,9 +28,11 @@
 use std::collections::{BTreeSet, HashMap};
 
 use crate::fingerprint::Fingerprint;
-use crate::lost_sends::CrashedSend;
+use crate::lost_sends::{CrashedSend, UnexplainedLoss};
 use crate::rendezvous;
-use record::{MIN_CRASHES_FOR_SUSPECT, MIN_CRASHES_IN_ISOLATION, Record};
+use record::{
+    Contest, MIN_CRASHES_FOR_SUSPECT, MIN_CRASHES_IN_ISOLATION, PAUSE_WEIGHT_MILLI, Record,
+};
 
 /// Maximum number of records; at about 200 bytes each, 50 KB.
 ///
@@ -43,8 +52,10 @@
     OneReplicaAtATime,
     /// Not sent for this time, in milliseconds, in which other instances may contest the evidence.
     AwaitsReports(u64),
-    /// Refused for this time, in milliseconds.
+    /// Refused for this time, in milliseconds, since replicas crashed during its trials.
     Refused(u64),
+    /// Refused for this time, in milliseconds, since its trials were lost for no known reason.
+    Paused(u64),
 }
 
 /// State of one request as exchanged between instances.
@@ -78,6 +89,21 @@
     /// other forever.
     #[prost(uint64, tag = "7")]
     pub left_ms: u64,
+    /// Ids of the unexplained losses of the request.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub lost: Vec<u32>,
+    /// Ids of those that ended isolated trials.
+    #[prost(fixed32, repeated, tag = "9")]
+    pub lost_alone: Vec<u32>,
+    /// Weight of each id in `lost_alone`, in thousandths.
+    #[prost(uint32, repeated, tag = "10")]
+    pub lost_weights_milli: Vec<u32>,
+    /// Remaining time of the pause, in milliseconds; 0 if the request is not paused.
+    #[prost(uint64, tag = "11")]
+    pub paused_ms: u64,
+    /// Number of pauses so far.
+    #[prost(uint32, tag = "12")]
+    pub pauses: u32,
 }
 
 /// Effect of new evidence.
@@ -91,12 +117,14 @@
     Suspected,
     /// The request is refused from now on.
     Refused,
+    /// The request is paused from now on.
+    Paused,
     /// The request was cleared.
     Cleared,
 }
 
 impl Report {
-    /// Returns true if the request is not sent normally.
+    /// Returns true if replicas have crashed during the request and it is not sent normally.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
         !self.is_cleared && (self.refused_ms > 0 || self.ended.len() >= MIN_CRASHES_FOR_SUSPECT)
@@ -126,14 +154,14 @@
     pub fn treatment(&self, fingerprint: Fingerprint, now_ms: u64) -> Treatment {
         let record = self.records.get(&fingerprint);
         record.map_or(Treatment::Normal, |r| {
-            r.treatment(self.is_contested(fingerprint, r, now_ms), now_ms)
+            r.treatment(self.contest(fingerprint, r, now_ms), now_ms)
         })
     }
 
     /// Returns the requests whose evidence is contested (true) or no longer (false) since the last
     /// call.
     pub fn contest_changes(&mut self, now_ms: u64) -> Vec<(Fingerprint, bool)> {
-        let is_contested = |(f, r): &(&Fingerprint, &Record)| self.is_contested(**f, r, now_ms);
+        let is_contested = |(f, r): &(&Fingerprint, &Record)| self.contest(**f, r, now_ms).is_any();
         let contested = self.records.iter().filter(is_contested);
         let contested: BTreeSet<Fingerprint> = contested.map(|(f, _)| *f).collect();
         let before = std::mem::replace(&mut self.contested, contested);
@@ -141,23 +169,29 @@
         changed.map(|f| (*f, self.contested.contains(f))).collect()
     }
 
-    /// True if too few of the crashes that prove a request's guilt are its alone.
+    /// Returns which evidence is contested: too little of it is the request's alone.
     ///
     /// Only suspects contest a crash: a request that was lost once, and not sent again, would
     /// otherwise protect a crashing one in a busy service.
-    fn is_contested(&self, fingerprint: Fingerprint, record: &Record, now_ms: u64) -> bool {
-        if record.ended_alone.len() < MIN_CRASHES_IN_ISOLATION {
-            return false;
-        }
-        let is_shared = |crash_id: &&u32| {
-            self.records.iter().any(|(other, r)| {
-                let is_current_suspect = r.is_suspect() && now_ms < r.expires_at_ms;
-                let was_lost = r.ended.contains(*crash_id) || r.ended_alone.contains(*crash_id);
-                *other != fingerprint && is_current_suspect && was_lost
-            })
+    fn contest(&self, fingerprint: Fingerprint, record: &Record, now_ms: u64) -> Contest {
+        let others = || {
+            let others = self.records.iter().filter(|(other, _)| **other != fingerprint);
+            others.map(|(_, r)| r).filter(|r| now_ms < r.expires_at_ms)
         };
-        let shared = record.ended_alone.iter().filter(is_shared).count();
-        shared > 0 && record.ended_alone.len() - shared < MIN_CRASHES_IN_ISOLATION
+        let is_crash_shared =
+            |crash_id: &&u32| others().any(|r| r.is_crash_suspect() && r.has_crash(**crash_id));
+        let is_loss_shared =
+            |crash_id: u32| others().any(|r| r.is_suspect() && r.has_lost(crash_id));
+        let crashes = record.ended_alone.len();
+        let shared_crashes = record.ended_alone.iter().filter(is_crash_shared).count();
+        let is_refusal_contested = crashes >= MIN_CRASHES_IN_ISOLATION
+            && shared_crashes > 0
+            && crashes - shared_crashes < MIN_CRASHES_IN_ISOLATION;
+        // Another instance that paused the request may have given the same trials another weight.
+        let own_weight_milli = record.weight_milli(|crash_id| !is_loss_shared(crash_id));
+        let is_pause_contested = own_weight_milli < PAUSE_WEIGHT_MILLI
+            && own_weight_milli < record.weight_milli(|_| true);
+        Contest { is_refusal_contested, is_pause_contested }
     }
 
     /// Records that a replica crashed while it ran a request that had no answer yet.
@@ -168,6 +202,12 @@
         })
     }
 
+    /// Records that a replica lost a request that had no answer yet, for no known reason.
+    pub fn record_unexplained(&mut self, loss: UnexplainedLoss, now_ms: u64) -> EvidenceEffect {
+        let confirmed_at_ms = now_ms + self.report_wait_ms;
+        self.update(loss.request, now_ms, |record| record.add_loss(&loss, confirmed_at_ms, now_ms))
+    }
+
     /// Records that a replica answered a request, which shows that it does not crash replicas.
     pub fn record_answer(&mut self, fingerprint: Fingerprint, now_ms: u64) -> EvidenceEffect {
         match self.records.get(&fingerprint) {
@@ -186,17 +226,19 @@
             }
             return self.update(fingerprint, now_ms, |record| record.clear(now_ms));
         }
-        if report.left_ms == 0 || (report.ended.is_empty() && report.refused_ms == 0) {
+        let is_empty = report.ended.is_empty() && report.lost.is_empty() && report.refused_ms == 0;
+        if report.left_ms == 0 || is_empty {
             return EvidenceEffect::Unchanged;
         }
         let confirmed_at_ms = now_ms + self.report_wait_ms;
         self.update(fingerprint, now_ms, |record| record.merge(report, confirmed_at_ms, now_ms))
     }
 
-    /// True if the request is known to have lost a send in this crash.
+    /// True if the request is known to have lost a send in this crash, or for no known reason at
+    /// this run of the server.
     #[must_use]
     pub fn has_crash(&self, fingerprint: Fingerprint, crash_id: u32) -> bool {
-        self.records.get(&fingerprint).is_some_and(|r| r.ended.contains(&crash_id))
+        self.records.get(&fingerprint).is_some_and(|r| r.has_lost(crash_id))
     }
 
     /// Begins a trial and returns true, or returns false if another trial is in progress.
@@ -222,7 +264,7 @@
     #[must_use]
     pub fn report(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<Report> {
         let record = self.records.get(&fingerprint)?;
-        Some(record.report(fingerprint, self.is_contested(fingerprint, record, now_ms), now_ms))
+        Some(record.report(fingerprint, self.contest(fingerprint, record, now_ms), now_ms))
     }
 
     /// Returns the requests that are not sent normally, for instances that start.
@@ -245,6 +287,7 @@
             Treatment::AwaitsReports(_) | Treatment::Refused(_) => {
                 rendezvous::weight(fingerprint.0, 1)
             }
+            Treatment::Paused(_) => rendezvous::weight(fingerprint.0, 2),
         };
         self.records.keys().fold(0, |digest, fingerprint| digest ^ one(fingerprint))
     }
@@ -271,14 +314,19 @@
         self.make_room(fingerprint, now_ms);
         let before = self.treatment(fingerprint, now_ms);
         let record = self.records.entry(fingerprint).or_default();
+        let was_refused = now_ms < record.refused_until_ms;
         let has_changed = change(record);
-        let is_cleared = record.is_cleared();
+        let (is_cleared, is_refused) = (record.is_cleared(), now_ms < record.refused_until_ms);
         let after = self.treatment(fingerprint, now_ms);
-        let is_refusal = |t| matches!(t, Treatment::AwaitsReports(_) | Treatment::Refused(_));
+        let is_refusal = |t| {
+            matches!(t, Treatment::AwaitsReports(_) | Treatment::Refused(_) | Treatment::Paused(_))
+        };
         match (before, after) {
             _ if !has_changed => EvidenceEffect::Unchanged,
+            _ if is_refused && !was_refused && is_refusal(after) => EvidenceEffect::Refused,
             _ if is_refusal(before) && is_refusal(after) => EvidenceEffect::Recorded,
-            _ if is_refusal(after) => EvidenceEffect::Refused,
+            _ if is_refusal(after) && is_refused => EvidenceEffect::Refused,
+            _ if is_refusal(after) => EvidenceEffect::Paused,
             (Treatment::Normal, Treatment::OneReplicaAtATime) => EvidenceEffect::Suspected,
             _ if is_cleared => EvidenceEffect::Cleared,
             _ => EvidenceEffect::Recorded,
@@ -291,7 +339,10 @@
         if self.records.len() < MAX_REQUESTS || self.records.contains_key(&wanted) {
             return;
         }
-        let weight = |r: &Record| (r.refused_until_ms, r.is_suspect(), r.expires_at_ms);
+        let weight = |r: &Record| {
+            let is_suspect = (r.is_crash_suspect(), r.is_suspect());
+            (r.refused_until_ms, r.paused_until_ms, is_suspect, r.expires_at_ms)
+        };
         let least_important = self.records.iter().min_by_key(|(_, r)| weight(r)).map(|(f, _)| *f);
         if let Some(least_important) = least_important {
             self.records.remove(&least_important);
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -53,6 +53,8 @@
     NoReplica,
     /// backend servers ended while they ran this request
     CrashesReplicas,
+    /// backend servers lost this request without an answer, one after another
+    NeverAnswered,
     /// the backend server refused: {0}
     BackendRefused(String),
     /// the instance is stopping
--- a/crates/decide/tests/crash_evidence.rs
+++ b/crates/decide/tests/crash_evidence.rs
@@ -16,15 +16,22 @@
 const INSTANCES: usize = 3;
 const SERVERS: usize = 3;
 const WALKS: u64 = 2_000;
+/// Number of walks with other traffic, which take longer.
+const TRAFFIC_WALKS: u64 = 400;
 const WALK_MS: u64 = 12_000;
 const MAX_TRIAL_MS: u64 = 100;
 /// Maximum time of a report on its way, below the wait before a refusal.
 const MAX_REPORT_MS: u64 = 200;
 /// Interval at which two instances compare their reports.
 const REPAIR_INTERVAL_MS: u64 = 500;
-/// Time after the third crash from which at most [`MAX_LATE_CRASHES`] more are permitted.
+/// Time after the third crash, and after the end of resets, from which at most
+/// [`MAX_LATE_CRASHES`] more are permitted.
 const DETECTION_MS: u64 = 4_000;
 const MAX_LATE_CRASHES: usize = 3;
+/// Time in which sends are reset.
+const RESETS_MS: std::ops::Range<u64> = 2_000..6_000;
+/// Maximum pause between two other requests at one instance.
+const MAX_TRAFFIC_PAUSE_MS: u64 = 40;
 
 /// Deterministic pseudorandom numbers.
 struct Random(u64);
@@ -44,6 +51,7 @@
 }
 
 /// Deviations from the rules, to show that the walks can fail, and faults of the network.
+#[expect(clippy::struct_excessive_bools, reason = "each one is a deviation of its own")]
 #[derive(Debug, Clone, Copy, Default)]
 struct Variant {
     /// Refusals take effect at once.
@@ -52,6 +60,16 @@
     counts_sends: bool,
     /// One in five reports is lost.
     loses_reports: bool,
+    /// Checks find the listeners of crashed servers open.
+    listeners_stay_open: bool,
+    /// Half of the sends of these instances are reset for some seconds.
+    reset_instances: &'static [usize],
+    /// Other requests are sent too, each one once.
+    has_traffic: bool,
+    /// Losses without a known reason don't count.
+    ignores_unexplained: bool,
+    /// Losses count as much as if no other request lost any.
+    ignores_rate: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,16 +84,27 @@
 #[derive(Debug, Clone)]
 enum Event {
     Attempt(usize, Fingerprint),
+    Other(usize),
     Crash(usize, u32),
     Answer(Send, u32),
     Loss(Send, u32),
-    Checked(usize, usize, u64),
+    Checked(Check),
     Restart(usize),
     RestartInstance(usize),
     Report(usize, Report),
     Repair,
 }
 
+/// End of a check of a server by an instance.
+#[derive(Debug, Clone, Copy)]
+struct Check {
+    instance: usize,
+    /// Run of the instance that began the check.
+    instance_run: u64,
+    server: usize,
+    has_crashed: bool,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Instance {
     losses: LostSends,
@@ -131,6 +160,9 @@
             walk.after(1, Event::Attempt(instance, CRASHING));
             walk.after(1, Event::Attempt(instance, INNOCENT));
         }
+        if variant.has_traffic {
+            (0..INSTANCES).for_each(|instance| walk.after(1, Event::Other(instance)));
+        }
         walk.after(REPAIR_INTERVAL_MS, Event::Repair);
         walk.after(3_000, Event::RestartInstance(0));
         walk
@@ -160,8 +192,8 @@
     fn note_refusals(&mut self) {
         for (instance, since_ms) in self.instances.iter().zip(&mut self.innocent_refused_since_ms) {
             let treatment = instance.quarantine.treatment(INNOCENT, self.now_ms);
-            *since_ms =
-                matches!(treatment, Treatment::Refused(_)).then(|| since_ms.unwrap_or(self.now_ms));
+            *since_ms = matches!(treatment, Treatment::Refused(_) | Treatment::Paused(_))
+                .then(|| since_ms.unwrap_or(self.now_ms));
             let lasted_ms = since_ms.map_or(0, |since| 1 + self.now_ms - since);
             self.longest_refusal_ms = self.longest_refusal_ms.max(lasted_ms);
         }
@@ -174,14 +206,14 @@
             Event::Answer(send, run) if self.servers[send.server] == Some(run) => self.answer(send),
             Event::Crash(..) | Event::Answer(..) => {}
             Event::Loss(send, run) => self.lose(send, run),
-            Event::Checked(instance, server, run) => {
-                if self.instances[instance].run == run {
-                    let Instance { losses, .. } = &mut self.instances[instance];
-                    let crashed = losses.record_server_state(server as u64, true, self.now_ms);
-                    for crashed in crashed {
-                        self.record_crash(instance, crashed);
-                    }
-                }
+            Event::Checked(check) => self.finish_check(check),
+            Event::Other(instance) => {
+                let pause_ms = 1 + self.random.below(MAX_TRAFFIC_PAUSE_MS);
+                self.after(pause_ms, Event::Other(instance));
+                self.next_id += 1;
+                let request = Fingerprint(u64::from(self.next_id));
+                let server = self.random.index(SERVERS);
+                self.send(instance, request, server, false);
             }
             Event::Restart(server) => self.start_server(server),
             Event::RestartInstance(instance) => self.restart_instance(instance),
@@ -198,27 +230,42 @@
         self.after(pause_ms, Event::Attempt(instance, request));
         let Instance { losses, quarantine, .. } = &mut self.instances[instance];
         let is_trial = match quarantine.treatment(request, self.now_ms) {
-            Treatment::Refused(_) | Treatment::AwaitsReports(_) => return,
+            Treatment::Refused(_) | Treatment::Paused(_) | Treatment::AwaitsReports(_) => return,
             Treatment::Normal => false,
             Treatment::OneReplicaAtATime => true,
         };
         let is_held = losses.pending_checks(request) > 0;
         let server = self.random.index(SERVERS);
-        let Some(run) = self.servers[server] else { return };
+        if self.servers[server].is_none() {
+            return;
+        }
         if is_held || is_trial && !quarantine.begin_trial(request, self.now_ms, MAX_TRIAL_MS) {
             return;
         }
+        self.send(instance, request, server, is_trial);
+    }
+
+    /// Sends a request to a server, unless that is down.
+    fn send(&mut self, instance: usize, request: Fingerprint, server: usize, is_trial: bool) {
+        let Some(run) = self.servers[server] else { return };
         self.next_id += 1;
         let send = Send { instance, request, server, id: self.next_id, is_trial };
         self.sends.push(send);
         let work_ms = 1 + self.random.below(if request == CRASHING { 30 } else { 90 });
         let event = match request {
             CRASHING => Event::Crash(server, run),
+            _ if self.is_reset(instance) => Event::Loss(send, run),
             _ => Event::Answer(send, run),
         };
         self.after(work_ms, event);
     }
 
+    fn is_reset(&mut self, instance: usize) -> bool {
+        self.variant.reset_instances.contains(&instance)
+            && RESETS_MS.contains(&self.now_ms)
+            && self.random.below(2) == 0
+    }
+
     fn crash(&mut self, server: usize) {
         let run = self.servers[server].take().unwrap();
         self.crashes_ms.push(self.now_ms);
@@ -235,6 +282,7 @@
         self.sends.retain(|s| *s != send);
         let Instance { losses, quarantine, .. } = &mut self.instances[send.instance];
         quarantine.end_trial(send.request);
+        losses.record_answer(send.server as u64, self.now_ms);
         losses.discard_answered(send.request);
         let effect = quarantine.record_answer(send.request, self.now_ms);
         self.publish(send.instance, send.request, effect);
@@ -242,18 +290,49 @@
 
     fn lose(&mut self, send: Send, run: u32) {
         let Send { instance, request, server, id, is_trial } = send;
+        self.sends.retain(|s| *s != send);
         let crash_id = if self.variant.counts_sends { id } else { run };
         let lost = LostSend { request, send_id: id, crash_id, is_trial };
-        let Instance { losses, quarantine, run } = &mut self.instances[instance];
+        let is_running = self.servers[server] == Some(run);
+        let Instance { losses, quarantine, run: instance_run } = &mut self.instances[instance];
         quarantine.end_trial(request);
         match losses.record_loss(server as u64, lost, self.now_ms) {
             ServerState::Unknown => {
-                let (delay_ms, run) = (1 + self.random.below(35), *run);
-                self.after(delay_ms, Event::Checked(instance, server, run));
+                let (delay_ms, instance_run) = (1 + self.random.below(35), *instance_run);
+                let has_crashed = !self.variant.listeners_stay_open && !is_running;
+                let check = Check { instance, instance_run, server, has_crashed };
+                self.after(delay_ms, Event::Checked(check));
             }
             ServerState::Crashed(crashed) => self.record_crash(instance, crashed),
             ServerState::Checking | ServerState::Running => {}
         }
+        self.record_unexplained(instance);
+    }
+
+    fn finish_check(&mut self, check: Check) {
+        let Check { instance, instance_run, server, has_crashed } = check;
+        let Instance { losses, run, .. } = &mut self.instances[instance];
+        if *run != instance_run {
+            return;
+        }
+        for crashed in losses.record_server_state(server as u64, has_crashed, self.now_ms) {
+            self.record_crash(instance, crashed);
+        }
+        self.record_unexplained(instance);
+    }
+
+    fn record_unexplained(&mut self, instance: usize) {
+        for mut loss in self.instances[instance].losses.take_unexplained() {
+            if self.variant.ignores_unexplained {
+                continue;
+            }
+            if self.variant.ignores_rate && loss.is_trial {
+                loss.weight_milli = u32::MAX;
+            }
+            let quarantine = &mut self.instances[instance].quarantine;
+            let effect = quarantine.record_unexplained(loss, self.now_ms);
+            self.publish(instance, loss.request, effect);
+        }
     }
 
     fn record_crash(&mut self, instance: usize, crashed: CrashedSend) {
@@ -306,7 +385,9 @@
 
     fn late_crashes(&self) -> usize {
         let Some(third_ms) = self.crashes_ms.get(2) else { return 0 };
-        self.crashes_ms.iter().filter(|at_ms| **at_ms > third_ms + DETECTION_MS).count()
+        let resets_end_ms = if self.variant.reset_instances.is_empty() { 0 } else { RESETS_MS.end };
+        let detected_ms = resets_end_ms.max(*third_ms) + DETECTION_MS;
+        self.crashes_ms.iter().filter(|at_ms| **at_ms > detected_ms).count()
     }
 }
 
@@ -349,3 +430,48 @@
         assert!(refusal_ms > 0, "{variant:?}");
     }
 }
+
+/// The walks find that resets are taken for crashes, and that crashes are overlooked.
+#[test]
+fn walks_find_losses_that_are_weighed_wrongly() {
+    let resets = Variant { reset_instances: &[1], has_traffic: true, ..Variant::default() };
+    let (refusal_ms, _) = walk_all(0..TRAFFIC_WALKS, Variant { ignores_rate: true, ..resets });
+    assert!(refusal_ms > 0);
+    for listeners_stay_open in [false, true] {
+        let traffic = Variant { listeners_stay_open, has_traffic: true, ..Variant::default() };
+        let (_, late_crashes) =
+            walk_all(0..TRAFFIC_WALKS, Variant { ignores_unexplained: true, ..traffic });
+        assert!(late_crashes > MAX_LATE_CRASHES, "{traffic:?}");
+    }
+}
+
+/// Guards against crashes without a bound if checks find the listeners of ended servers open, and
+/// against the innocent request being refused for them.
+#[test]
+fn only_the_request_that_crashes_replicas_is_refused_if_listeners_stay_open() {
+    for has_traffic in [false, true] {
+        let variant = Variant { listeners_stay_open: true, has_traffic, ..Variant::default() };
+        let (refusal_ms, late_crashes) = walk_all(0..TRAFFIC_WALKS, variant);
+        assert_eq!(refusal_ms, 0, "{variant:?}");
+        assert!(late_crashes <= MAX_LATE_CRASHES, "{late_crashes}, {variant:?}");
+    }
+}
+
+/// Guards against the innocent request being refused since connections are reset.
+#[test]
+fn the_innocent_request_is_not_refused_while_connections_are_reset() {
+    let instances: [&[usize]; 2] = [&[1], &[0, 1, 2]];
+    for (reset_instances, listeners_stay_open) in
+        instances.into_iter().flat_map(|i| [(i, false), (i, true)])
+    {
+        let variant = Variant {
+            listeners_stay_open,
+            has_traffic: true,
+            reset_instances,
+            ..Variant::default()
+        };
+        let (refusal_ms, late_crashes) = walk_all(0..TRAFFIC_WALKS, variant);
+        assert_eq!(refusal_ms, 0, "{variant:?}");
+        assert!(late_crashes <= MAX_LATE_CRASHES, "{late_crashes}, {variant:?}");
+    }
+}
--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -12,6 +12,7 @@
 
 use crate::replica::Replica;
 use crate::shared::SharedRef;
+use crate::traffic::TrafficThread;
 
 /// Number of servers that must have lost an unanswered request before further sends are deferred.
 ///
@@ -80,6 +81,19 @@
         self.shared.treatment(self.fingerprint)
     }
 
+    /// Checks that the request is neither quarantined nor paused.
+    ///
+    /// # Errors
+    /// Returns the refusal otherwise.
+    pub(crate) fn check_refusal(&self) -> Result<(), Refusal> {
+        let (reason, left_ms) = match self.treatment() {
+            Treatment::Refused(left_ms) => (RefusalReason::CrashesReplicas, left_ms),
+            Treatment::Paused(left_ms) => (RefusalReason::NeverAnswered, left_ms),
+            _ => return Ok(()),
+        };
+        Err(Refusal::not_run(reason, Some(left_ms)))
+    }
+
     /// Returns true if a server has answered the request.
     pub(crate) fn is_answered(&self) -> bool {
         self.is_answered.get()
@@ -93,33 +107,61 @@
     }
 
     /// Records that a server has answered the request.
-    pub(crate) fn record_answer(&self) {
+    pub(crate) fn record_answer(&self, replica: &Replica) {
         if !self.is_answered.replace(true) {
-            self.shared.record_answer(self.fingerprint);
+            self.shared.record_answer(self.fingerprint, replica.spec.id);
         }
     }
 
     /// Records that a server has lost the request, and checks whether that server has crashed.
     pub(crate) fn record_loss(&self, replica: &Replica) {
+        let (server, addr) = (replica.spec.id, replica.spec.addr);
         if self.is_answered.get() {
+            return self.shared.record_answered_loss(server, self.fingerprint);
+        }
+        if self.add_loss(replica) != ServerState::Unknown {
             return;
         }
+        let shared = SharedRef::clone(&self.shared);
+        actix_rt::spawn(async move {
+            let has_crashed = eelgrasspier_backend::refuses_connections(addr).await;
+            shared.record_crash_check(server, has_crashed);
+        });
+    }
+
+    /// Records that a server has not answered the unanswered request in time.
+    ///
+    /// It may be slow; the request counts as lost if the server does not answer a probe either.
+    pub(crate) fn record_silence(&self, replica: &Rc<Replica>, traffic: &Rc<TrafficThread>) {
+        if self.is_answered.get() || self.add_loss(replica) != ServerState::Unknown {
+            return;
+        }
+        let (shared, fingerprint) = (SharedRef::clone(&self.shared), self.fingerprint);
+        let (replica, traffic) = (Rc::clone(replica), Rc::clone(traffic));
+        actix_rt::spawn(async move {
+            let server = replica.spec.id;
+            if traffic.answers_probe(&replica).await {
+                shared.record_probe_answer(server);
+            } else {
+                let has_crashed =
+                    eelgrasspier_backend::refuses_connections(replica.spec.addr).await;
+                shared.record_crash_check(server, has_crashed);
+                shared.publish_losses(fingerprint);
+            }
+        });
+    }
+
+    /// Adds a lost send; returns the state of its server.
+    fn add_loss(&self, replica: &Replica) -> ServerState {
+        let server = replica.spec.id;
         self.loss_count.set(self.loss_count.get() + 1);
         self.was_lost.set(true);
-        let (server, addr) = (replica.spec.id, replica.spec.addr);
         let send_id = relays::replica_hash(&format!("{} {server}", self.request_id));
         let is_trial = self.is_trial.get();
         let crash_id = if is_trial { self.trial_crash_id.get() } else { replica.crash_id() };
         let crash_id = crash_id.unwrap_or(send_id);
         let lost = LostSend { request: self.fingerprint, send_id, crash_id, is_trial };
-        if self.shared.record_loss(server, lost) != ServerState::Unknown {
-            return;
-        }
-        let shared = SharedRef::clone(&self.shared);
-        actix_rt::spawn(async move {
-            let has_crashed = eelgrasspier_backend::refuses_connections(addr).await;
-            shared.record_crash_check(server, has_crashed);
-        });
+        self.shared.record_loss(server, lost)
     }
 
     /// Waits until all crash checks for the request have finished, at most until `until`.
@@ -141,6 +183,7 @@
             return;
         }
         self.wait_for_crash_checks(until.min(Instant::now() + MAX_CHECK_WAIT)).await;
+        self.shared.publish_losses(self.fingerprint);
         if self.treatment() != Treatment::Normal {
             let left = until.saturating_duration_since(Instant::now());
             tokio::time::sleep(REPORT_TIME.min(left)).await;
@@ -159,8 +202,9 @@
             let is_checking = self.shared.pending_crash_checks(self.fingerprint) > 0;
             let wait_ms = match self.treatment() {
                 Treatment::Normal => return Ok(None),
-                Treatment::Refused(left_ms) => {
-                    return Err(Refusal::not_run(RefusalReason::CrashesReplicas, Some(left_ms)));
+                Treatment::Refused(_) | Treatment::Paused(_) => {
+                    self.check_refusal()?;
+                    continue;
                 }
                 Treatment::AwaitsReports(left_ms) => left_ms,
                 Treatment::OneReplicaAtATime if is_checking => TRIAL_POLL_MS,
--- a/crates/eelgrasspier/src/event.rs
+++ b/crates/eelgrasspier/src/event.rs
@@ -69,6 +69,8 @@
 pub const REQUEST_CLEARED: Event = event(407, Level::Info, "suspected request cleared");
 /// Another suspect was lost in the same crashes, or was cleared: a refusal is suspended or resumed.
 pub const EVIDENCE_CONTESTED: Event = event(408, Level::Info, "evidence contested");
+/// A request is paused whose trials were all lost without an answer.
+pub const REQUEST_PAUSED: Event = event(409, Level::Warn, "unanswered request paused");
 /// The idempotency key of a run was claimed.
 pub const RUN_CLAIMED: Event = event(501, Level::Debug, "run claimed");
 /// A run was sent to a backend server.
@@ -89,7 +91,7 @@
 pub const RESTORED: Event = event(603, Level::Warn, "platform restored from a copy");
 
 /// All kinds of events, ordered by number.
-pub const CATALOGUE: [Event; 35] = [
+pub const CATALOGUE: [Event; 36] = [
     STARTED,
     READY,
     LEAVING,
@@ -116,6 +118,7 @@
     REQUEST_REFUSED,
     REQUEST_CLEARED,
     EVIDENCE_CONTESTED,
+    REQUEST_PAUSED,
     RUN_CLAIMED,
     RUN_SENT,
     RUN_DONE,
--- a/crates/eelgrasspier/src/exchange.rs
+++ b/crates/eelgrasspier/src/exchange.rs
@@ -35,9 +35,24 @@
     pub(crate) replica: Rc<Replica>,
     pub(crate) result: Result<PartAnswer, PartFailure>,
     pub(crate) took: Duration,
+    /// Start time in milliseconds since the process started.
+    pub(crate) started_ms: u64,
+}
+
+impl CompletedExchange {
+    /// True if the server has answered nothing since the exchange began.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.replica.is_silent_since(self.started_ms)
+    }
 }
 
 impl PendingExchange {
+    /// Returns the server if it has answered nothing since the exchange began.
+    pub(crate) fn silent_replica(&self) -> Option<&Rc<Replica>> {
+        let state = self.state.as_ref()?;
+        Some(state.permit.replica()).filter(|r| r.is_silent_since(state.started_ms))
+    }
+
     pub(crate) fn new(
         exchange: PartFuture<PartAnswer>,
         permit: Permit,
@@ -59,9 +74,9 @@
             return Poll::Pending;
         };
         let replica = Rc::clone(state.permit.replica());
-        let took = state.started.elapsed();
+        let (took, started_ms) = (state.started.elapsed(), state.started_ms);
         self.state = None;
-        Poll::Ready(CompletedExchange { replica, result, took })
+        Poll::Ready(CompletedExchange { replica, result, took, started_ms })
     }
 }
 
--- a/crates/eelgrasspier/src/forward.rs
+++ b/crates/eelgrasspier/src/forward.rs
@@ -220,6 +220,8 @@
     };
     let _trial = parts.is_trial.then(|| context.crash_tracker.enter_trial());
     let gathered = gather::gather(&context, &parts.shards).await;
+    // The requesting instance must know of the losses before it sends the shards again.
+    context.crash_tracker.delay_failure(context.cutoff).await;
     reply_to_wire(gathered)
 }
 
--- a/crates/eelgrasspier/src/part.rs
+++ b/crates/eelgrasspier/src/part.rs
@@ -21,6 +21,16 @@
 use crate::service::ServiceState;
 use crate::traffic::TrafficThread;
 
+/// Number of shards from which hedges wait for the first answer to the query.
+///
+/// With this many shards at least one usually answers before hedges are due. A query that silences
+/// servers would otherwise silence both of each shard.
+const MIN_SHARDS_TO_HOLD_HEDGES: u32 = 4;
+/// Interval at which held hedges are reconsidered.
+const HEDGE_RECHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time before the cut-off from which an exchange counts as unanswered.
+const CUTOFF_TOLERANCE: Duration = Duration::from_millis(2);
+
 /// Reason why a shard is missing from an answer.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub(crate) enum MissReason {
@@ -105,6 +115,21 @@
     part.wait_for_answer().await
 }
 
+impl Drop for PartTask<'_> {
+    /// Records the servers that have not answered the part by the cut-off.
+    fn drop(&mut self) {
+        let context = self.context;
+        if Instant::now() + CUTOFF_TOLERANCE < context.cutoff {
+            return;
+        }
+        for exchange in &self.in_flight {
+            if let Some(replica) = exchange.silent_replica() {
+                context.crash_tracker.record_silence(replica, &context.traffic);
+            }
+        }
+    }
+}
+
 impl PartTask<'_> {
     /// Starts the first exchange, after waiting for a free connection if there is none.
     async fn start_first_exchange(&mut self) -> Result<(), MissReason> {
@@ -128,8 +153,10 @@
                 Some(pause) => {
                     let waited = tokio::time::timeout(pause, self.next_completion()).await;
                     let Ok(completion) = waited else {
-                        hedge_delay = None;
-                        self.send_hedge();
+                        hedge_delay = self.are_hedges_held().then_some(HEDGE_RECHECK_INTERVAL);
+                        if hedge_delay.is_none() {
+                            self.send_hedge();
+                        }
                         continue;
                     };
                     completion
@@ -144,16 +171,24 @@
                 Completion::Remote(None) => continue,
             };
             self.context.traffic.on_exchange_completed(&self.context.service, &completed);
+            let is_silent = completed.is_silent();
             match completed.result {
                 Ok(answer) => {
-                    self.context.crash_tracker.record_answer();
+                    self.context.crash_tracker.record_answer(&completed.replica);
                     let slowest_exchange = &self.context.slowest_exchange;
                     slowest_exchange.set(slowest_exchange.get().max(completed.took));
                     return Ok(answer.body);
                 }
                 Err(failure) => {
-                    if matches!(failure, PartFailure::Lost(_)) {
-                        self.context.crash_tracker.record_loss(&completed.replica);
+                    match failure {
+                        PartFailure::Lost(_) => {
+                            self.context.crash_tracker.record_loss(&completed.replica);
+                        }
+                        PartFailure::TimedOut if is_silent => {
+                            let (replica, traffic) = (&completed.replica, &self.context.traffic);
+                            self.context.crash_tracker.record_silence(replica, traffic);
+                        }
+                        _ => {}
                     }
                     self.handle_failure(failure)?;
                 }
@@ -188,6 +223,13 @@
         quantile_us.map(Duration::from_micros)
     }
 
+    /// True if hedges wait for the first answer to the query.
+    fn are_hedges_held(&self) -> bool {
+        let context = self.context;
+        !context.crash_tracker.is_answered()
+            && context.snapshot.shard_count >= MIN_SHARDS_TO_HOLD_HEDGES
+    }
+
     fn send_hedge(&mut self) {
         let context = self.context;
         if context.crash_tracker.should_defer() {
--- a/crates/eelgrasspier/src/quarantine.rs
+++ b/crates/eelgrasspier/src/quarantine.rs
@@ -29,9 +29,12 @@
         lock(&self.quarantine.requests).treatment(request, self.now_ms())
     }
 
-    /// Records that a server has answered a request.
-    pub(crate) fn record_answer(&self, request: Fingerprint) {
-        lock(&self.quarantine.losses).discard_answered(request);
+    /// Records that a server was the first to answer a request.
+    pub(crate) fn record_answer(&self, request: Fingerprint, server: u64) {
+        let mut losses = lock(&self.quarantine.losses);
+        losses.record_answer(server, self.now_ms());
+        losses.discard_answered(request);
+        drop(losses);
         let finding = lock(&self.quarantine.requests).record_answer(request, self.now_ms());
         if finding != EvidenceEffect::Unchanged {
             self.publish_finding(request, finding);
@@ -45,9 +48,20 @@
         if let ServerState::Crashed(ended) = status {
             self.record_crash(ended);
         }
+        self.record_unexplained();
         status
     }
 
+    /// Records that a request that has been answered lost another send.
+    pub(crate) fn record_answered_loss(&self, server: u64, request: Fingerprint) {
+        lock(&self.quarantine.losses).record_answered_loss(server, request, self.now_ms());
+    }
+
+    /// Records that a server that left a request unanswered has answered a probe.
+    pub(crate) fn record_probe_answer(&self, server: u64) {
+        lock(&self.quarantine.losses).record_probe_answer(server);
+    }
+
     /// Records whether a server that lost requests has crashed.
     pub(crate) fn record_crash_check(&self, server: u64, has_crashed: bool) {
         let ended =
@@ -55,6 +69,7 @@
         for ended in ended {
             self.record_crash(ended);
         }
+        self.record_unexplained();
     }
 
     /// Returns the number of servers that lost the request and are still being checked for a crash.
@@ -87,6 +102,31 @@
         self.record_contest();
     }
 
+    /// Records the losses that no crash explains.
+    fn record_unexplained(&self) {
+        let losses = lock(&self.quarantine.losses).take_unexplained();
+        for loss in losses {
+            self.update_report_wait();
+            let finding = lock(&self.quarantine.requests).record_unexplained(loss, self.now_ms());
+            if loss.weight_milli > 0 {
+                self.publish_finding(loss.request, finding);
+            } else {
+                // Other instances hear of it if the request fails, see `publish_losses`.
+                self.record_finding(loss.request, finding, "own");
+            }
+            self.record_contest();
+        }
+    }
+
+    /// Sends the unexplained losses of a request that has failed to the other instances.
+    pub(crate) fn publish_losses(&self, request: Fingerprint) {
+        let report = lock(&self.quarantine.requests).report(request, self.now_ms());
+        if let Some(report) = report.filter(|r| !r.is_cleared && !r.lost.is_empty()) {
+            // Sending fails only after the control thread has ended; then nothing needs to be sent.
+            let _send_failed = self.control.send(ControlRequest::SendReport(report)).is_err();
+        }
+    }
+
     /// Returns true if the request is known to have lost a send in this crash.
     pub(crate) fn has_crash(&self, request: Fingerprint, crash_id: u32) -> bool {
         lock(&self.quarantine.requests).has_crash(request, crash_id)
@@ -126,13 +166,18 @@
             EvidenceEffect::Unchanged | EvidenceEffect::Recorded => return,
             EvidenceEffect::Suspected => event::REQUEST_SUSPECTED,
             EvidenceEffect::Refused => event::REQUEST_REFUSED,
+            EvidenceEffect::Paused => event::REQUEST_PAUSED,
             EvidenceEffect::Cleared => event::REQUEST_CLEARED,
         };
         let report = lock(&self.quarantine.requests).report(request, self.now_ms());
-        let Report { ended, ended_alone, refused_ms, .. } = report.unwrap_or_default();
+        let Report { ended, ended_alone, refused_ms, lost, lost_alone, paused_ms, .. } =
+            report.unwrap_or_default();
         let (ended, alone) = (ended.len(), ended_alone.len());
+        let (lost, lost_alone) = (lost.len(), lost_alone.len());
         let detail = format!(
-            "crashes {ended}, of these isolated {alone}, refused for {refused_ms} ms, from {source}"
+            "crashes {ended}, of these isolated {alone}, refused for {refused_ms} ms, \
+             unexplained losses {lost}, of these isolated {lost_alone}, paused for {paused_ms} ms, \
+             from {source}"
         );
         self.timeline.record(event, &request.to_string(), &detail);
     }
--- a/crates/eelgrasspier/src/query.rs
+++ b/crates/eelgrasspier/src/query.rs
@@ -57,9 +57,7 @@
         let params = &self.params;
         let scope = (&*self.service.name, QUERY_KIND);
         let crash_tracker = CrashTracker::new(&traffic.shared, scope, &self.body, &self.request_id);
-        if let Treatment::Refused(left_ms) = crash_tracker.treatment() {
-            return Err(Refusal::not_run(RefusalReason::CrashesReplicas, Some(left_ms)));
-        }
+        crash_tracker.check_refusal()?;
         let budget = Duration::from_millis(params.deadline_ms);
         let margin = MIN_RESPONSE_MARGIN.max(budget / RESPONSE_MARGIN_DIVISOR);
         let cutoff = self.deadline.checked_sub(margin).unwrap_or(self.deadline);
--- a/crates/eelgrasspier/src/replica.rs
+++ b/crates/eelgrasspier/src/replica.rs
@@ -175,6 +175,11 @@
         self.report.borrow().held_versions.clone()
     }
 
+    /// True if the server has answered nothing after `since_ms`.
+    pub(crate) fn is_silent_since(&self, since_ms: u64) -> bool {
+        self.last_contact_ms().is_none_or(|heard_ms| heard_ms <= since_ms)
+    }
+
     /// Returns the time of the last contact, in milliseconds since this process started.
     pub(crate) fn last_contact_ms(&self) -> Option<u64> {
         self.last_contact_ms.get()
--- a/crates/eelgrasspier/src/run.rs
+++ b/crates/eelgrasspier/src/run.rs
@@ -8,7 +8,6 @@
 use eelgrasspier_caller::{RunAnswer, RunParams};
 use eelgrasspier_decide::claim::{Attempt, ClaimResult, Nonce};
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason, ShardId, Verdict};
-use eelgrasspier_decide::quarantine::Treatment;
 use eelgrasspier_decide::replica::{self, Candidate};
 use eelgrasspier_store::ClaimError;
 
@@ -69,9 +68,7 @@
         self.check_shard()?;
         let scope = (&*self.service.name, RUN_KIND);
         let crash_tracker = CrashTracker::new(&traffic.shared, scope, &self.body, &self.request_id);
-        if let Treatment::Refused(left_ms) = crash_tracker.treatment() {
-            return Err(Refusal::not_run(RefusalReason::CrashesReplicas, Some(left_ms)));
-        }
+        crash_tracker.check_refusal()?;
         let common = &self.params.common;
         let admitted =
             self.service.admit(&common.team, common.weight, self.deadline, epoch_ms).await?;
@@ -132,9 +129,10 @@
             record(event::RUN_SENT, &replica.spec.addr.to_string());
             let completed = self.send(traffic, permit).await;
             traffic.on_exchange_completed(&self.service, &completed);
+            let is_silent = completed.is_silent();
             match completed.result {
                 Ok(answer) => {
-                    crash_tracker.record_answer();
+                    crash_tracker.record_answer(&replica);
                     record(event::RUN_DONE, "");
                     let request_id = self.request_id.to_string();
                     return Ok(RunAnswer { request_id, body: answer.body });
@@ -144,8 +142,12 @@
                     permit = self.acquire_permit(traffic, Some(replica.spec.id)).await?;
                 }
                 Err(failure) => {
-                    if matches!(failure, PartFailure::Lost(_)) {
-                        crash_tracker.record_loss(&replica);
+                    match failure {
+                        PartFailure::Lost(_) => crash_tracker.record_loss(&replica),
+                        PartFailure::TimedOut if is_silent => {
+                            crash_tracker.record_silence(&replica, traffic);
+                        }
+                        _ => {}
                     }
                     return Err(refusal_for(&mut claim, &failure));
                 }
--- a/crates/eelgrasspier/src/traffic.rs
+++ b/crates/eelgrasspier/src/traffic.rs
@@ -273,15 +273,26 @@
     fn probe(self: &Rc<Self>, replica: &Rc<Replica>) {
         let Some(permit) = replica.acquire(ConnectionKind::Query) else { return };
         let traffic = Rc::clone(self);
-        actix_rt::spawn(async move { traffic.probe_with(&permit).await });
+        actix_rt::spawn(async move {
+            traffic.probe_with(&permit).await;
+        });
     }
 
-    async fn probe_with(&self, permit: &Permit) {
+    /// Probes a replica; returns true if it answers.
+    async fn probe_with(&self, permit: &Permit) -> bool {
         let replica = permit.replica();
-        match self.backend_client().probe(replica.spec.addr, PROBE_TIMEOUT).await {
-            Ok(report) => self.apply_report(replica, &report),
-            Err(failure) => self.record_failure(replica, &failure),
+        let result = self.backend_client().probe(replica.spec.addr, PROBE_TIMEOUT).await;
+        match &result {
+            Ok(report) => self.apply_report(replica, report),
+            Err(failure) => self.record_failure(replica, failure),
         }
+        result.is_ok()
+    }
+
+    /// Returns true if a replica answers a probe, or none can be sent.
+    pub(crate) async fn answers_probe(&self, replica: &Rc<Replica>) -> bool {
+        let Some(permit) = replica.acquire(ConnectionKind::Query) else { return true };
+        self.probe_with(&permit).await
     }
 
     /// Probes all replicas of a shard, so that their current runs are known.
--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -17,8 +17,11 @@
     /// Only losses of unanswered requests are recorded: a request that has been answered does not
     /// crash replicas, and most losses are not crashes, so that few of them need a probe.
     pub(crate) fn record_loss(self: &Rc<Self>, request: &Request, replica: &Arc<ReplicaEntry>) {
+        let replica_hash = rendezvous::hash(&replica.id);
         if request.progress.is_answered.get() {
-            return;
+            let now_ms = self.shared.now_ms();
+            let mut lost_sends = self.lost_sends.borrow_mut();
+            return lost_sends.record_answered_loss(replica_hash, request.fingerprint(), now_ms);
         }
         request.progress.was_lost.set(true);
         let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
@@ -30,7 +33,6 @@
             crash_id: if is_restarted { send_id } else { replica.crash_id() },
             is_trial: trial.is_some(),
         };
-        let replica_hash = rendezvous::hash(&replica.id);
         let known =
             self.lost_sends.borrow_mut().record_loss(replica_hash, lost, self.shared.now_ms());
         match known {
@@ -41,6 +43,7 @@
             ServerState::Crashed(crashed) => self.record_crash(crashed),
             ServerState::Checking | ServerState::Running => {}
         }
+        self.record_unexplained();
     }
 
     async fn probe_lost_replica(&self, replica: &Arc<ReplicaEntry>) {
@@ -70,5 +73,6 @@
         for crashed in crashed {
             self.record_crash(crashed);
         }
+        self.record_unexplained();
     }
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -98,6 +98,8 @@
     event(791, "priority_refused"),
     event(792, "evidence_contested"),
     event(793, "merge_rejected"),
+    event(794, "loss_unexplained"),
+    event(795, "paused"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/relay_results.rs
+++ b/crates/router/src/gather/relay_results.rs
@@ -190,6 +190,12 @@
         if !parts.is_empty() {
             self.router.record_answered(self.request);
         }
+        // The unexplained losses of a request that has been answered say nothing about it.
+        let is_answered = self.request.progress.is_answered.get();
+        let report = report.filter(|r| !is_answered || !r.ended.is_empty());
+        if report.as_ref().is_some_and(|r| !r.lost.is_empty()) {
+            self.request.progress.was_lost.set(true);
+        }
         self.router.merge_reports(report.as_slice(), "answer");
         let index = |part: wire::Signed| (shards[position(&part)], part.signature);
         let parts: Vec<_> = parts.into_iter().map(index).collect();
--- a/crates/router/src/gather/send_permission.rs
+++ b/crates/router/src/gather/send_permission.rs
@@ -69,9 +69,9 @@
 }
 
 impl Gather<'_> {
-    /// True if the request is refused because it crashes replicas.
+    /// True if the request is refused because it crashes replicas, or they all lost it.
     pub(super) fn is_quarantined(&self) -> bool {
-        matches!(self.treatment(), Treatment::Refused(_))
+        matches!(self.treatment(), Treatment::Refused(_) | Treatment::Paused(_))
     }
 
     /// True if the request is sent to one replica at a time or not at all.
@@ -92,8 +92,10 @@
 
     /// Records the remaining refusal time if the request is quarantined.
     pub(super) fn record_quarantine(&mut self) {
-        if let Treatment::Refused(left_ms) = self.treatment() {
-            self.gathered.quarantined_ms = Some(left_ms);
+        match self.treatment() {
+            Treatment::Refused(left_ms) => self.gathered.quarantined_ms = Some(left_ms),
+            Treatment::Paused(left_ms) => self.gathered.paused_ms = Some(left_ms),
+            _ => {}
         }
     }
 
@@ -110,7 +112,7 @@
         let treatment = self.treatment();
         let is_normal = treatment == Treatment::Normal;
         match treatment {
-            Treatment::Refused(_) => Permission::Never,
+            Treatment::Refused(_) | Treatment::Paused(_) => Permission::Never,
             _ if !is_normal && !self.trials.run_locally => Permission::Never,
             Treatment::AwaitsReports(left_ms) if now_ms + left_ms < self.deadlines.limit_at_ms => {
                 Permission::Later
@@ -190,6 +192,9 @@
         while self.unresolved_losses() > 0 && now_ms() < until_ms {
             tokio::time::sleep(CHECK_POLL_INTERVAL).await;
         }
+        if self.trials.run_locally {
+            self.router.publish_losses(self.request.fingerprint());
+        }
         if self.is_suspect() {
             let left_ms = self.deadlines.limit_at_ms.saturating_sub(now_ms());
             tokio::time::sleep(REPORT_TIME.min(Duration::from_millis(left_ms))).await;
--- a/crates/router/src/gather/shard.rs
+++ b/crates/router/src/gather/shard.rs
@@ -124,6 +124,8 @@
     pub(crate) limit_source: Option<&'static str>,
     /// Remaining refusal time of a request that crashes replicas, in milliseconds.
     pub(crate) quarantined_ms: Option<u64>,
+    /// Remaining pause of a request that replicas never answered, in milliseconds.
+    pub(crate) paused_ms: Option<u64>,
     /// True if a replica may have run any part of the request.
     pub(crate) may_have_run: bool,
     /// True if the deadline expired.
@@ -164,6 +166,9 @@
         if let Some(retry_after_ms) = self.quarantined_ms.filter(|_| !self.may_have_run) {
             return Refusal::not_run(RefusalReason::CrashesReplicas, Some(retry_after_ms));
         }
+        if let Some(retry_after_ms) = self.paused_ms.filter(|_| !self.may_have_run) {
+            return Refusal::not_run(RefusalReason::NeverAnswered, Some(retry_after_ms));
+        }
         let reason = match (self.is_timed_out, self.may_have_run) {
             (true, _) => RefusalReason::DeadlineTooClose,
             (false, true) => RefusalReason::AnswerLost,
--- a/crates/router/src/outcome.rs
+++ b/crates/router/src/outcome.rs
@@ -102,6 +102,7 @@
         RefusalReason::AnswerLost => "answer_lost",
         RefusalReason::NoReplica => "no_replica",
         RefusalReason::CrashesReplicas => "ends_replicas",
+        RefusalReason::NeverAnswered => "never_answered",
         RefusalReason::NotReady => "not_ready",
         RefusalReason::UnknownRoute(_) => "unknown_route",
         RefusalReason::UnknownKey => "unknown_key",
--- a/crates/router/src/quarantine_state.rs
+++ b/crates/router/src/quarantine_state.rs
@@ -8,7 +8,7 @@
 
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::fingerprint::Fingerprint;
-use eelgrasspier_decide::lost_sends::CrashedSend;
+use eelgrasspier_decide::lost_sends::{CrashedSend, UnexplainedLoss};
 use eelgrasspier_decide::quarantine::{
     EvidenceEffect, Quarantine, REPORT_WAIT_MS, Report, Treatment,
 };
@@ -74,6 +74,43 @@
         self.log_contested();
     }
 
+    /// Records the losses that no crash explains.
+    pub(crate) fn record_unexplained(&self) {
+        let losses = self.lost_sends.borrow_mut().take_unexplained();
+        for loss in losses {
+            self.record_unexplained_loss(loss);
+        }
+    }
+
+    fn record_unexplained_loss(&self, loss: UnexplainedLoss) {
+        let now_ms = self.shared.now_ms();
+        self.update_report_wait();
+        let finding =
+            self.quarantine_state.quarantine.borrow_mut().record_unexplained(loss, now_ms);
+        let UnexplainedLoss { request, crash_id, is_trial, weight_milli, .. } = loss;
+        log::info!(
+            "event=loss_unexplained fingerprint={request} crash={crash_id:08x} trial={is_trial} \
+             weight_milli={weight_milli}"
+        );
+        if weight_milli > 0 {
+            self.publish_finding(request, finding);
+        } else {
+            // Other instances hear of it if the request fails, see `publish_losses`.
+            self.log_finding(request, finding, "own");
+        }
+        self.log_contested();
+    }
+
+    /// Schedules a report on the unexplained losses of a request that has failed.
+    pub(crate) fn publish_losses(&self, fingerprint: Fingerprint) {
+        let report = self.report_on(fingerprint);
+        if report.is_some_and(|r| !r.is_cleared && !r.lost.is_empty()) {
+            self.quarantine_state.is_urgent.set(true);
+            self.quarantine_state.pending_reports.borrow_mut().insert(fingerprint);
+            self.quarantine_state.report_notify.notify_one();
+        }
+    }
+
     /// Merges reports of other instances; `source` names the channel for the log.
     pub(crate) fn merge_reports(&self, reports: &[Report], source: &str) {
         if reports.is_empty() {
@@ -143,7 +180,10 @@
     /// Logs a local finding and schedules a report to other instances.
     fn publish_finding(&self, fingerprint: Fingerprint, finding: EvidenceEffect) {
         self.log_finding(fingerprint, finding, "own");
-        if matches!(finding, EvidenceEffect::Suspected | EvidenceEffect::Refused) {
+        if matches!(
+            finding,
+            EvidenceEffect::Suspected | EvidenceEffect::Refused | EvidenceEffect::Paused
+        ) {
             self.quarantine_state.is_urgent.set(true);
         }
         if finding != EvidenceEffect::Unchanged {
@@ -157,17 +197,20 @@
             EvidenceEffect::Unchanged | EvidenceEffect::Recorded => return,
             EvidenceEffect::Suspected => "event=suspected",
             EvidenceEffect::Refused => "event=quarantined",
+            EvidenceEffect::Paused => "event=paused",
             EvidenceEffect::Cleared => "event=cleared",
         };
         let Some(report) = self.report_on(fingerprint) else { return };
         let (ended, alone) = (report.ended.len(), report.ended_alone.len());
-        let Report { refused_ms, refusals, .. } = report;
+        let (lost, lost_alone) = (report.lost.len(), report.lost_alone.len());
+        let Report { refused_ms, refusals, paused_ms, pauses, .. } = report;
         let label = event.trim_start_matches("event=");
         metrics::counter!("eelgrasspier_suspects_total", "finding" => label).increment(1);
         metrics::gauge!("eelgrasspier_suspects").set(self.tracked_count());
         log::info!(
             "{event} fingerprint={fingerprint} ended={ended} ended_alone={alone} \
-             refused_ms={refused_ms} refusals={refusals} source={source}"
+             refused_ms={refused_ms} refusals={refusals} lost={lost} lost_alone={lost_alone} \
+             paused_ms={paused_ms} pauses={pauses} source={source}"
         );
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -366,6 +366,10 @@
         let mut replica_stats = replica_stats.borrow_mut();
         match &result {
             Ok(reply) => {
+                if !request.progress.is_answered.get() {
+                    let replica_hash = rendezvous::hash(&replica.id);
+                    self.lost_sends.borrow_mut().record_answer(replica_hash, now_ms);
+                }
                 self.record_answered(&request);
                 traffic_metrics::count(TrafficCause::Replica, is_cross_zone, reply.body.len());
                 // The reported load includes the request that was just answered.
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use eelgrasspier_decide::directory::ReplicaEntry;
 use eelgrasspier_decide::history::Edition;
 use eelgrasspier_decide::prelude::RefusalReason;
+use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::retry_budget::RetryLimits;
 use eelgrasspier_decide::route::{Configuration, Route, RouteTable, ServiceLimits, Target};
 use eelgrasspier_router::{
@@ -35,6 +36,8 @@
     Sheds,
     /// It runs the request, and the answer is lost after this many milliseconds.
     LosesAnswerAfter(u64),
+    /// It runs the request, and half of the answers are lost after this many milliseconds.
+    LosesHalfAfter(u64),
     /// It never answers.
     Silent,
     /// Another replica has taken over its address and says so.
@@ -73,6 +76,8 @@
     pub check_delay_ms: Cell<u64>,
     /// Number of checks that have not ended.
     pub pending_checks: Cell<u32>,
+    /// True if crashed replicas keep listening: only their connections are lost.
+    pub keeps_listening: Cell<bool>,
 }
 
 impl ScriptedReplicas {
@@ -80,9 +85,11 @@
         self.behaviors.borrow_mut().insert(replica.to_owned(), behavior);
     }
 
-    /// Crashes a replica: its requests in progress are lost, and it stops listening.
+    /// Crashes a replica: its requests in progress are lost, and it usually stops listening.
     pub fn crash(&self, replica: &str) {
-        self.crashed.borrow_mut().insert(replica.to_owned());
+        if !self.keeps_listening.get() {
+            self.crashed.borrow_mut().insert(replica.to_owned());
+        }
         self.crash_signal(replica).notify_waiters();
     }
 
@@ -140,6 +147,15 @@
             headers: attempt.request.headers.clone(),
             customer: attempt.request.customer.clone(),
         });
+        let arrival = u64::try_from(replicas.arrivals.borrow().len()).unwrap();
+        let is_lost = rendezvous::weight(arrival, 0).is_multiple_of(2);
+        let behavior = match behavior {
+            Some(ReplicaBehavior::LosesHalfAfter(ms)) if is_lost => {
+                Some(ReplicaBehavior::LosesAnswerAfter(ms))
+            }
+            Some(ReplicaBehavior::LosesHalfAfter(ms)) => Some(ReplicaBehavior::AnswersAfter(ms)),
+            other => other,
+        };
         let mut guard = CancelGuard(Rc::clone(&replicas.cancelled), false);
         let replicas = Rc::clone(replicas);
         Box::pin(async move {
@@ -201,7 +217,7 @@
         attempt.dispatched.set();
     }
     match behavior {
-        ReplicaBehavior::AnswersAfter(ms) => pause(ms).await,
+        ReplicaBehavior::AnswersAfter(ms) | ReplicaBehavior::LosesHalfAfter(ms) => pause(ms).await,
         ReplicaBehavior::FailsAfter(ms) => {
             pause(ms).await;
             return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, replica));
@@ -283,11 +299,12 @@
 
     /// Serves requests whose answers are lost until the router refuses one as overloaded.
     ///
-    /// In real time the losses of a fixed number of requests may not be enough, since they age.
+    /// Each is another request: one whose answers are always lost is paused. In real time the losses of a fixed number of requests may not be enough, since they age.
     pub async fn lose_answers_until_refused(&self, deadline_ms: u64) {
         const MAX_REQUESTS: usize = 50;
         for number in 0..MAX_REQUESTS {
-            let outcome = self.serve(&format!("t{number}"), deadline_ms).await;
+            let path = format!("t{number}");
+            let outcome = self.router.serve(request_to_path(&path, &path, deadline_ms)).await;
             if matches!(outcome, Outcome::Refused(r) if r.reason == RefusalReason::Overloaded) {
                 return;
             }
--- a/crates/router/tests/suspects.rs
+++ b/crates/router/tests/suspects.rs
@@ -199,3 +199,73 @@
         }
     });
 }
+
+fn is_paused(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Refused(r) if r.reason == RefusalReason::NeverAnswered)
+}
+
+/// Guards against crashes without a bound of replicas whose listeners stay open.
+#[test]
+fn a_request_that_crashes_replicas_that_keep_listening_is_paused() {
+    in_virtual_time(async {
+        let fixture = Fixture::new(route(SHARDS), SHARDS);
+        fixture.replicas.keeps_listening.set(true);
+        for attempt in 0..9 {
+            let outcome = serve(&fixture, "ends", &format!("r{attempt}")).await;
+            let Outcome::Refused(refusal) = &outcome else { panic!("served") };
+            if attempt >= 2 {
+                assert!(is_paused(&outcome), "{attempt}: {outcome:?}");
+                assert_eq!(refusal.verdict, Verdict::NotRun);
+                assert!(refusal.retry_after_ms.is_some());
+            }
+            tokio::time::sleep(Duration::from_secs(3)).await;
+        }
+        assert!(arrivals(&fixture) <= SHARDS + 4, "{}", arrivals(&fixture));
+    });
+}
+
+/// Guards against the same for single services, also for requests that must not run twice.
+#[test]
+fn a_single_shard_request_that_crashes_replicas_that_keep_listening_is_paused() {
+    in_virtual_time(async {
+        for is_idempotent in [true, false] {
+            let mut single = route(1);
+            single.target = Target::Service("s0".into());
+            single.is_idempotent = is_idempotent;
+            let fixture = Fixture::new(single, 1);
+            fixture.replicas.keeps_listening.set(true);
+            for attempt in 0..9 {
+                serve(&fixture, "ends", &format!("r{attempt}")).await;
+                tokio::time::sleep(Duration::from_secs(3)).await;
+            }
+            assert!(arrivals(&fixture) <= 5, "{}", arrivals(&fixture));
+        }
+    });
+}
+
+/// Guards against innocent requests being refused while half of all sends are reset for seconds.
+#[test]
+fn requests_are_not_refused_while_half_of_the_sends_are_reset() {
+    const REQUESTS: u64 = 400;
+    const PAUSE_MS: u64 = 200;
+    in_virtual_time(async {
+        let mut single = route(1);
+        single.target = Target::Service("s0".into());
+        let fixture = Fixture::new(single, 1);
+        for replica in ["s0/a", "s0/b"] {
+            fixture.replicas.set_behavior(replica, ReplicaBehavior::LosesHalfAfter(5));
+        }
+        let requests = (0..REQUESTS).map(async |number: u64| {
+            tokio::time::sleep(Duration::from_millis(PAUSE_MS * number)).await;
+            let path = format!("innocent-{number}");
+            let mut outcomes = Vec::new();
+            for attempt in 0..4 {
+                outcomes.push(serve(&fixture, &path, &format!("{number}-{attempt}")).await);
+            }
+            outcomes
+        });
+        let outcomes = futures_util::future::join_all(requests).await;
+        let refused = outcomes.iter().flatten().filter(|o| is_paused(o) || is_quarantined(o));
+        assert_eq!(refused.count(), 0);
+    });
+}
