Recognize replicas that a request silences in the router too

What operators would see: a request that locks up the replicas that run it, without closing anything, is sent to one replica of each shard by every attempt, since a send that reaches its deadline said nothing.

Change: if a send of an unanswered request is still pending at its deadline, or a trial is given up, and the replica has answered nothing else since, it is asked for a health check, once for all requests that wait for it. No answer within a second counts as an unexplained loss; any answer, also a failure or a rejection, says that the replica is slow. A request that has been paused is tried on one replica per attempt, since trials of silent replicas overlap.

--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -241,6 +241,12 @@
         self.records.get(&fingerprint).is_some_and(|r| r.has_lost(crash_id))
     }
 
+    /// True if the request has been paused and not answered since.
+    #[must_use]
+    pub fn was_paused(&self, fingerprint: Fingerprint) -> bool {
+        self.records.get(&fingerprint).is_some_and(|r| r.pauses > 0)
+    }
+
     /// Begins a trial and returns true, or returns false if another trial is in progress.
     ///
     /// Other trials of the request then wait for the end of this one, at most for `timeout_ms`.
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -92,7 +92,7 @@
     /// Unexplained losses that ended isolated trials.
     lost_alone: Vec<IsolatedLoss>,
     pub(super) paused_until_ms: u64,
-    pauses: u32,
+    pub(super) pauses: u32,
     /// Weight of the lost trials at the start of the last pause, in thousandths.
     weight_at_pause_milli: u32,
     /// Time at which the record expires.
--- a/crates/decide/src/replica_stats.rs
+++ b/crates/decide/src/replica_stats.rs
@@ -91,6 +91,8 @@
     /// Recent fraction of shed requests, and the time of its last update.
     shed_rate: f64,
     shed_rate_at_ms: u64,
+    /// Time of the last answer or rejection.
+    responded_at_ms: Option<u64>,
     consecutive_failures: u32,
     penalty: f64,
     penalty_at_ms: u64,
@@ -110,6 +112,7 @@
             other_load_at_ms: 0,
             shed_rate: 0.0,
             shed_rate_at_ms: 0,
+            responded_at_ms: None,
             consecutive_failures: 0,
             penalty: 0.0,
             penalty_at_ms: 0,
@@ -135,6 +138,12 @@
         expected_ms
     }
 
+    /// True if the replica has responded to nothing after `since_ms`.
+    #[must_use]
+    pub fn is_silent_since(&self, since_ms: u64) -> bool {
+        self.responded_at_ms.is_none_or(|at_ms| at_ms <= since_ms)
+    }
+
     /// Records the end of the request sent at `sent_at_ms`, with any outcome.
     pub fn record_end(&mut self, sent_at_ms: u64) {
         if let Some(i) = self.in_progress.iter().position(|s| s.sent_at_ms == sent_at_ms) {
@@ -149,6 +158,7 @@
         let confirmed = self.confirmed_ratio(ratio, took_ms, now_ms);
         self.ratio = previous + (confirmed - previous) / LATENCY_EWMA_DIVISOR;
         self.ratio_at_ms = now_ms;
+        self.responded_at_ms = Some(now_ms);
         self.consecutive_failures = 0;
         self.record_shed_sample(0.0, now_ms);
     }
@@ -165,6 +175,7 @@
         let previous = self.shed_rate(now_ms);
         self.shed_rate = previous + (sample - previous) / SHED_EWMA_DIVISOR;
         self.shed_rate_at_ms = now_ms;
+        self.responded_at_ms = Some(now_ms);
     }
 
     fn shed_rate(&self, now_ms: u64) -> f64 {
--- a/crates/router/src/backend.rs
+++ b/crates/router/src/backend.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use eelgrasspier_backend::{DispatchFlag, PartFailure};
 use eelgrasspier_decide::directory::ReplicaEntry;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::model::Request;
@@ -73,6 +74,14 @@
         max_connections: u32,
     ) -> BackendFuture<()>;
 
+    /// Checks whether a replica answers a health check at `path` within a second, with any status.
+    fn check_answering(
+        &self,
+        replica: Arc<ReplicaEntry>,
+        path: PathAndQuery,
+        max_connections: u32,
+    ) -> BackendFuture<()>;
+
     /// Drops the state of replicas that are not in `ids`.
     fn retain(&self, ids: &HashSet<Arc<str>>);
 }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -100,6 +100,7 @@
     event(793, "merge_rejected"),
     event(794, "loss_unexplained"),
     event(795, "paused"),
+    event(796, "silence_checked"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/gather/send_permission.rs
+++ b/crates/router/src/gather/send_permission.rs
@@ -20,6 +20,8 @@
 /// Two crashes are sufficient proof, and one trial may be inconclusive, for example on a paused
 /// replica.
 const MAX_TRIALS: usize = 3;
+/// Maximum replicas on which a request is tried that has been paused.
+const MAX_TRIALS_AFTER_PAUSE: usize = 1;
 /// Number of replicas that have lost an unanswered request from which further sends wait.
 ///
 /// They wait for some milliseconds until it is known whether the replicas have crashed. A single
@@ -144,7 +146,9 @@
             self.trials.until_ms = now_ms + self.trial_ms();
             return Permission::Later;
         }
-        if self.trials.replicas.len() >= MAX_TRIALS {
+        let was_paused = self.router.was_paused(self.request.fingerprint());
+        let max_trials = if was_paused { MAX_TRIALS_AFTER_PAUSE } else { MAX_TRIALS };
+        if self.trials.replicas.len() >= max_trials {
             return Permission::Never;
         }
         let trial_ms = self.trial_ms();
--- a/crates/router/src/quarantine_state.rs
+++ b/crates/router/src/quarantine_state.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// True if a request has been paused and not answered since.
+    pub(crate) fn was_paused(&self, fingerprint: Fingerprint) -> bool {
+        self.quarantine_state.quarantine.borrow().was_paused(fingerprint)
+    }
+
     /// Starts an isolated trial of a request on a replica; returns false if one is in progress.
     ///
     /// Further trials of the same request wait for up to `max_ms` milliseconds.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -355,10 +355,20 @@
         let expected_ms =
             replica_stats.borrow_mut().record_sent_work(work_ms, replica.slots, sent_ms);
         let guard = InFlightGuard { stats: Rc::clone(&replica_stats), sent_ms };
+        let mut abandoned = AbandonedSend {
+            router: Rc::clone(&self),
+            request: Rc::clone(&request),
+            replica: Arc::clone(&replica),
+            sent_ms,
+            deadline_ms: sent_ms + u64::try_from(attempt.time_left.as_millis()).unwrap_or(u64::MAX),
+            is_pending: true,
+        };
         let is_cross_zone = replica.zone != self.zone;
         traffic_metrics::count(TrafficCause::Replica, is_cross_zone, attempt.request.body.len());
         let result = self.backend.send(attempt).await;
         drop(guard);
+        abandoned.is_pending = result == Err(PartFailure::TimedOut);
+        drop(abandoned);
         self.end_trial(&request, &replica);
         let took = started.elapsed();
         metrics::histogram!("eelgrasspier_part_seconds").record(took.as_secs_f64());
@@ -421,6 +431,27 @@
     pub(crate) wait_ms: f64,
 }
 
+/// Records a replica's silence when dropped, if a trial or a send at its deadline is still pending.
+struct AbandonedSend {
+    router: Rc<Router>,
+    request: Rc<Request>,
+    replica: Arc<ReplicaEntry>,
+    sent_ms: u64,
+    deadline_ms: u64,
+    is_pending: bool,
+}
+
+impl Drop for AbandonedSend {
+    fn drop(&mut self) {
+        // A trial is abandoned once it counts as inconclusive.
+        let is_trial = self.request.progress.trial_on(&self.replica.id).is_some();
+        let is_due = self.router.shared.now_ms() + DEADLINE_MARGIN_MS >= self.deadline_ms;
+        if self.is_pending && (is_due || is_trial) {
+            self.router.record_silence(&self.request, &self.replica, self.sent_ms);
+        }
+    }
+}
+
 /// Counts a request as in flight at a replica until dropped.
 pub(crate) struct InFlightGuard {
     stats: Rc<RefCell<ReplicaStats>>,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -21,6 +21,7 @@
 };
 use eelgrasspier_router::{Router, SharedState, View};
 use http::header::{AUTHORIZATION, HeaderName};
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -76,6 +77,8 @@
     pub check_delay_ms: Cell<u64>,
     /// Number of checks that have not ended.
     pub pending_checks: Cell<u32>,
+    /// True if replicas fall silent instead of crashing.
+    pub falls_silent: Cell<bool>,
     /// True if crashed replicas keep listening: only their connections are lost.
     pub keeps_listening: Cell<bool>,
 }
@@ -93,9 +96,10 @@
         self.crash_signal(replica).notify_waiters();
     }
 
-    /// Restarts all crashed replicas.
+    /// Restarts all crashed and silent replicas.
     pub fn restart_all(&self) {
         self.crashed.borrow_mut().clear();
+        self.behaviors.borrow_mut().retain(|_, b| *b != ReplicaBehavior::Silent);
     }
 
     fn crash_signal(&self, replica: &str) -> Rc<Notify> {
@@ -166,9 +170,14 @@
             let is_crashing = attempt.request.path.path().contains(CRASH_PATH);
             let crashing = async {
                 if is_crashing {
+                    attempt.dispatched.set();
                     let runs_ms = 1 + replicas.crash_delay_ms.get();
                     tokio::time::sleep(Duration::from_millis(runs_ms)).await;
-                    replicas.crash(&replica);
+                    if replicas.falls_silent.get() {
+                        replicas.set_behavior(&replica, ReplicaBehavior::Silent);
+                    } else {
+                        replicas.crash(&replica);
+                    }
                 }
                 std::future::pending::<()>().await;
             };
@@ -204,6 +213,22 @@
         })
     }
 
+    fn check_answering(
+        &self,
+        replica: Arc<ReplicaEntry>,
+        _: PathAndQuery,
+        _: u32,
+    ) -> BackendFuture<()> {
+        let behavior = self.0.behaviors.borrow().get(&*replica.id).copied();
+        Box::pin(async move {
+            if behavior == Some(ReplicaBehavior::Silent) {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                return Err(PartFailure::TimedOut);
+            }
+            Ok(())
+        })
+    }
+
     fn retain(&self, _: &HashSet<Arc<str>>) {}
 }
 
--- a/crates/router/tests/suspects.rs
+++ b/crates/router/tests/suspects.rs
@@ -243,6 +243,40 @@
     });
 }
 
+/// Guards against a request that locks up one replica after the other.
+#[test]
+fn a_request_that_silences_replicas_reaches_few_of_them() {
+    in_virtual_time(async {
+        let fixture = Fixture::new(route(SHARDS), SHARDS);
+        fixture.replicas.falls_silent.set(true);
+        for attempt in 0..9 {
+            serve(&fixture, "ends", &format!("r{attempt}")).await;
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            fixture.replicas.restart_all();
+        }
+        assert!(arrivals(&fixture) <= SHARDS + 4, "{}", arrivals(&fixture));
+    });
+}
+
+/// Guards against requests being refused for replicas that are slower than their deadlines.
+#[test]
+fn requests_to_slow_replicas_are_not_refused() {
+    in_virtual_time(async {
+        let fixture = Fixture::new(route(SHARDS), SHARDS);
+        for shard in 0..SHARDS {
+            for replica in ["a", "b"] {
+                let slow = ReplicaBehavior::AnswersAfter(2 * DEADLINE_MS);
+                fixture.replicas.set_behavior(&format!("s{shard}/{replica}"), slow);
+            }
+        }
+        for attempt in 0..9 {
+            let outcome = serve(&fixture, "slow", &format!("r{attempt}")).await;
+            assert!(!is_paused(&outcome) && !is_quarantined(&outcome), "{outcome:?}");
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+}
+
 /// Guards against innocent requests being refused while half of all sends are reset for seconds.
 #[test]
 fn requests_are_not_refused_while_half_of_the_sends_are_reset() {
