Count all losses of the window, and try requests while silent servers are probed

The last 512 losses were counted against all answers of four seconds, so that in a storm of more than 128 losses a second a lost trial weighed too much and innocent requests could be paused. Losses are counted like answers now; the list, 256 long, only says which of them don't count. And a request whose sends reached their deadlines waited, on its next attempt, for up to a second for the probes of its servers; it is tried on one of them instead.

The walks, the router's tests and those of servers that crash in seven ways pass as before.

--- a/crates/decide/src/loss_rate.rs
+++ b/crates/decide/src/loss_rate.rs
@@ -14,10 +14,10 @@
 const BUCKET_MS: u64 = 500;
 /// Number of buckets: those of the window and the current one.
 const BUCKETS: usize = (WINDOW_MS / BUCKET_MS) as usize + 1;
-/// Maximum number of servers whose answers are counted, at about 150 bytes each.
+/// Maximum number of servers whose exchanges are counted, at about 300 bytes each.
 const MAX_SERVERS: usize = 4_096;
-/// Maximum number of losses that are stored.
-const MAX_LOSSES: usize = 512;
+/// Maximum number of losses that are stored one by one.
+const MAX_LOSSES: usize = 256;
 /// Exchanges and losses that are assumed before any are seen: one in a thousand is lost.
 const PRIOR_EXCHANGES: f64 = 10.0;
 const PRIOR_LOSSES: f64 = 0.01;
@@ -69,31 +69,43 @@
     }
 }
 
+/// Numbers of answered requests and of lost sends in the window.
+#[derive(Debug, Clone, Default)]
+struct Exchanges {
+    answered: RecentCount,
+    lost: RecentCount,
+}
+
+impl Exchanges {
+    /// Returns the share of lost sends, without some that don't count.
+    fn loss_ratio(&self, excluded: usize, now_ms: u64) -> f64 {
+        let excluded = u32::try_from(excluded).unwrap_or(u32::MAX);
+        let lost = f64::from(self.lost.sum(now_ms).saturating_sub(excluded));
+        let answered = f64::from(self.answered.sum(now_ms));
+        (lost + PRIOR_LOSSES) / (lost + answered + PRIOR_EXCHANGES)
+    }
+}
+
 /// Recent answers and losses of one instance.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LossRate {
-    /// Requests that were answered.
-    answered: RecentCount,
-    /// The same by the server that answered first.
-    answered_by_server: HashMap<u64, RecentCount>,
+    all: Exchanges,
+    by_server: HashMap<u64, Exchanges>,
+    /// The latest losses, oldest first.
     losses: VecDeque<Loss>,
 }
 
 impl LossRate {
     /// Records the first answer to a request.
     pub(crate) fn record_answer(&mut self, server: u64, now_ms: u64) {
-        self.answered.add(now_ms);
-        let is_new = !self.answered_by_server.contains_key(&server);
-        if is_new && self.answered_by_server.len() >= MAX_SERVERS {
-            self.answered_by_server.retain(|_, count| count.sum(now_ms) > 0);
-        }
-        if !is_new || self.answered_by_server.len() < MAX_SERVERS {
-            self.answered_by_server.entry(server).or_default().add(now_ms);
-        }
+        self.all.answered.add(now_ms);
+        self.server(server, now_ms).answered.add(now_ms);
     }
 
     /// Records a lost send.
     pub(crate) fn record_loss(&mut self, server: u64, request: Fingerprint, now_ms: u64) {
+        self.all.lost.add(now_ms);
+        self.server(server, now_ms).lost.add(now_ms);
         let is_old = |l: &Loss| l.at_ms + WINDOW_MS < now_ms;
         while self.losses.front().is_some_and(is_old) || self.losses.len() >= MAX_LOSSES {
             self.losses.pop_front();
@@ -101,6 +113,15 @@
         self.losses.push_back(Loss { server, request, at_ms: now_ms });
     }
 
+    /// Returns the counts of a server, after removing those of idle ones if there are too many.
+    fn server(&mut self, server: u64, now_ms: u64) -> &mut Exchanges {
+        if self.by_server.len() >= MAX_SERVERS && !self.by_server.contains_key(&server) {
+            let is_busy = |e: &Exchanges| e.answered.sum(now_ms) + e.lost.sum(now_ms) > 0;
+            self.by_server.retain(|_, exchanges| is_busy(exchanges));
+        }
+        self.by_server.entry(server).or_default()
+    }
+
     /// Returns how strongly a lost send speaks against a request, in thousandths.
     ///
     /// It is the logarithm of how much likelier the loss is if the request crashes servers than if
@@ -118,24 +139,17 @@
         let is_recent = |l: &&Loss| now_ms <= l.at_ms + WINDOW_MS;
         let (own, others): (Vec<&Loss>, Vec<&Loss>) =
             self.losses.iter().filter(is_recent).partition(|l| l.request == request);
-        // The request may have caused the losses that came with its own.
-        let is_shared = |l: &&&Loss| own.iter().any(|own| own.has_same_cause(l));
-        let others = others.iter().filter(|l| !is_shared(l));
-        // Sends of one request that are lost together have one cause.
-        let mut causes: Vec<&Loss> = Vec::new();
-        for loss in others {
-            if !causes.iter().any(|c| c.request == loss.request && c.has_same_cause(loss)) {
-                causes.push(loss);
-            }
-        }
-        let at_server = causes.iter().filter(|l| l.server == server).count();
-        let by_server = self.answered_by_server.get(&server).map_or(0, |count| count.sum(now_ms));
-        let overall = loss_ratio(causes.len(), self.answered.sum(now_ms));
-        overall.max(loss_ratio(at_server, by_server))
+        let is_excluded = |(i, loss): &(usize, &&Loss)| {
+            // The request may have caused the losses that came with its own.
+            own.iter().any(|own| own.has_same_cause(loss))
+                // Sends of one request that are lost together have one cause.
+                || others[..*i].iter().any(|o| o.request == loss.request && o.has_same_cause(loss))
+        };
+        let excluded = others.iter().enumerate().filter(is_excluded).map(|(_, loss)| *loss);
+        let excluded: Vec<&Loss> = excluded.chain(own.iter().copied()).collect();
+        let at_server = excluded.iter().filter(|l| l.server == server).count();
+        let overall = self.all.loss_ratio(excluded.len(), now_ms);
+        let by_server = self.by_server.get(&server);
+        by_server.map_or(overall, |e| e.loss_ratio(at_server, now_ms).max(overall))
     }
 }
-
-fn loss_ratio(lost: usize, answered: u32) -> f64 {
-    let lost = f64::from(u32::try_from(lost).unwrap_or(u32::MAX));
-    (lost + PRIOR_LOSSES) / (lost + f64::from(answered) + PRIOR_EXCHANGES)
-}
--- a/crates/decide/src/lost_sends.rs
+++ b/crates/decide/src/lost_sends.rs
@@ -94,6 +94,8 @@
     waiting: Vec<LostSend>,
     /// True if the server has crashed, false if it is running, `None` if not known yet.
     has_crashed: Option<bool>,
+    /// True if it is being probed since it has not answered in time.
+    is_silence: bool,
 }
 
 /// Backend servers with recently lost connections.
@@ -125,13 +127,31 @@
 
     /// Records a loss and returns the state of its server.
     pub fn record_loss(&mut self, server: u64, lost: LostSend, now_ms: u64) -> ServerState {
+        self.record(server, lost, false, now_ms)
+    }
+
+    /// Records a send that reached its deadline without an answer, like [`Self::record_loss`].
+    ///
+    /// A probe of the server decides whether it was lost, which takes longer than another check.
+    pub fn record_silence(&mut self, server: u64, lost: LostSend, now_ms: u64) -> ServerState {
+        self.record(server, lost, true, now_ms)
+    }
+
+    fn record(
+        &mut self,
+        server: u64,
+        lost: LostSend,
+        is_silence: bool,
+        now_ms: u64,
+    ) -> ServerState {
         self.rate.record_loss(server, lost.request, now_ms);
         self.by_server
             .retain(|_, s| s.has_crashed.is_none() || now_ms < s.at_ms + STATE_RETENTION_MS);
         let crash_id = self.current_crash_id(server, &lost);
         let Some(server_losses) = self.by_server.get_mut(&server) else {
             let waiting = vec![lost];
-            let first = ServerLosses { at_ms: now_ms, crash_id, waiting, has_crashed: None };
+            let at_ms = now_ms;
+            let first = ServerLosses { at_ms, crash_id, waiting, has_crashed: None, is_silence };
             self.by_server.insert(server, first);
             return ServerState::Unknown;
         };
@@ -244,9 +264,21 @@
     }
 
     /// Returns the number of servers of unknown state that have lost the request.
+    ///
+    /// Those that are probed for their silence are not counted.
     #[must_use]
     pub fn pending_checks(&self, request: Fingerprint) -> usize {
-        let is_lost = |s: &&ServerLosses| s.waiting.iter().any(|l| l.request == request);
-        self.by_server.values().filter(is_lost).count()
+        self.pending(request).filter(|s| !s.is_silence).count()
+    }
+
+    /// Returns the number of servers that are probed since they have not answered the request.
+    #[must_use]
+    pub fn pending_silences(&self, request: Fingerprint) -> usize {
+        self.pending(request).filter(|s| s.is_silence).count()
+    }
+
+    fn pending(&self, request: Fingerprint) -> impl Iterator<Item = &ServerLosses> {
+        let is_lost = move |s: &&ServerLosses| s.waiting.iter().any(|l| l.request == request);
+        self.by_server.values().filter(is_lost)
     }
 }
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -58,6 +58,17 @@
     Paused(u64),
 }
 
+impl Treatment {
+    /// Returns the treatment of a request that some servers have not answered in time.
+    ///
+    /// While they are probed, a request that is sent normally is tried on one replica at a time.
+    #[must_use]
+    pub fn with_silences(self, pending_silences: usize) -> Self {
+        let is_suspect = pending_silences >= MIN_CRASHES_FOR_SUSPECT;
+        if self == Self::Normal && is_suspect { Self::OneReplicaAtATime } else { self }
+    }
+}
+
 /// State of one request as exchanged between instances.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Report {
--- a/crates/eelgrasspier/src/crash_tracker.rs
+++ b/crates/eelgrasspier/src/crash_tracker.rs
@@ -119,7 +119,7 @@
         if self.is_answered.get() {
             return self.shared.record_answered_loss(server, self.fingerprint);
         }
-        if self.add_loss(replica) != ServerState::Unknown {
+        if self.add_loss(replica, false) != ServerState::Unknown {
             return;
         }
         let shared = SharedRef::clone(&self.shared);
@@ -133,7 +133,7 @@
     ///
     /// It may be slow; the request counts as lost if the server does not answer a probe either.
     pub(crate) fn record_silence(&self, replica: &Rc<Replica>, traffic: &Rc<TrafficThread>) {
-        if self.is_answered.get() || self.add_loss(replica) != ServerState::Unknown {
+        if self.is_answered.get() || self.add_loss(replica, true) != ServerState::Unknown {
             return;
         }
         let (shared, fingerprint) = (SharedRef::clone(&self.shared), self.fingerprint);
@@ -152,7 +152,7 @@
     }
 
     /// Adds a lost send; returns the state of its server.
-    fn add_loss(&self, replica: &Replica) -> ServerState {
+    fn add_loss(&self, replica: &Replica, is_silence: bool) -> ServerState {
         let server = replica.spec.id;
         self.loss_count.set(self.loss_count.get() + 1);
         self.was_lost.set(true);
@@ -161,7 +161,7 @@
         let crash_id = if is_trial { self.trial_crash_id.get() } else { replica.crash_id() };
         let crash_id = crash_id.unwrap_or(send_id);
         let lost = LostSend { request: self.fingerprint, send_id, crash_id, is_trial };
-        self.shared.record_loss(server, lost)
+        self.shared.record_loss(server, lost, is_silence)
     }
 
     /// Waits until all crash checks for the request have finished, at most until `until`.
--- a/crates/eelgrasspier/src/quarantine.rs
+++ b/crates/eelgrasspier/src/quarantine.rs
@@ -26,7 +26,9 @@
 impl Shared {
     /// Returns the current treatment of a request.
     pub(crate) fn treatment(&self, request: Fingerprint) -> Treatment {
-        lock(&self.quarantine.requests).treatment(request, self.now_ms())
+        let pending_silences = lock(&self.quarantine.losses).pending_silences(request);
+        let treatment = lock(&self.quarantine.requests).treatment(request, self.now_ms());
+        treatment.with_silences(pending_silences)
     }
 
     /// Records that a server was the first to answer a request.
@@ -43,8 +45,16 @@
     }
 
     /// Records that a server lost an unanswered request; returns what is known about the server.
-    pub(crate) fn record_loss(&self, server: u64, lost: LostSend) -> ServerState {
-        let status = lock(&self.quarantine.losses).record_loss(server, lost, self.now_ms());
+    ///
+    /// `is_silence` is true if it has not answered in time, and the connection is still open.
+    pub(crate) fn record_loss(&self, server: u64, lost: LostSend, is_silence: bool) -> ServerState {
+        let mut losses = lock(&self.quarantine.losses);
+        let status = if is_silence {
+            losses.record_silence(server, lost, self.now_ms())
+        } else {
+            losses.record_loss(server, lost, self.now_ms())
+        };
+        drop(losses);
         if let ServerState::Crashed(ended) = status {
             self.record_crash(ended);
         }
--- a/crates/router/src/crash_detection.rs
+++ b/crates/router/src/crash_detection.rs
@@ -23,7 +23,7 @@
             let mut lost_sends = self.lost_sends.borrow_mut();
             return lost_sends.record_answered_loss(replica_hash, request.fingerprint(), now_ms);
         }
-        if self.add_loss(request, replica) {
+        if self.add_loss(request, replica, false) {
             let (router, replica) = (Rc::clone(self), Arc::clone(replica));
             actix_rt::spawn(async move { router.probe_lost_replica(&replica).await });
         }
@@ -39,7 +39,10 @@
         sent_ms: u64,
     ) {
         let is_silent = self.stats(&replica.id).borrow().is_silent_since(sent_ms);
-        if !is_silent || request.progress.is_answered.get() || !self.add_loss(request, replica) {
+        if !is_silent
+            || request.progress.is_answered.get()
+            || !self.add_loss(request, replica, true)
+        {
             return;
         }
         let (router, replica) = (Rc::clone(self), Arc::clone(replica));
@@ -51,7 +54,7 @@
     }
 
     /// Adds a lost send of an unanswered request; returns true if its replica must be checked.
-    fn add_loss(&self, request: &Request, replica: &ReplicaEntry) -> bool {
+    fn add_loss(&self, request: &Request, replica: &ReplicaEntry, is_silence: bool) -> bool {
         request.progress.was_lost.set(true);
         let send_id = relays::replica_hash(&format!("{} {}", request.id_text(), replica.id));
         let trial = request.progress.trial_on(&replica.id);
@@ -63,7 +66,11 @@
             is_trial: trial.is_some(),
         };
         let (replica_hash, now_ms) = (rendezvous::hash(&replica.id), self.shared.now_ms());
-        let known = self.lost_sends.borrow_mut().record_loss(replica_hash, lost, now_ms);
+        let known = if is_silence {
+            self.lost_sends.borrow_mut().record_silence(replica_hash, lost, now_ms)
+        } else {
+            self.lost_sends.borrow_mut().record_loss(replica_hash, lost, now_ms)
+        };
         if let ServerState::Crashed(crashed) = known {
             self.record_crash(crashed);
         }
--- a/crates/router/src/gather/send_permission.rs
+++ b/crates/router/src/gather/send_permission.rs
@@ -18,10 +18,9 @@
 /// Maximum replicas on which one request is tried in isolation.
 ///
 /// Two crashes are sufficient proof, and one trial may be inconclusive, for example on a paused
-/// replica.
+/// replica. A request that has been paused, or whose silent replicas are being checked, is tried on
+/// one only.
 const MAX_TRIALS: usize = 3;
-/// Maximum replicas on which a request is tried that has been paused.
-const MAX_TRIALS_AFTER_PAUSE: usize = 1;
 /// Number of replicas that have lost an unanswered request from which further sends wait.
 ///
 /// They wait for some milliseconds until it is known whether the replicas have crashed. A single
@@ -146,9 +145,7 @@
             self.trials.until_ms = now_ms + self.trial_ms();
             return Permission::Later;
         }
-        let was_paused = self.router.was_paused(self.request.fingerprint());
-        let max_trials = if was_paused { MAX_TRIALS_AFTER_PAUSE } else { MAX_TRIALS };
-        if self.trials.replicas.len() >= max_trials {
+        if self.trials.replicas.len() >= self.max_trials() {
             return Permission::Never;
         }
         let trial_ms = self.trial_ms();
@@ -160,6 +157,12 @@
         Permission::Now
     }
 
+    fn max_trials(&self) -> usize {
+        let fingerprint = self.request.fingerprint();
+        let has_silences = self.router.lost_sends.borrow().pending_silences(fingerprint) > 0;
+        if has_silences || self.router.was_paused(fingerprint) { 1 } else { MAX_TRIALS }
+    }
+
     /// Returns the time after which a trial is inconclusive, in milliseconds.
     ///
     /// A replica that has just started is slow to crash as well, and a trial that is abandoned
--- a/crates/router/src/quarantine_state.rs
+++ b/crates/router/src/quarantine_state.rs
@@ -41,7 +41,9 @@
 impl Router {
     /// Returns how a request is treated.
     pub(crate) fn treatment(&self, fingerprint: Fingerprint) -> Treatment {
-        self.quarantine_state.quarantine.borrow().treatment(fingerprint, self.shared.now_ms())
+        let pending_silences = self.lost_sends.borrow().pending_silences(fingerprint);
+        let quarantine = self.quarantine_state.quarantine.borrow();
+        quarantine.treatment(fingerprint, self.shared.now_ms()).with_silences(pending_silences)
     }
 
     /// Returns the findings on a request, to be sent along with it to another instance.
