--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -16,8 +16,8 @@
 pub(super) const MIN_CRASHES_IN_ISOLATION: usize = 2;
 /// Weight of lost trials from which a request is paused, in thousandths.
 ///
-/// The natural logarithm of a million: of a million innocent requests whose trials are all lost,
-/// one is paused. Two trials that are lost while other requests lose nothing are enough.
+/// The natural logarithm of a million: an innocent request reaches it with a probability of one in
+/// a million. Two trials that are lost while other requests lose nothing are enough.
 pub(super) const PAUSE_WEIGHT_MILLI: u32 = 2 * MAX_WEIGHT_MILLI;
 /// Further weight from which a pause that has ended is followed by a longer one, in thousandths.
 const LONGER_PAUSE_WEIGHT_MILLI: u32 = MAX_WEIGHT_MILLI / 2;
@@ -195,7 +195,7 @@
             let longest = PAUSES_MS.len() - 1;
             let index = usize::try_from(self.pauses).map_or(longest, |n| n.min(longest));
             self.paused_until_ms = now_ms + PAUSES_MS[index];
-            self.pauses += 1;
+            self.pauses = self.pauses.saturating_add(1);
         }
     }
 
@@ -273,7 +273,7 @@
         is_new || is_new_isolated
     }
 
-    /// Adds an unexplained loss that ended an isolated trial; returns true if it is new.
+    /// Adds an unexplained loss that ended an isolated trial; returns true if it is new and kept.
     fn add_isolated_loss(&mut self, crash_id: u32, weight_milli: u32) -> bool {
         let is_new = self.lost_alone.iter().all(|l| l.crash_id != crash_id);
         if is_new {
@@ -285,7 +285,7 @@
                 self.lost_alone.pop();
             }
         }
-        is_new
+        is_new && self.lost_alone.iter().any(|l| l.crash_id == crash_id)
     }
 
     /// Clears the request, which a replica has answered; returns true if it was not cleared before.
