Refuse an answer without an id on a connection that was used before

What a caller could see: a wrong answer given as right. An answer that names no request was taken for that to the present one. It may be a second answer to an earlier request; the answer to the present request then comes next, and is given to the next request if it names none either.

An answer without an id is now accepted only as the first on its connection, where nothing else can be meant, and the connection is closed. So replicas that never name a request are served too, over a connection for each. Elsewhere it counts as unusable: the request may have run. A counter tells both mismatches.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -64,7 +64,8 @@
     pub tag: Option<u64>,
     /// Header in which the server names the request that it answers, and its value for this one.
     ///
-    /// An answer without the header is accepted.
+    /// An answer without the header is accepted only as the first on its connection, which is then
+    /// closed: a later one may be a second answer to an earlier request.
     pub answer_id: Option<(HeaderName, HeaderValue)>,
     /// Set once the request is handed to a connection.
     pub dispatched: DispatchFlag,
@@ -129,6 +130,8 @@
     idle_timeout: Duration,
     /// Tags of the last requests, at most [`MAX_TAGS`].
     tags: VecDeque<u64>,
+    /// True if an answer was read from it.
+    is_used: bool,
 }
 
 impl Drop for Connection {
@@ -334,6 +337,7 @@
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             tags: VecDeque::new(),
+            is_used: false,
         })
     }
 }
@@ -370,29 +374,48 @@
 
 async fn read_answer(
     pool: Rc<ServerPool>,
-    connection: Connection,
+    mut connection: Connection,
     answer: Response<Incoming>,
     AnswerLimits { keep_alive, max_bytes, answer_id }: AnswerLimits,
 ) -> Result<RawAnswer, PartFailure> {
     let (head, body) = answer.into_parts();
-    // The answer to this request is still to come, so the connection must not be used again.
-    if let Some((name, id)) = &answer_id
-        && head.headers.get(name).is_some_and(|found| found != id)
-    {
-        return Err(PartFailure::Unusable("the answer belongs to another request".to_owned()));
-    }
+    let is_first = !std::mem::replace(&mut connection.is_used, true);
+    // On a mismatch the connection is closed: the answer to this request is still to come on it.
+    let names_request = match &answer_id {
+        Some((name, id)) => check_answer_id(head.headers.get(name), id, is_first)?,
+        None => true,
+    };
     let body = Limited::new(body, max_bytes).collect().await.map_err(|error| match error
         .downcast_ref::<LengthLimitError>(
     ) {
         Some(_) => PartFailure::TooLarge(max_bytes),
         None => PartFailure::Lost(error.to_string()),
     })?;
-    if keep_alive && !has_close_token(&head.headers) {
+    if keep_alive && names_request && !has_close_token(&head.headers) {
         release(pool, connection, stated_idle_timeout(&head.headers));
     }
     Ok(RawAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
 }
 
+/// Checks the id in an answer; returns false if there is none.
+///
+/// # Errors
+/// Fails if the answer is to another request, or may be since it is not the first.
+fn check_answer_id(
+    found: Option<&HeaderValue>,
+    expected: &HeaderValue,
+    is_first: bool,
+) -> Result<bool, PartFailure> {
+    let (label, cause) = match found {
+        Some(found) if found == expected => return Ok(true),
+        Some(_) => ("other", "the answer belongs to another request"),
+        None if is_first => return Ok(false),
+        None => ("none", "the answer names no request and may belong to an earlier one"),
+    };
+    metrics::counter!("eelgrasspier_answers_mismatched_total", "id" => label).increment(1);
+    Err(PartFailure::Unusable(cause.to_owned()))
+}
+
 /// Returns a connection to the pool once it is ready for the next request.
 fn release(pool: Rc<ServerPool>, mut connection: Connection, idle_timeout: Option<Duration>) {
     connection.idle_timeout = idle_timeout.unwrap_or(connection.idle_timeout);
