Keep a request off its connection until its deadline

What a caller could see: a wrong answer given as right, if a replica's second answer to a request comes after 64 others on the connection, and the request is sent there again.

The pool forgot the tag of a request after 64 further ones on its connection. A tag is now kept until the request's deadline, since an answer to a later send reaches no caller. A connection with 512 requests within their deadlines is closed, so that the memory stays bounded. Expired tags are removed each 64.

Tests: a second send after 1, 63, 64 and 600 others uses another connection (fails on the code before after 64); a connection with 1,200 requests, most of them expired, is kept.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -7,7 +7,7 @@
 //! connection that showed any irregularity is never reused.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,8 +33,12 @@
 /// Maximum idle time of a connection reused for a non-repeatable request, to reduce the risk of
 /// losing the request while the server closes the connection.
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(1500);
-/// Maximum number of tags stored for each connection.
-const MAX_TAGS: usize = 64;
+/// Maximum number of tags stored for each connection, which is closed when it is reached.
+///
+/// It is reached by 760 requests a second on one connection, each with a deadline of 0.7 s.
+const MAX_TAGS: usize = 512;
+/// Number of stored tags after which those of expired requests are removed.
+const TAGS_PER_SWEEP: usize = 64;
 /// Maximum number of idle connections that are tried before a new one is opened.
 const MAX_REUSE_ATTEMPTS: usize = 4;
 
@@ -128,8 +132,10 @@
     open_count: Rc<Cell<u32>>,
     idle_since: Instant,
     idle_timeout: Duration,
-    /// Tags of the last requests, at most [`MAX_TAGS`].
-    tags: VecDeque<u64>,
+    /// Tags of the requests sent on it, at most [`MAX_TAGS`], each with the request's deadline.
+    ///
+    /// The answer to a send after the deadline reaches no caller.
+    tags: HashMap<u64, Option<Instant>, foldhash::fast::RandomState>,
     /// True if an answer was read from it.
     is_used: bool,
 }
@@ -142,11 +148,23 @@
 }
 
 impl Connection {
-    fn add_tag(&mut self, tag: Option<u64>) {
-        if self.tags.len() >= MAX_TAGS {
-            self.tags.pop_front();
+    fn add_tag(&mut self, tag: Option<u64>, time_left: Duration) {
+        let deadline = Instant::now().checked_add(time_left);
+        self.tags.extend(tag.map(|tag| (tag, deadline)));
+    }
+
+    /// True if the request with this tag was not sent on the connection before.
+    fn accepts(&self, tag: Option<u64>) -> bool {
+        tag.is_none_or(|tag| !self.tags.contains_key(&tag))
+    }
+
+    /// Removes tags of expired requests from time to time; returns false if no other one fits.
+    fn make_room_for_tag(&mut self) -> bool {
+        if self.tags.len().is_multiple_of(TAGS_PER_SWEEP) {
+            let now = Instant::now();
+            self.tags.retain(|_, deadline| deadline.is_none_or(|at| at > now));
         }
-        self.tags.extend(tag);
+        self.tags.len() < MAX_TAGS
     }
 
     fn is_usable(&self, is_repeatable: bool) -> bool {
@@ -190,6 +208,7 @@
         for _ in 0..MAX_REUSE_ATTEMPTS {
             let idle = pool.take_idle(exchange.is_repeatable, exchange.tag);
             let Some(mut connection) = idle else { break };
+            connection.add_tag(exchange.tag, exchange.time_left);
             exchange.dispatched.set();
             match connection.sender.try_send_request(request).await {
                 Ok(answer) => return read_answer(pool, connection, answer, limits).await,
@@ -204,7 +223,7 @@
             }
         }
         let mut connection = pool.connect(exchange.addr, exchange.max_connections).await?;
-        connection.add_tag(exchange.tag);
+        connection.add_tag(exchange.tag, exchange.time_left);
         exchange.dispatched.set();
         match connection.sender.try_send_request(request).await {
             Ok(answer) => read_answer(pool, connection, answer, limits).await,
@@ -291,17 +310,12 @@
 impl ServerPool {
     /// Takes the most recently used idle connection, so that the others can time out.
     ///
-    /// None of the last requests on it may have the same tag.
+    /// The request with this tag was not sent on it before.
     fn take_idle(&self, is_repeatable: bool, tag: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|c| c.is_usable(true));
-        let newest = idle.iter().rposition(|c| tag.is_none_or(|tag| !c.tags.contains(&tag)))?;
-        if !idle[newest].is_usable(is_repeatable) {
-            return None;
-        }
-        let mut connection = idle.remove(newest);
-        connection.add_tag(tag);
-        Some(connection)
+        idle.retain_mut(|c| c.is_usable(true) && c.make_room_for_tag());
+        let newest = idle.iter().rposition(|c| c.accepts(tag))?;
+        idle[newest].is_usable(is_repeatable).then(|| idle.remove(newest))
     }
 
     async fn connect(
@@ -336,7 +350,7 @@
             open_count: slot.commit(),
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            tags: VecDeque::new(),
+            tags: HashMap::default(),
             is_used: false,
         })
     }
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -1,6 +1,7 @@
 //! Tests of the connection pool: complete answers, lost answers and requests that were never sent.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -328,3 +329,65 @@
         assert_eq!(&exchange(&pool, request).await.unwrap().body[..], b"right");
     }
 }
+
+/// Starts a server that answers each request with the number of its connection.
+async fn counting_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        for number in 100_u16.. {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            actix_rt::spawn(async move {
+                while read_request(&mut stream).await {
+                    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{number}");
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Sends a request; returns the number of its connection once that is idle again.
+async fn send_tagged(
+    pool: &ConnectionPool,
+    addr: SocketAddr,
+    tag: u64,
+    time_left: Duration,
+) -> Bytes {
+    let request = ExchangeRequest { tag: Some(tag), time_left, ..exchange_request(addr) };
+    let answer = pool.exchange(request).await.unwrap();
+    while !pool.has_capacity("i-1", 1) {
+        tokio::task::yield_now().await;
+    }
+    answer.body
+}
+
+/// Guards against a second send of a request on the connection of the first, after many others.
+#[actix_rt::test]
+async fn a_request_is_not_sent_on_its_connection_again_after_many_others() {
+    let addr = counting_server().await;
+    for others in [1, 63, 64, 600] {
+        let (pool, time_left) = (ConnectionPool::default(), Duration::from_mins(1));
+        let first = send_tagged(&pool, addr, 0, time_left).await;
+        for tag in 1..=others {
+            send_tagged(&pool, addr, tag, time_left).await;
+        }
+        assert_ne!(send_tagged(&pool, addr, 0, time_left).await, first, "after {others}");
+    }
+}
+
+/// Guards against connections being closed because of requests whose deadline has passed.
+#[actix_rt::test]
+async fn a_connection_is_kept_after_many_expired_requests() {
+    let addr = counting_server().await;
+    let (pool, time_left) = (ConnectionPool::default(), Duration::from_secs(2));
+    let mut connections = HashSet::new();
+    for tag in 0..1_200 {
+        if tag > 0 && tag % 400 == 0 {
+            tokio::time::sleep(time_left).await;
+        }
+        connections.insert(send_tagged(&pool, addr, tag, time_left).await);
+    }
+    assert_eq!(connections.len(), 1);
+}
