Check a silent replica over a connection of its own

What a caller could see: a request told as not run while it runs, so that it is sent again; or a crashed replica taken for a slow one. The check of a replica that has not answered in time went out over a pooled connection, and took whatever answer came next. If that was a second answer to an earlier request, the check's own answer, such as 503 of a full replica, came next on the connection, and was taken for that to the next request.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -71,6 +71,8 @@
     /// An answer without the header is accepted only as the first on its connection, which is then
     /// closed: a later one may be a second answer to an earlier request.
     pub answer_id: Option<(HeaderName, HeaderValue)>,
+    /// True if the request must be the first on its connection.
+    pub needs_new_connection: bool,
     /// Set once the request is handed to a connection.
     pub dispatched: DispatchFlag,
 }
@@ -205,7 +207,8 @@
             answer_id: exchange.answer_id,
         };
         let mut request = exchange.request;
-        for _ in 0..MAX_REUSE_ATTEMPTS {
+        let reuse_attempts = if exchange.needs_new_connection { 0 } else { MAX_REUSE_ATTEMPTS };
+        for _ in 0..reuse_attempts {
             let idle = pool.take_idle(exchange.is_repeatable, exchange.tag);
             let Some(mut connection) = idle else { break };
             connection.add_tag(exchange.tag, exchange.time_left);
--- a/crates/backend/tests/pool.rs
+++ b/crates/backend/tests/pool.rs
@@ -73,6 +73,7 @@
         max_bytes: 1 << 16,
         tag: None,
         answer_id: None,
+        needs_new_connection: false,
         keep_alive: true,
         dispatched: DispatchFlag::default(),
     }
@@ -194,6 +195,7 @@
         max_bytes: 1 << 16,
         tag: None,
         answer_id: None,
+        needs_new_connection: false,
         keep_alive: true,
         dispatched: dispatched.clone(),
     };
--- a/crates/backend/tests/second_answers.rs
+++ b/crates/backend/tests/second_answers.rs
@@ -110,6 +110,7 @@
         max_bytes: 1 << 16,
         tag: Some(id.into()),
         answer_id: Some((ID, id.into())),
+        needs_new_connection: false,
         keep_alive: true,
         dispatched: DispatchFlag::default(),
     }
