Refuse a second answer in the own daemon's client too

What a caller of the own daemon could see: a wrong answer given as right, if a backend server answers a query a second time where the next answer is expected. The client checked no ids, and the servers named none.

A server may now name the query in its answer by `request-id`. An answer that names another query, also one to a probe or a cancellation, is not used, and its connection is closed with the unread body. Answers without the header are accepted as before: against servers that answer twice and name nothing the client stays without protection. The stand-in servers name the query.

Test: a server whose first connection is one answer behind; the code before returns the first query's answer to the second one.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -7,6 +7,7 @@
 
 use awc::error::PayloadError;
 use awc::http::StatusCode;
+use awc::http::header::{HeaderMap, HeaderValue};
 use awc::{Client, ClientRequest, Connector};
 use bytes::Bytes;
 use eelgrasspier_decide::prelude::{IndexVersion, ShardId};
@@ -143,6 +144,7 @@
         let request = self.request(part);
         let sent = request.send_body(part.body.clone()).await;
         let mut answer = sent.map_err(|e| PartFailure::from(&e))?;
+        check_request_id(answer.headers(), Some(&part.id))?;
         let report = ServerReport::from(answer.headers());
         check_status(answer.status(), &report)?;
         let version = header_number(answer.headers(), &headers::VERSION);
@@ -155,6 +157,18 @@
     }
 }
 
+/// Checks that an answer does not name another request than `id`.
+///
+/// A server may answer a request a second time, where the next answer is expected. The connection is
+/// then closed, since the body is not read.
+fn check_request_id(answer_headers: &HeaderMap, id: Option<&str>) -> Result<(), PartFailure> {
+    let found = answer_headers.get(&headers::REQUEST_ID).map(HeaderValue::as_bytes);
+    if found.is_some() && found != id.map(str::as_bytes) {
+        return Err(PartFailure::Unusable("the answer belongs to another request".to_owned()));
+    }
+    Ok(())
+}
+
 fn check_status(status: StatusCode, report: &ServerReport) -> Result<(), PartFailure> {
     match status {
         StatusCode::OK => Ok(()),
@@ -184,6 +198,7 @@
 /// reported state.
 async fn fetch_report(request: ClientRequest) -> Result<ServerReport, PartFailure> {
     let mut answer = request.send().await.map_err(|e| PartFailure::from(&e))?;
+    check_request_id(answer.headers(), None)?;
     let report = ServerReport::from(answer.headers());
     check_status(answer.status(), &report)?;
     let drained = answer.body().await;
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -3,8 +3,9 @@
 //! Queries are sent as `POST /query` and runs as `POST /run`. The request headers carry the
 //! service, shard, index version, remaining time and request id. The response headers carry the
 //! index version used, the server's load, its draining state, its start time and the versions it
-//! holds. `DELETE /requests/{id}` cancels a request. Status 503 means that the server shed the
-//! request without running it; 409 means that it does not hold the requested version.
+//! holds, and may carry the request id; an answer with another id is not used.
+//! `DELETE /requests/{id}` cancels a request. Status 503 means that the server shed the request
+//! without running it; 409 means that it does not hold the requested version.
 
 mod connect;
 mod exchange;
--- a/crates/backend/tests/http_client.rs
+++ b/crates/backend/tests/http_client.rs
@@ -137,3 +137,35 @@
     }
     server.await.unwrap();
 }
+
+/// Guards against a wrong answer given as right: a server's second answer to a query, taken for that
+/// to the next one.
+#[actix_rt::test]
+async fn a_second_answer_is_not_taken_for_that_to_the_next_query() {
+    let answer = |id: &str, body: &str| {
+        format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\ncontent-length: 5\r\n\r\n{body}")
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        // The first connection is one answer behind; the second one is not.
+        for answers in [["q1", "q1", "q2"], ["q3", "q3", "q3"]] {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            actix_rt::spawn(async move {
+                for id in answers {
+                    read_request(&mut stream).await;
+                    stream.write_all(answer(id, "right").as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    let client = HttpBackendClient::new(Duration::from_secs(1));
+    let query = async |id: &str| {
+        let query = request(addr, RequestKind::Query, Duration::from_secs(5));
+        client.exchange(PartRequest { id: id.to_owned(), ..query }).await
+    };
+    query("q1").await.unwrap();
+    let failure = query("q2").await.unwrap_err();
+    assert!(matches!(failure, PartFailure::Unusable(_)), "{failure:?}");
+    query("q3").await.unwrap();
+}
--- a/crates/standin/src/backends/handlers.rs
+++ b/crates/standin/src/backends/handlers.rs
@@ -56,13 +56,19 @@
         return HttpResponse::NotFound().finish();
     };
     apply_connection_faults(&request, &replica).await;
+    let id = header_text(&request, "request-id");
+    let respond = |status| {
+        let mut response = replica.response_builder(status);
+        response.insert_header(("request-id", id.as_str()));
+        response
+    };
     let version = header_u64(&request, "index-version").unwrap_or_default();
     let faults = lock(&replica.faults).clone();
     if !faults.versions.iter().any(|(held_version, _)| *held_version == version) {
-        return replica.response_builder(409).finish();
+        return respond(409).finish();
     }
     if shed_if_overloaded(&replica) {
-        return replica.response_builder(503).finish();
+        return respond(503).finish();
     }
     let _load_guard = LoadGuard::new(&replica);
     {
@@ -70,7 +76,6 @@
         counters.parts += 1;
         counters.after_drain += u64::from(faults.is_draining);
     }
-    let id = header_text(&request, "request-id");
     let cancelled = Arc::new(Notify::new());
     lock(&replica.in_progress).insert(id.clone(), Arc::clone(&cancelled));
     let time_left = Duration::from_millis(header_u64(&request, "time-left-ms").unwrap_or(0));
@@ -78,7 +83,7 @@
     lock(&replica.in_progress).remove(&id);
     if !is_done {
         lock(&replica.counters).cancelled += 1;
-        return replica.response_builder(504).finish();
+        return respond(504).finish();
     }
     let answer = serde_json::json!({
         "service": header_text(&request, "query-service"),
@@ -86,7 +91,7 @@
         "version": version,
         "echo": String::from_utf8_lossy(&body),
     });
-    replica.response_builder(200).insert_header(("index-version", version)).json(answer)
+    respond(200).insert_header(("index-version", version)).json(answer)
 }
 
 pub(super) async fn run(request: HttpRequest, replicas: Data<Replicas>) -> HttpResponse {
