Word the doc comments of tags and ids plainly

Read as a newcomer: the bound of tags gave a rate in place of a reason, and the error of an answer's id left out what it lacks. Comments only.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -34,8 +34,6 @@
 /// losing the request while the server closes the connection.
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(1500);
 /// Maximum number of tags stored for each connection, which is closed when it is reached.
-///
-/// It is reached by 760 requests a second on one connection, each with a deadline of 0.7 s.
 const MAX_TAGS: usize = 512;
 /// Number of stored tags after which those of expired requests are removed.
 const TAGS_PER_SWEEP: usize = 64;
@@ -134,9 +132,9 @@
     open_count: Rc<Cell<u32>>,
     idle_since: Instant,
     idle_timeout: Duration,
-    /// Tags of the requests sent on it, at most [`MAX_TAGS`], each with the request's deadline.
+    /// Deadlines of the requests sent on it by tag, at most [`MAX_TAGS`]; `None` if it never passes.
     ///
-    /// The answer to a send after the deadline reaches no caller.
+    /// A tag may be removed after the deadline: the answer to a later send reaches no caller.
     tags: HashMap<u64, Option<Instant>, foldhash::fast::RandomState>,
     /// True if an answer was read from it.
     is_used: bool,
@@ -417,7 +415,7 @@
 /// Checks the id in an answer; returns false if there is none.
 ///
 /// # Errors
-/// Fails if the answer is to another request, or may be since it is not the first.
+/// Fails if the answer names another request, or none and is not the first on its connection.
 fn check_answer_id(
     found: Option<&HeaderValue>,
     expected: &HeaderValue,
