Add a review case: a moved store is not followed

Cause: the address of the store is read at the start only. A reload drops it and does not log that a restart is needed.

Case: the settings name another address of the store, four of six machines get SIGHUP, and the old address closes ten seconds later. A route is then moved to another service.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod lost_watchers;
 mod machines;
+mod moved_store;
 mod record;
 mod replicas;
 mod store;
@@ -25,6 +26,7 @@
     let (folder, temporary) = (PathBuf::from(folder), PathBuf::from(temporary));
     let result = match case.as_str() {
         "lost-watchers" => lost_watchers::run(&folder, &temporary, has_trouble),
+        "moved-store" => moved_store::run(&folder, &temporary, has_trouble),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
     match result {
