--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -20,15 +20,31 @@
 /// Time from the start of the machines to that of traffic.
 const LEAD: Duration = Duration::from_secs(10);
 
+/// Running machines, whose processes are killed on drop.
+///
+/// Other threads hold the machines too, and may outlive the case.
+#[derive(Debug)]
+pub struct Fleet(Arc<Vec<Machine>>);
+
+impl std::ops::Deref for Fleet {
+    type Target = Arc<Vec<Machine>>;
+
+    fn deref(&self) -> &Self::Target {
+        &self.0
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.0.iter().for_each(Machine::kill);
+    }
+}
+
 /// Starts the machines and waits until traffic may begin.
 ///
 /// # Errors
 /// Fails if a machine does not start or is not ready by then.
-pub fn start(
-    store: &Arc<Store>,
-    temporary: &Path,
-    stop: &Arc<AtomicBool>,
-) -> io::Result<Arc<Vec<Machine>>> {
+pub fn start(store: &Arc<Store>, temporary: &Path, stop: &Arc<AtomicBool>) -> io::Result<Fleet> {
     let bounds = json!({
         "seed_lag_s": 3, "reuse_after_s": 2, "stability_window_ms": 4000, "ack_timeout_ms": 5000,
         "sync_s": 4, "drain_timeout_ms": 3000, "grace_period_s": 6, "loss_slack_ms": 200,
@@ -37,6 +53,7 @@
     });
     let listen = |index| store.listen(index);
     let machines = Arc::new(machines::prepare(&MACHINE_ZONES, &bounds, temporary, listen)?);
+    let fleet = Fleet(Arc::clone(&machines));
     machines.iter().try_for_each(Machine::start)?;
     start_balancer(&machines, stop);
     thread::sleep(LEAD);
@@ -44,7 +61,7 @@
     if !machines.iter().all(Machine::is_in_rotation) {
         return Err(io::Error::other("not all machines are ready after 10 s"));
     }
-    Ok(machines)
+    Ok(fleet)
 }
 
 /// Sleeps until a time.
--- a/review/standins/src/machines.rs
+++ b/review/standins/src/machines.rs
@@ -179,9 +179,3 @@
         Ok(connection.read()?.is_some_and(|answer| answer.status() == 200))
     }
 }
-
-impl Drop for Machine {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
