Log when an instance starts or stops watching the store

The lines told who is suspected and dead, but not who watches the store, so that a late change could have been a lost watcher, a late pull or a watch that hangs. E797 watch_role tells it with the number of live and suspected instances and of those that the store does not answer.

A replica whose draining was acknowledged at 19.01 s is dropped at 22.69 s, and got requests until then.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -258,7 +258,7 @@
             }
             self.membership.borrow_mut().update_own(|m| m.is_store_reached = true);
             self.send_own_record();
-            self.roles_changed.notify_waiters();
+            self.update_roles();
         }
     }
 
@@ -270,7 +270,7 @@
                 m.is_watching_store = false;
             });
             self.send_own_record();
-            self.roles_changed.notify_waiters();
+            self.update_roles();
         }
     }
 }
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -113,7 +113,7 @@
         // no other instance stepped in before its next poll, and a change was in force 5 s late.
         let epoch = self.membership.borrow().change_count();
         if self.roles_epoch.replace(epoch) != epoch {
-            self.roles_changed.notify_waiters();
+            self.update_roles();
         }
         self.detect_peer_outage();
         if self.membership.borrow().own().is_watching_store && !self.is_watcher() {
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -118,6 +118,8 @@
     behind_since_ms: RefCell<HashMap<CollectionKind, u64>>,
     /// Membership epoch at which roles were last evaluated.
     roles_epoch: Cell<u64>,
+    /// True if this instance was a watcher when roles were last evaluated.
+    was_watcher: Cell<bool>,
     /// Listed instances that are not alive.
     stale_entries: RefCell<StaleEntries>,
     /// Fleet size according to the store's entries; `None` until they have been read.
@@ -178,6 +180,7 @@
             announced_ms: Cell::new(0),
             behind_since_ms: RefCell::default(),
             roles_epoch: Cell::new(0),
+            was_watcher: Cell::new(false),
             stale_entries: RefCell::default(),
             listed_fleet_size: Cell::new(None),
             pulls: RefCell::default(),
--- a/crates/router/src/control/roles.rs
+++ b/crates/router/src/control/roles.rs
@@ -42,6 +42,24 @@
         self.has_role(watchers::is_watcher)
     }
 
+    /// Wakes the tasks that depend on roles, and logs if this instance starts or stops watching.
+    pub(super) fn update_roles(&self) {
+        let is_watcher = self.is_watcher();
+        if self.was_watcher.replace(is_watcher) != is_watcher {
+            let membership = self.membership.borrow();
+            let count = |is_counted: fn(&&Member) -> bool| {
+                membership.live_peers().filter(is_counted).count()
+            };
+            log::info!(
+                "event=watch_role watching={is_watcher} live={} suspected={} without_store={}",
+                membership.live_count(),
+                count(|m| m.liveness() == Liveness::Suspect),
+                count(|m| !m.is_store_reached)
+            );
+        }
+        self.roles_changed.notify_waiters();
+    }
+
     /// True if this instance is one of the few that probe for the end of a store outage.
     pub(super) fn is_outage_prober(&self) -> bool {
         self.has_role(watchers::is_outage_prober)
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -101,6 +101,7 @@
     event(794, "loss_unexplained"),
     event(795, "paused"),
     event(796, "silence_checked"),
+    event(797, "watch_role"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
