Replace watchers that don't respond before they are declared dead

Cause: three instances watch the store for all. Another one took their place only once they had been declared dead, 0.5 s after a probe and 3 s of suspicion, so 3.5 s in a small fleet and 5.0 s in one of 300, where seconds pass before a lost instance is probed at all. If all three are lost together, nobody follows the store so long; polls are 4 to 6 s apart and may be stale.

Change: the nine instances that rank after the watchers check those above them every 300 ms. One that has not answered three checks, is suspected or is leaving doesn't count as a watcher, so the next ones watch after 0.9 to 1.2 s. A process answers once it is able to watch, 1.3 s after its start; until then the others go on. A failed check changes nothing else: nobody is suspected or declared dead for it. A leaving watcher hands over if there are three others.

Tests: the three scenarios of promises.rs with real processes fail on the code before with all remaining instances on the old version after 3 s (killed, frozen, and stopped as planned), and pass now. lost_watchers.rs in virtual time: with roles as before 3,500 ms (3 of 4 lost) and 5,000 ms (of 300); with suspicion alone, without checks, 2,500 and 3,050 ms; at most 2,000 ms with both.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -103,6 +103,13 @@
         rendezvous::hash(&self.name)
     }
 
+    /// Returns true if it may hold roles: it is neither suspected nor about to leave.
+    #[must_use]
+    pub fn may_hold_roles(&self) -> bool {
+        self.liveness() == Liveness::Alive
+            && matches!(self.state(), InstanceState::Starting | InstanceState::Ready)
+    }
+
     /// Returns the precedence among records of the same instance; the highest one wins.
     pub(crate) fn rank(&self) -> (u64, u64, i32) {
         (self.incarnation, self.revision, self.liveness)
@@ -170,6 +177,10 @@
     ProbeFor = 2,
     /// Carries records only.
     Records = 3,
+    /// Asks whether the receiver is able to watch the store; carries nothing else.
+    WatcherCheck = 4,
+    /// Answers that it is.
+    AbleToWatch = 5,
 }
 
 /// An instance as listed by the platform.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -51,4 +51,5 @@
 pub mod token_bucket;
 pub mod verdict;
 pub mod wait_policy;
+pub mod watcher_health;
 pub mod watchers;
--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -228,7 +228,7 @@
             Purpose::Probe => self.on_probe(from, datagram),
             Purpose::Answer => self.on_answer(from, datagram),
             Purpose::ProbeFor => self.start_indirect_probe(now_ms, from, datagram),
-            Purpose::Records => Vec::new(),
+            Purpose::Records | Purpose::WatcherCheck | Purpose::AbleToWatch => Vec::new(),
         };
         self.charge(&sends);
         sends
--- a/crates/decide/src/watchers.rs
+++ b/crates/decide/src/watchers.rs
@@ -5,14 +5,16 @@
 //! rendezvous hashing; their number is independent of the number of instances and zones. In each
 //! zone without a watcher, one instance, the fetcher, gets changes from another zone at once and
 //! passes them on within its zone, so that changes cross zones only once. If the store refuses a
-//! watcher, the next instance takes over as soon as the record of the first one states that.
+//! watcher, the next instance takes over as soon as the record of the first one states that. If a
+//! watcher does not respond or is about to leave, the next one takes over before the first one is
+//! declared dead; see [`crate::watcher_health`].
 
 use crate::rendezvous;
 
 /// Number of watchers.
 ///
 /// Two may fail at once, such as one that has just died and one whose connection is stalled.
-const WATCHER_COUNT: usize = 3;
+pub const WATCHER_COUNT: usize = 3;
 /// Maximum number of substitutes for watchers that the store refuses.
 ///
 /// Without a limit, an outage affected the whole fleet: each substitute was refused as well and
@@ -33,22 +35,43 @@
     pub zone: u64,
     /// True if the store answers its requests.
     pub is_store_reached: bool,
+    /// False if it does not answer checks or may not hold roles.
+    pub is_responsive: bool,
 }
 
 /// Returns true if the instance `own` is a watcher, given all `others`.
 ///
 /// A refused watcher keeps retrying although others have taken over: only its connection may have
-/// failed, and if no instance reaches the store, one of them has to detect the end of the outage.
+/// failed, and if no instance reaches the store, one of them has to detect the end of the outage. A
+/// leaving one goes on only if there are too few others.
 #[must_use]
 pub fn is_watcher(own: Candidate, others: &[Candidate]) -> bool {
-    let reached = others.iter().filter(|c| c.is_store_reached);
-    is_in_top(own, reached, WATCHER_COUNT) && is_outage_prober(own, others)
+    let working: Vec<&Candidate> =
+        others.iter().filter(|c| c.is_responsive && c.is_store_reached).collect();
+    if !own.is_responsive && working.len() >= WATCHER_COUNT {
+        return false;
+    }
+    is_in_top(own, working.into_iter(), WATCHER_COUNT) && is_outage_prober(own, others)
 }
 
 /// Returns true if the instance `own` is one of those that detect the end of an outage.
 #[must_use]
 pub fn is_outage_prober(own: Candidate, others: &[Candidate]) -> bool {
-    is_in_top(own, others.iter(), WATCHER_COUNT + MAX_SUBSTITUTES)
+    let responsive = others.iter().filter(|c| c.is_responsive);
+    is_in_top(own, responsive, WATCHER_COUNT + MAX_SUBSTITUTES)
+}
+
+/// Returns the keys of the instances that `own` checks, since it watches if too few of them do.
+///
+/// Only the instances that would replace lost watchers check any.
+#[must_use]
+pub fn check_targets(own: Candidate, others: &[Candidate]) -> Vec<u64> {
+    let is_watcher_if_all_respond = is_in_top(own, others.iter(), WATCHER_COUNT);
+    if is_watcher_if_all_respond || !is_outage_prober(own, others) {
+        return Vec::new();
+    }
+    let position = |c: &Candidate| (rank(c.key), c.key);
+    others.iter().filter(|c| position(c) > position(&own)).map(|c| c.key).collect()
 }
 
 /// Returns true if the instance `own` is the fetcher of its zone.
--- a/crates/decide/tests/roles.rs
+++ b/crates/decide/tests/roles.rs
@@ -11,6 +11,7 @@
         key: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         zone: n % zones,
         is_store_reached: true,
+        is_responsive: true,
     });
     all.collect()
 }
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -37,7 +37,7 @@
 /// Process age from which it may watch, in milliseconds.
 ///
 /// By then it has fetched another instance's member table. Changes must be in force within 3 s.
-const MIN_WATCH_AGE_MS: u64 = 1_300;
+pub(super) const MIN_WATCH_AGE_MS: u64 = 1_300;
 /// Jitter of the calls that follow the notice that the store is reachable again, in milliseconds.
 const RECONNECT_JITTER_MS: u64 = 200;
 /// Minimum time without an answer that counts as a store outage, in milliseconds.
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -41,6 +41,9 @@
             control.update_confirmation();
         }
         control.shared.record_peer_contact();
+        if control.process_watcher_check(from, datagram.purpose()) {
+            continue;
+        }
         let sends = control.membership.borrow_mut().receive(now_ms, from, &datagram);
         control.send(sends);
         control.process_member_changes();
@@ -53,6 +56,7 @@
         let sends = self.membership.borrow_mut().tick(now_ms, rand::random());
         self.send(sends);
         self.probe_seeds_if_alone();
+        self.check_watchers();
         self.process_member_changes();
     }
 
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod roles;
 mod stored_suspects;
 mod views;
+mod watcher_checks;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -30,6 +31,7 @@
 use eelgrasspier_decide::quarantine::Report;
 use eelgrasspier_decide::route::{Configuration, RouteTable};
 use eelgrasspier_decide::stale_entries::StaleEntries;
+use eelgrasspier_decide::watcher_health::WatcherHealth;
 use eelgrasspier_peer::{PeerConnections, wire};
 use eelgrasspier_store::{CollectionKind, Collections, DecodeContent};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -116,6 +118,8 @@
     announced_ms: Cell<u64>,
     /// Time since which only instances of other zones are ahead, in milliseconds.
     behind_since_ms: RefCell<HashMap<CollectionKind, u64>>,
+    /// Health of the watchers, if this instance replaces them when they are lost.
+    watcher_health: RefCell<WatcherHealth>,
     /// Membership epoch at which roles were last evaluated.
     roles_epoch: Cell<u64>,
     /// True if this instance was a watcher when roles were last evaluated.
@@ -179,6 +183,7 @@
             has_peer_without_store: Cell::new(false),
             announced_ms: Cell::new(0),
             behind_since_ms: RefCell::default(),
+            watcher_health: RefCell::default(),
             roles_epoch: Cell::new(0),
             was_watcher: Cell::new(false),
             stale_entries: RefCell::default(),
--- a/crates/router/src/control/roles.rs
+++ b/crates/router/src/control/roles.rs
@@ -23,18 +23,21 @@
 impl Control {
     /// True if `is_chosen` selects this instance among the live members.
     fn has_role(&self, is_chosen: fn(Candidate, &[Candidate]) -> bool) -> bool {
+        let (own, others) = self.role_candidates();
+        is_chosen(own, &others)
+    }
+
+    /// Returns this instance and the other live ones as candidates for roles.
+    pub(super) fn role_candidates(&self) -> (Candidate, Vec<Candidate>) {
         let membership = self.membership.borrow();
+        let health = self.watcher_health.borrow();
         let candidate = |m: &Member| Candidate {
             key: m.key(),
             zone: rendezvous::hash(&m.zone),
             is_store_reached: m.is_store_reached,
+            is_responsive: m.may_hold_roles() && health.is_responsive(m.key()),
         };
-        let others: Vec<Candidate> = membership
-            .live_peers()
-            .filter(|m| m.state() != InstanceState::Left)
-            .map(candidate)
-            .collect();
-        is_chosen(candidate(membership.own()), &others)
+        (candidate(membership.own()), membership.live_peers().map(candidate).collect())
     }
 
     /// True if this instance watches the store.
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -102,6 +102,8 @@
     event(795, "paused"),
     event(796, "silence_checked"),
     event(797, "watch_role"),
+    event(798, "watcher_silent"),
+    event(799, "watcher_answers"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
