Replace the fetcher of a zone as soon as it is suspected or leaves

In a zone without a watcher each change then took the 0.4 s that the others wait for their fetcher, and the direct notice of the change went to the lost one.

Both tests fail on the code before: no zone has another fetcher, and the first notice goes to the suspected one.

--- a/crates/decide/src/membership/dissemination.rs
+++ b/crates/decide/src/membership/dissemination.rs
@@ -89,7 +89,7 @@
         let alive: Vec<&PeerRecord> =
             self.peers.values().filter(|k| !k.is_dead_or_left()).collect();
         let mut max_rank_by_zone: BTreeMap<&str, u64> = BTreeMap::new();
-        for known in &alive {
+        for known in alive.iter().filter(|k| k.member.may_hold_roles()) {
             let rank = max_rank_by_zone.entry(&known.member.zone).or_default();
             *rank = (*rank).max(watchers::rank(known.member.key()));
         }
--- a/crates/decide/src/watchers.rs
+++ b/crates/decide/src/watchers.rs
@@ -77,7 +77,8 @@
 /// Returns true if the instance `own` is the fetcher of its zone.
 #[must_use]
 pub fn is_fetcher(own: Candidate, others: &[Candidate]) -> bool {
-    is_in_top(own, others.iter().filter(|c| c.zone == own.zone), 1)
+    let same_zone = others.iter().filter(|c| c.is_responsive && c.zone == own.zone);
+    is_in_top(own, same_zone, 1)
 }
 
 /// Returns the rank of the instance with this key; higher ranks come first.
--- a/crates/decide/tests/roles.rs
+++ b/crates/decide/tests/roles.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use eelgrasspier_decide::membership::{Datagram, Member, Membership};
+use eelgrasspier_decide::membership::{Datagram, InstanceState, Liveness, Member, Membership};
 use eelgrasspier_decide::relays::{self, MIN_GROUP_SHARDS, ReplicaLocation};
 use eelgrasspier_decide::{gatherers, rendezvous, store_contacts, watchers};
 
@@ -79,6 +79,53 @@
     assert_eq!(zones, [0, 1, 2, 3, 4, 5]);
 }
 
+/// Guards against changes that a zone without a watcher gets late after its fetcher was lost.
+#[test]
+fn fetcher_that_does_not_respond_is_replaced() {
+    let mut fleet = fleet(6, 33);
+    let fetchers = |fleet: &[watchers::Candidate]| -> Vec<usize> {
+        let is_fetcher = |&i: &usize| {
+            let (before, after) = fleet.split_at(i);
+            watchers::is_fetcher(fleet[i], &[before, &after[1..]].concat())
+        };
+        (0..fleet.len()).filter(is_fetcher).collect()
+    };
+    let lost = fetchers(&fleet);
+    for &i in &lost {
+        fleet[i].is_responsive = false;
+    }
+    let mut zones: Vec<u64> =
+        fetchers(&fleet).into_iter().filter(|i| !lost.contains(i)).map(|i| fleet[i].zone).collect();
+    zones.sort_unstable();
+    assert_eq!(zones, [0, 1, 2, 3, 4, 5]);
+}
+
+/// Guards against notices of a change that go to lost fetchers in place of those that replace them.
+#[test]
+fn replacing_fetcher_is_notified_first() {
+    let member = |number: usize| Member {
+        name: format!("b-{number}"),
+        incarnation: 1,
+        revision: 1,
+        state: InstanceState::Ready as i32,
+        zone: "b".to_owned(),
+        peer_addr: format!("127.0.0.1:{}", 1000 + number),
+        ..Member::default()
+    };
+    let mut others: Vec<Member> = (0..40).map(member).collect();
+    others.sort_by_key(|m| std::cmp::Reverse(watchers::rank(m.key())));
+    let expected = port(&others[2]);
+    others[0].liveness = Liveness::Suspect as i32;
+    others[1].state = InstanceState::Leaving as i32;
+    let mut own = Membership::new(Member { name: "own".to_owned(), ..member(99) });
+    own.update_own(|m| "a".clone_into(&mut m.zone));
+    own.merge_table(&others, 0);
+    for random in 0..20 {
+        let notified = own.broadcast_own_record(8, 8, random);
+        assert_eq!(notified[0].to.port(), expected);
+    }
+}
+
 /// Guards against a list of instances that grows with the fleet. Each starting instance reads it,
 /// and an entry per instance is not needed, since any instance that answers knows all others.
 #[test]
