Fetch a late change over a new connection

Cause: an instance gets changes from the few that watch the store, over one open connection to each. If all of these are silent, the pull and its hedges after 0.4 s each wait 2.5 s for their timeouts, at most three at a time, and each one is preceded by 0.4 s for the own zone: 0.4 + 2.5 + 0.4 s for an instance that isn't the fetcher of its zone. As with lost watchers, nobody else was asked before the bound.

Change: while a pull is late, the next one goes over a new connection, which later pulls use, and doesn't wait for the own zone again. The late one goes on, so that a long answer over a slow link still arrives.

Tests: changes_are_in_force_in_time_after_connections_fell_silent plays three simulated instances whose open connections go silent against a real daemon. With the reuse of open connections the daemon has the old version after 3 s (its first pull times out at 2.9 s); it passes now. The two tests of the peer client cover the new connection and the timeout.

--- a/crates/decide/src/pulls.rs
+++ b/crates/decide/src/pulls.rs
@@ -37,6 +37,14 @@
         self.in_progress.iter().any(|(name, _)| name == instance)
     }
 
+    /// Returns true if the next pull needs a new connection and must not wait for the own zone.
+    ///
+    /// An earlier pull is late then, perhaps because open connections have gone silent.
+    #[must_use]
+    pub fn is_any_late(&self) -> bool {
+        !self.in_progress.is_empty()
+    }
+
     /// Records the start of a pull from `instance`.
     pub fn record_start(&mut self, instance: &str, now_ms: u64) {
         self.in_progress.push((instance.to_owned(), now_ms));
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -92,6 +92,22 @@
         self.request_with_callback(addr, body, timeout, || ()).await
     }
 
+    /// Like [`Self::request`], but opens a new connection, which later requests use.
+    ///
+    /// An open connection may have gone silent without a reset. Requests in progress on it go on.
+    ///
+    /// # Errors
+    /// Fails like [`Self::request`].
+    pub async fn request_on_new_connection(
+        &self,
+        addr: SocketAddr,
+        body: Body,
+        timeout: Duration,
+    ) -> Result<Body, PeerError> {
+        let connection = self.open_connection(addr);
+        self.request_on(addr, connection, body, timeout, || ()).await
+    }
+
     /// Like [`Self::request`], but calls `on_sent` just before the request is queued for sending.
     ///
     /// # Errors
@@ -104,26 +120,37 @@
         timeout: Duration,
         on_sent: impl Fn(),
     ) -> Result<Body, PeerError> {
-        let was_sent = Cell::new(false);
-        let request = self.request_without_timeout(addr, body, || {
-            was_sent.set(true);
+        self.request_on(addr, self.connection(addr), body, timeout, on_sent).await
+    }
+
+    async fn request_on(
+        &self,
+        addr: SocketAddr,
+        connection: impl Future<Output = Result<Rc<PeerConnection>, PeerError>>,
+        body: Body,
+        timeout: Duration,
+        on_sent: impl Fn(),
+    ) -> Result<Body, PeerError> {
+        let used = RefCell::new(None);
+        let request = async {
+            let connection = connection.await?;
+            used.replace(Some(Rc::clone(&connection)));
             on_sent();
-        });
+            self.exchange(connection, body).await
+        };
         let result = tokio::time::timeout(timeout, request).await;
         result.unwrap_or_else(|_| {
-            self.connections.borrow_mut().remove(&addr);
-            Err(if was_sent.get() { PeerError::TimedOut } else { connect_timed_out() })
+            let Some(connection) = used.take() else { return Err(connect_timed_out()) };
+            self.remove(addr, &connection);
+            Err(PeerError::TimedOut)
         })
     }
 
-    async fn request_without_timeout(
+    async fn exchange(
         &self,
-        addr: SocketAddr,
+        connection: Rc<PeerConnection>,
         body: Body,
-        on_sent: impl Fn(),
     ) -> Result<Body, PeerError> {
-        let connection = self.connection(addr).await?;
-        on_sent();
         let id = connection.next_id.get();
         connection.next_id.set(id + 1);
         let (sender, answer) = oneshot::channel();
@@ -136,12 +163,24 @@
         answer
     }
 
+    /// Removes a connection unless a newer one has replaced it.
+    fn remove(&self, addr: SocketAddr, connection: &Rc<PeerConnection>) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.get(&addr).is_some_and(|known| Rc::ptr_eq(known, connection)) {
+            connections.remove(&addr);
+        }
+    }
+
     async fn connection(&self, addr: SocketAddr) -> Result<Rc<PeerConnection>, PeerError> {
         let open =
             self.connections.borrow().get(&addr).filter(|c| !c.outgoing.is_closed()).cloned();
-        if let Some(connection) = open {
-            return Ok(connection);
+        match open {
+            Some(connection) => Ok(connection),
+            None => self.open_connection(addr).await,
         }
+    }
+
+    async fn open_connection(&self, addr: SocketAddr) -> Result<Rc<PeerConnection>, PeerError> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = match connecting {
             Ok(Ok(stream)) => stream,
--- a/crates/router/src/control/fetch.rs
+++ b/crates/router/src/control/fetch.rs
@@ -19,6 +19,8 @@
 ///
 /// A change must be in force within 3 s.
 const OWN_ZONE_TIMEOUT_MS: u64 = 400;
+/// Timeout of a pull.
+const PULL_TIMEOUT: Duration = Duration::from_millis(pulls::PULL_TIMEOUT_MS);
 
 impl Control {
     /// Fetches the changes of a kind after a position; returns `None` if the peer refuses.
@@ -29,17 +31,27 @@
         after: Position,
         timeout: Duration,
     ) -> Result<Option<Changes>, PeerError> {
-        let request = match kind {
-            CollectionKind::Evacuations => Body::EvacuationsAfter(after),
-            kind => {
-                let Position { era, revision } = after;
-                let is_replicas = kind == CollectionKind::Replicas;
-                Body::ChangesAbove(ChangesRequest { is_replicas, revision, era })
-            }
-        };
+        let request = changes_request(kind, after);
         let answer = self.peer_connections.request(addr, request, timeout).await?;
+        Ok(self.read_changes(addr, answer))
+    }
+
+    /// Like [`Self::fetch_changes`] with the timeout of a pull, but over a new connection.
+    async fn pull_on_new_connection(
+        &self,
+        addr: SocketAddr,
+        kind: CollectionKind,
+        after: Position,
+    ) -> Result<Option<Changes>, PeerError> {
+        let request = changes_request(kind, after);
+        let answer =
+            self.peer_connections.request_on_new_connection(addr, request, PULL_TIMEOUT).await?;
+        Ok(self.read_changes(addr, answer))
+    }
+
+    fn read_changes(&self, addr: SocketAddr, answer: Body) -> Option<Changes> {
         self.count_bytes(TrafficCause::Changes, addr, answer.encoded_len());
-        Ok(compression::decompress(answer))
+        compression::decompress(answer)
     }
 
     /// Starts to fetch changes from an instance that is ahead.
@@ -67,15 +79,21 @@
             return;
         };
         drop(membership);
-        if zone != self.identity.zone && !self.is_fetcher() && !self.has_waited_for_own_zone(kind) {
+        let is_any_late = pulls.is_any_late();
+        let must_wait = zone != self.identity.zone && !self.is_fetcher() && !is_any_late;
+        if must_wait && !self.has_waited_for_own_zone(kind) {
             return;
         }
         self.behind_since_ms.borrow_mut().remove(&kind);
         self.pulls.borrow_mut().entry(kind).or_default().record_start(&name, now_ms);
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
-            let timeout = Duration::from_millis(pulls::PULL_TIMEOUT_MS);
-            match control.fetch_changes(addr, kind, known, timeout).await {
+            let result = if is_any_late {
+                control.pull_on_new_connection(addr, kind, known).await
+            } else {
+                control.fetch_changes(addr, kind, known, PULL_TIMEOUT).await
+            };
+            match result {
                 Ok(Some(changes)) => control.apply_changes(kind, &changes, &name),
                 Ok(None) => log::warn!("event=fetch_refused from={name}"),
                 Err(error) => log::info!("event=fetch_failed from={name} cause=\"{error}\""),
@@ -96,6 +114,17 @@
     }
 }
 
+fn changes_request(kind: CollectionKind, after: Position) -> Body {
+    match kind {
+        CollectionKind::Evacuations => Body::EvacuationsAfter(after),
+        kind => {
+            let Position { era, revision } = after;
+            let is_replicas = kind == CollectionKind::Replicas;
+            Body::ChangesAbove(ChangesRequest { is_replicas, revision, era })
+        }
+    }
+}
+
 fn position_of(member: &Member, kind: CollectionKind) -> Position {
     let (era, revision) = match kind {
         CollectionKind::Replicas => (member.replicas_era, member.replicas_revision),
