Let only responsive watchers confirm the configuration

What callers saw, in a test with real processes: a key that the store had got 401 instead of 503 for over 3 s, from instances that could not reach the store. A revocation timeout would start as late.

Cause: an instance that doesn't watch the store takes its configuration for current while some live instance reports that it watches. Lost watchers stayed live until they were declared dead, 3.5 s and more after their loss, the same cause as for late changes. If the store can't be reached either, nobody replaces them.

Change: only watchers that respond count. Where others replace them, those confirm the configuration from then on.

lost_watchers_confirm_no_configuration kills the watchers while the others are cut off from the store: on the code before a new key gets 401 after 3 s, now 503.

--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -163,8 +163,11 @@
             m.config_version > version || known_era.is_some_and(|era| m.configuration_era > era)
         };
         let is_outdated = known_era.is_none() || membership.live_peers().any(is_behind);
+        let health = self.watcher_health.borrow();
+        let is_working_watcher =
+            |m: &Member| m.is_watching_store && m.may_hold_roles() && health.is_responsive(m.key());
         let has_peer_with_store = self.peer_reports.borrow().are_recent(self.shared.now_ms())
-            && membership.live_peers().any(|m| m.is_watching_store);
+            && membership.live_peers().any(is_working_watcher);
         self.shared.record_peer_state(has_peer_with_store, is_outdated);
     }
 
