--- a/crates/decide/src/pulls.rs
+++ b/crates/decide/src/pulls.rs
@@ -37,9 +37,9 @@
         self.in_progress.iter().any(|(name, _)| name == instance)
     }
 
-    /// Returns true if the next pull needs a new connection and must not wait for the own zone.
+    /// Returns true if a pull that may be started now follows one that is late.
     ///
-    /// An earlier pull is late then, perhaps because open connections have gone silent.
+    /// It needs a new connection then, since open ones may have gone silent.
     #[must_use]
     pub fn is_any_late(&self) -> bool {
         !self.in_progress.is_empty()
--- a/crates/decide/src/watcher_health.rs
+++ b/crates/decide/src/watcher_health.rs
@@ -1,9 +1,9 @@
 //! Health checks of the watchers by the instances that replace them.
 //!
-//! Membership declares a lost instance dead only after more than four seconds, and in a large fleet
-//! seconds pass before it is probed at all. If all watchers are lost at once, changes must be in
-//! force on the remaining instances within 3 s. A few standbys therefore check the instances that
-//! rank above them directly and watch while these don't answer. A failed check has no other
+//! Membership declares a lost instance dead only after seconds of suspicion, and in a large fleet
+//! seconds pass before it is probed at all. If all watchers are lost at once, changes must still be
+//! in force on the remaining instances within 3 s. A few standbys therefore check the instances
+//! that rank above them directly and watch while these don't answer. A failed check has no other
 //! consequence, so a lost datagram costs at most a few store calls.
 
 use std::collections::BTreeMap;
@@ -11,7 +11,9 @@
 
 /// Interval between checks of one instance, in milliseconds.
 pub const CHECK_INTERVAL_MS: u64 = 300;
-/// Number of consecutive checks without an answer after which an instance counts as unresponsive.
+/// Number of consecutive checks without an answer before an instance counts as unresponsive.
+///
+/// It does so when the next check is due, at most four intervals after its loss.
 const MAX_UNANSWERED: u32 = 3;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/decide/src/watchers.rs
+++ b/crates/decide/src/watchers.rs
@@ -13,9 +13,10 @@
 
 /// Number of watchers.
 ///
-/// Two may fail at once, such as one that has just died and one whose connection is stalled.
+/// Two may fail at once, such as one that has just died and one whose connection is stalled. If all
+/// of them are lost, their standbys take over.
 pub const WATCHER_COUNT: usize = 3;
-/// Maximum number of substitutes for watchers that the store refuses.
+/// Maximum number of substitutes for watchers that the store refuses or that don't respond.
 ///
 /// Without a limit, an outage affected the whole fleet: each substitute was refused as well and
 /// kept retrying, so that 195 instances made 2,500 calls in four seconds. If the store serves two
