End a watcher's report before the store's last answer expires

What callers saw: 401 for a key that the store had had for 3 s, where 503 is due.

Cause: instances confirm their configuration by the report of a watcher that the store answers it, and the report ended only when a call failed. The first watch begins 1.3 s after a start and takes 2.7 s to fail if the store is silent. In a running fleet 2.95 s passed, with nothing left for the way to the others.

Change: the report ends 2.8 s after the store's last answer. E800 logs its changes.

--- a/crates/decide/src/freshness.rs
+++ b/crates/decide/src/freshness.rs
@@ -7,6 +7,10 @@
 ///
 /// The store holds a watch open for two seconds, and the next one follows after a short pause.
 const STORE_TTL_MS: u64 = 3_000;
+/// Time that another instance may take to learn that this one no longer watches, in milliseconds.
+///
+/// This is one tick and the delivery of a datagram.
+const REPORT_DELAY_MS: u64 = 200;
 /// Maximum time since the last message of another instance, in milliseconds.
 ///
 /// This is three probe rounds, after which the others replace an instance that they don't hear.
@@ -45,6 +49,16 @@
         is_confirmed && !self.is_outdated
     }
 
+    /// Returns true if a watcher may report to the others that the store answers it.
+    ///
+    /// They confirm their configuration by this report. It has to end before the store's last
+    /// answer expires, even if the next watch has not failed yet or has not started.
+    #[must_use]
+    pub fn may_report_watching(&self, now_ms: u64) -> bool {
+        let ttl_ms = STORE_TTL_MS - REPORT_DELAY_MS;
+        self.store_answered_ms.is_some_and(|at| now_ms.saturating_sub(at) < ttl_ms)
+    }
+
     /// Returns the time for which the configuration has not been confirmed, in milliseconds.
     ///
     /// An instance that was never confirmed counts from its start.
--- a/crates/decide/tests/freshness.rs
+++ b/crates/decide/tests/freshness.rs
@@ -39,6 +39,20 @@
     }
 }
 
+/// Guards against other instances that trust a watcher for longer than the store's answer holds.
+#[test]
+fn a_watcher_reports_the_store_only_while_its_last_answer_is_recent() {
+    for (store_answered_ms, now_ms, may_report) in [
+        (None, 0, false),
+        (Some(1_000), 1_000, true),
+        (Some(1_000), 3_799, true),
+        (Some(1_000), 3_800, false),
+    ] {
+        let sources = sources(store_answered_ms, Some(now_ms), true);
+        assert_eq!(sources.may_report_watching(now_ms), may_report, "{sources:?} at {now_ms}");
+    }
+}
+
 /// Guards against overflow, and against keys that become unknown or unusable as a clock stands.
 #[test]
 fn any_clock_is_accepted_and_recent_confirmations_count() {
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -244,7 +244,7 @@
     fn record_confirmation(&self, request: StoreRequest, latest_ms: u64) {
         if request.kind == CollectionKind::Configuration && !request.may_be_stale {
             self.shared.record_store_confirmation(self.shared.now_ms().min(latest_ms));
-            self.set_watching_store(self.is_watcher());
+            self.set_watching_store(self.may_report_watching());
         }
     }
 
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -120,7 +120,7 @@
             self.update_roles();
         }
         self.detect_peer_outage();
-        if self.membership.borrow().own().is_watching_store && !self.is_watcher() {
+        if self.membership.borrow().own().is_watching_store && !self.may_report_watching() {
             self.set_watching_store(false);
         }
         self.update_confirmation();
@@ -171,9 +171,18 @@
         self.shared.record_peer_state(has_peer_with_store, is_outdated);
     }
 
+    /// True if this instance watches the store's configuration and was answered recently.
+    pub(super) fn may_report_watching(&self) -> bool {
+        let sources = self.shared.configuration_sources();
+        sources.may_report_watching(self.shared.now_ms()) && self.is_watcher()
+    }
+
     /// Announces whether this instance watches the store's configuration and is answered.
     pub(super) fn set_watching_store(&self, is_watching: bool) {
         if self.membership.borrow().own().is_watching_store != is_watching {
+            let unconfirmed_ms =
+                self.shared.configuration_sources().unconfirmed_ms(self.shared.now_ms());
+            log::info!("event=watch_report watching={is_watching} unconfirmed_ms={unconfirmed_ms}");
             self.membership.borrow_mut().update_own(|m| m.is_watching_store = is_watching);
             self.send_own_record();
         }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -104,6 +104,7 @@
     event(797, "watch_role"),
     event(798, "watcher_silent"),
     event(799, "watcher_answers"),
+    event(800, "watch_report"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
