Subtract a pause from requests that were unread in it on new connections

What callers saw: an instance that had been frozen for 2.2 s handed requests to replicas with up to 3.0 s where 1.2 to 2.3 s were left (BUDGET), so that replicas may work for callers that have gone.

Cause: the receiver takes the least delay seen on a connection for the normal one. On a connection opened during the freeze the first request sets it, however long it has waited. A short timeout, such as the 40 ms of retry budgets, closes the connection that it used, so nearly all requests to a frozen instance come over new ones. Evidence: E790, then E758 at the sender for an instance that the killed sender had not asked before; at the receiver requests on earlier connections have left_ms=0.

Change: the server detects pauses of its process by gaps of 100 ms or more between observations. For 300 ms after one, a request on a connection without a normal delay loses the time since the pause began and sets none. E801 logs this.

--- a/crates/decide/src/excess_delay.rs
+++ b/crates/decide/src/excess_delay.rs
@@ -20,11 +20,24 @@
 }
 
 impl DelayEstimator {
+    /// Returns true if a request has shown the normal delay.
+    #[must_use]
+    pub fn has_baseline(&self) -> bool {
+        self.baseline.is_some()
+    }
+
     /// Returns the delay of a request beyond the normal one, in milliseconds.
     ///
     /// `sent_ms` is the time at which it was sent by the sender's clock, `now_ms` the time at which
-    /// it was read by the local clock.
-    pub fn excess_delay_ms(&mut self, sent_ms: u64, now_ms: u64) -> u64 {
+    /// it was read by the local clock. `max_wait_ms` is the time for which it may have waited unread
+    /// because of a pause of this process, if any. Without a baseline, it counts as excess delay, and
+    /// the request is no baseline for later ones.
+    pub fn excess_delay_ms(&mut self, sent_ms: u64, now_ms: u64, max_wait_ms: Option<u64>) -> u64 {
+        if self.baseline.is_none()
+            && let Some(max_wait_ms) = max_wait_ms
+        {
+            return max_wait_ms;
+        }
         let difference = signed(now_ms) - signed(sent_ms);
         let expected = self.baseline.map_or(difference, |(baseline, since_ms)| {
             baseline + signed(now_ms.saturating_sub(since_ms) / DRIFT_INTERVAL_MS)
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod merge;
 pub mod mirror;
+pub mod pauses;
 pub mod prelude;
 pub mod pulls;
 pub mod quarantine;
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -105,6 +105,7 @@
     event(798, "watcher_silent"),
     event(799, "watcher_answers"),
     event(800, "watch_report"),
+    event(801, "delay_assumed"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
