--- a/crates/router/tests/catalogue.rs
+++ b/crates/router/tests/catalogue.rs
@@ -24,6 +24,7 @@
 fn catalogue_has_exactly_the_events_in_the_sources() {
     let mut text = String::new();
     read_sources(&root().join("crates/router/src"), &mut text);
+    read_sources(&root().join("crates/peer/src"), &mut text);
     read_sources(&root().join("platform/src"), &mut text);
     let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
     let mut event_names: BTreeSet<String> = text
