--- a/review/standins-2/src/cold.rs
+++ b/review/standins-2/src/cold.rs
@@ -21,9 +21,9 @@
 const COLD_SLACK: f64 = 5.0;
 const CLIENTS: u64 = 18;
 const PER_S: f64 = 90.0;
-const DOWN: Duration = Duration::from_millis(1400);
-/// As `platform_down` in the site files.
-const OUTAGE: Duration = Duration::from_millis(4500);
+const DOWN: Duration = Duration::from_millis(1000);
+/// As the silent `platform_down` of the site file.
+const OUTAGE: Duration = Duration::from_millis(2800);
 const ROUNDS: usize = 2;
 
 pub fn play(setting: &Setting) -> Verdict {
