Publish a view when a suspected instance is alive again

Membership reported no change when a record went from suspect to alive, and a view was published only after a reported change. A new incarnation, address or capacity of a live instance was not reported either.

Membership now counts the changes on which the roles of other instances depend: who is serving, with which zone, address and capacity, and who is live. The control thread publishes when that count has changed. Roles that are computed from the records themselves (watchers, fetchers, contacts) already followed each change. The own daemon publishes after the new change as well. E802 logs the return.

This also publishes less: announced versions never did, but reports on crashing requests, a refuted suspicion of the instance itself, and a suspicion of a leaving or starting instance did, and changed nothing.

--- a/crates/decide/src/gossip.rs
+++ b/crates/decide/src/gossip.rs
@@ -110,12 +110,48 @@
             && matches!(self.state(), InstanceState::Starting | InstanceState::Ready)
     }
 
+    /// Returns true if the instance serves callers and isn't suspected.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.state() == InstanceState::Ready && self.liveness() == Liveness::Alive
+    }
+
+    /// Returns true if the instance has died or left.
+    #[must_use]
+    pub fn is_dead_or_left(&self) -> bool {
+        self.liveness() == Liveness::Dead || self.state() == InstanceState::Left
+    }
+
+    /// Returns what the roles of other instances depend on.
+    pub(crate) fn presence(&self) -> Presence<'_> {
+        if self.is_serving() {
+            let Self { zone, peer_addr, capacity_milli, .. } = self;
+            Presence::Serving { zone, peer_addr, capacity_milli: *capacity_milli }
+        } else if self.is_dead_or_left() {
+            Presence::Absent
+        } else {
+            Presence::Live
+        }
+    }
+
     /// Returns the precedence among records of the same instance; the highest one wins.
     pub(crate) fn rank(&self) -> (u64, u64, i32) {
         (self.incarnation, self.revision, self.liveness)
     }
 }
 
+/// What the roles of other instances depend on in a record.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Presence<'m> {
+    /// It is unknown, has died or has left.
+    #[default]
+    Absent,
+    /// It counts as an instance, but requests are not sent to it.
+    Live,
+    /// Requests are sent to it.
+    Serving { zone: &'m str, peer_addr: &'m str, capacity_milli: u32 },
+}
+
 /// Announcement that a backend server is leaving.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct LeavingServer {
@@ -212,6 +248,8 @@
     StateChanged(String),
     /// An instance became suspect.
     Suspected(String),
+    /// An instance is no longer suspect.
+    Recovered(String),
     /// An instance was declared dead.
     DeclaredDead(String),
     /// An instance has left.
--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -38,7 +38,7 @@
 
 impl PeerRecord {
     fn is_dead_or_left(&self) -> bool {
-        self.member.liveness() == Liveness::Dead || self.member.state() == InstanceState::Left
+        self.member.is_dead_or_left()
     }
 
     /// True if the instance is probed; dead ones are included, since they may return.
@@ -95,6 +95,8 @@
     last_tick_ms: u64,
     /// Incremented whenever a record or the platform's list changes.
     change_count: u64,
+    /// Incremented whenever the presence of an instance changes.
+    presence_count: u64,
     /// Reports on requests that crash replicas.
     quarantine: Quarantine,
     /// Rate limit of report broadcasts.
@@ -122,6 +124,7 @@
             send_budget_bytes: 0,
             last_tick_ms: 0,
             change_count: 0,
+            presence_count: 0,
             quarantine: Quarantine::default(),
             broadcasts: reports::BroadcastLimiter::default(),
         };
@@ -176,6 +179,15 @@
         self.change_count
     }
 
+    /// Returns a counter that changes whenever the live or serving instances change, or the address,
+    /// zone or capacity of a serving one.
+    ///
+    /// Other changes of records, such as announced versions, are far more frequent in a large fleet.
+    #[must_use]
+    pub fn presence_count(&self) -> u64 {
+        self.presence_count
+    }
+
     /// Returns the keys of all instances that may hold connections to backend servers.
     ///
     /// An instance counts until it announces that it has left, or until it is dead and no longer
@@ -270,15 +282,18 @@
             return;
         }
         let is_new = known.is_none();
-        let was_dead_or_left = known.is_none_or(PeerRecord::is_dead_or_left);
+        let liveness_before = known.filter(|k| !k.is_dead_or_left()).map(|k| k.member.liveness());
         let is_same_state = known.is_some_and(|k| k.member.state == member.state);
+        let presence_before = known.map(|k| k.member.presence()).unwrap_or_default();
+        let is_present_as_before = presence_before == member.presence();
         let is_listed = self.listed.contains_key(&member.name);
         let known = PeerRecord { member: member.clone(), addr, since_ms: now_ms, is_listed };
         if !is_same_state && !is_new {
             self.changes.push(MembershipChange::StateChanged(member.name.clone()));
         }
         self.change_count += 1;
-        self.record_change(&known, was_dead_or_left);
+        self.presence_count += u64::from(!is_present_as_before);
+        self.record_change(&known, liveness_before);
         self.peers.insert(member.name.clone(), known);
         if should_spread {
             let transmits = self.transmit_limit();
@@ -286,16 +301,18 @@
         }
     }
 
-    fn record_change(&mut self, known: &PeerRecord, was_dead_or_left: bool) {
+    /// Records a change of liveness for the log; `before` is `None` for one that was dead or new.
+    fn record_change(&mut self, known: &PeerRecord, before: Option<Liveness>) {
         let name = known.member.name.clone();
         match (known.member.state(), known.member.liveness()) {
             (InstanceState::Left, _) => self.changes.push(MembershipChange::Left(name)),
             (_, Liveness::Dead) => self.changes.push(MembershipChange::DeclaredDead(name)),
             (_, Liveness::Suspect) => self.changes.push(MembershipChange::Suspected(name)),
-            (_, Liveness::Alive) if was_dead_or_left => {
-                self.changes.push(MembershipChange::Joined(name));
-            }
-            (_, Liveness::Alive) => {}
+            (_, Liveness::Alive) => match before {
+                None => self.changes.push(MembershipChange::Joined(name)),
+                Some(Liveness::Suspect) => self.changes.push(MembershipChange::Recovered(name)),
+                Some(_) => {}
+            },
         }
     }
 
@@ -324,11 +341,13 @@
         if known.member.liveness >= liveness as i32 {
             return;
         }
+        let before = known.member.clone();
         known.member.liveness = liveness as i32;
         known.since_ms = now_ms;
         self.change_count += 1;
+        self.presence_count += u64::from(known.member.presence() != before.presence());
         let known = known.clone();
-        self.record_change(&known, false);
+        self.record_change(&known, Some(before.liveness()));
         let transmits = self.transmit_limit();
         self.enqueue(Update::Member(name.to_owned()), transmits);
     }
--- a/crates/eelgrasspier/src/control/members.rs
+++ b/crates/eelgrasspier/src/control/members.rs
@@ -118,7 +118,7 @@
     fn on_member_change(&self, change: MembershipChange) {
         match change {
             // The next view contains the new state; no event is recorded.
-            MembershipChange::StateChanged(_) => {}
+            MembershipChange::StateChanged(_) | MembershipChange::Recovered(_) => {}
             MembershipChange::ReportReceived(report) => self.shared.apply_peer_report(&report),
             MembershipChange::Joined(name) => self.record(event::MEMBER_JOINED, &name, ""),
             MembershipChange::Suspected(name) => self.record(event::MEMBER_SUSPECT, &name, ""),
--- a/crates/router/src/control/members.rs
+++ b/crates/router/src/control/members.rs
@@ -99,7 +99,6 @@
     /// Processes the membership changes that have accumulated.
     pub(super) fn process_member_changes(self: &Rc<Self>) {
         let changes = self.membership.borrow_mut().take_changes();
-        let has_changes = !changes.is_empty();
         let mut reports = Vec::new();
         for change in changes {
             log_change(&change);
@@ -108,7 +107,8 @@
             }
         }
         self.forward_reports(reports);
-        if has_changes {
+        let presence_count = self.membership.borrow().presence_count();
+        if self.presence_count.replace(presence_count) != presence_count {
             // Published with the next tick. While a fleet starts each datagram brings changes, and
             // publishing for each of 200 records delayed callers' requests.
             self.has_member_changes.set(true);
@@ -267,6 +267,7 @@
         MembershipChange::StateChanged(name) => log::info!("event=instance_state instance={name}"),
         MembershipChange::Joined(name) => log::info!("event=instance_joined instance={name}"),
         MembershipChange::Suspected(name) => log::info!("event=instance_suspected instance={name}"),
+        MembershipChange::Recovered(name) => log::info!("event=instance_recovered instance={name}"),
         MembershipChange::DeclaredDead(name) => log::info!("event=instance_dead instance={name}"),
         MembershipChange::Left(name) => log::info!("event=instance_left instance={name}"),
         MembershipChange::Refuted => log::info!("event=suspicion_refuted"),
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -91,6 +91,8 @@
     gatherer_stability: RefCell<GathererStability>,
     /// Addresses of instances in other zones, as of the last published view.
     remote_zone_addrs: RefCell<HashSet<SocketAddr>>,
+    /// Counter of the membership at which members were last compared with the published view.
+    presence_count: Cell<u64>,
     /// True if members have changed since the last published view.
     has_member_changes: Cell<bool>,
     configuration: RefCell<Option<Arc<Configuration>>>,
@@ -168,6 +170,7 @@
             cold_until_ms: RefCell::default(),
             gatherer_stability: RefCell::default(),
             remote_zone_addrs: RefCell::default(),
+            presence_count: Cell::new(0),
             has_member_changes: Cell::new(false),
             configuration: RefCell::default(),
             route_table: RefCell::default(),
--- a/crates/router/src/control/roles.rs
+++ b/crates/router/src/control/roles.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use eelgrasspier_decide::gatherers;
-use eelgrasspier_decide::membership::{InstanceState, Liveness, Member};
+use eelgrasspier_decide::membership::{Liveness, Member};
 use eelgrasspier_decide::rendezvous;
 use eelgrasspier_decide::store_contacts;
 use eelgrasspier_decide::watchers::{self, Candidate};
@@ -98,8 +98,9 @@
         let own = std::iter::once(membership.own());
         let candidate =
             |m: &Member| gatherers::Candidate { key: m.key(), capacity_milli: m.capacity_milli };
-        let all =
-            own.chain(membership.live_peers().filter(|m| is_serving(m))).filter(|m| m.zone == zone);
+        let all = own
+            .chain(membership.live_peers().filter(|m| m.is_serving()))
+            .filter(|m| m.zone == zone);
         gatherers::select_gatherers(zone, &all.map(candidate).collect::<Vec<_>>())
     }
 
@@ -111,7 +112,7 @@
     /// Returns the other instances that are serving.
     pub(super) fn peers(&self) -> Vec<Peer> {
         let membership = self.membership.borrow();
-        let serving: Vec<&Member> = membership.live_peers().filter(|m| is_serving(m)).collect();
+        let serving: Vec<&Member> = membership.live_peers().filter(|m| m.is_serving()).collect();
         let mut chosen: HashMap<&str, Vec<u64>> = HashMap::new();
         for member in &serving {
             chosen.entry(&member.zone).or_insert_with(|| self.gatherers(&member.zone));
@@ -129,7 +130,3 @@
         serving.iter().filter_map(peer).collect()
     }
 }
-
-fn is_serving(member: &Member) -> bool {
-    member.state() == InstanceState::Ready && member.liveness() == Liveness::Alive
-}
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -106,6 +106,7 @@
     event(799, "watcher_answers"),
     event(800, "watch_report"),
     event(801, "delay_assumed"),
+    event(802, "instance_recovered"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
