Don't suspect a process for a probe of its predecessor

expire_probe marked the instance as suspect whatever had happened since the probe was sent. A probe now remembers the incarnation that it was sent to, and its expiry says nothing about a later one. A higher revision of the same process doesn't count: such a record may have been delayed on its way.

Test, which fails before: probe_of_a_previous_process_does_not_suspect_its_successor.

--- a/crates/decide/src/membership/mod.rs
+++ b/crates/decide/src/membership/mod.rs
@@ -51,6 +51,8 @@
 struct Probe {
     number: u64,
     target: String,
+    /// Start time of the process to which it was sent.
+    incarnation: u64,
     sent_ms: u64,
     has_indirect_probes: bool,
 }
--- a/crates/decide/src/membership/probe.rs
+++ b/crates/decide/src/membership/probe.rs
@@ -4,7 +4,7 @@
 
 use super::dissemination::GOSSIP_INTERVAL_MS;
 use super::{IndirectProbe, Membership, PeerRecord, Probe};
-use crate::gossip::{Datagram, Liveness, OutgoingDatagram, Purpose};
+use crate::gossip::{Datagram, Liveness, Member, OutgoingDatagram, Purpose};
 use crate::rendezvous;
 
 /// Time between probes in milliseconds.
@@ -50,7 +50,10 @@
     }
 
     pub(super) fn expire_probe(&mut self, now_ms: u64) {
-        if let Some(probe) = self.probe.take() {
+        let Some(probe) = self.probe.take() else { return };
+        let known = self.peers.get(&probe.target);
+        // A process that has started since was not sent the probe.
+        if known.is_some_and(|k| k.member.incarnation == probe.incarnation) {
             self.downgrade_liveness(&probe.target, Liveness::Suspect, now_ms);
         }
     }
@@ -90,9 +93,14 @@
             datagram: self.datagram(Purpose::Probe, number),
         });
         if !target.is_dead_or_left() {
-            let target = target.member.name;
-            self.probe =
-                Some(Probe { number, target, sent_ms: now_ms, has_indirect_probes: false });
+            let Member { name, incarnation, .. } = target.member;
+            self.probe = Some(Probe {
+                number,
+                target: name,
+                incarnation,
+                sent_ms: now_ms,
+                has_indirect_probes: false,
+            });
         }
     }
 
--- a/crates/decide/tests/presence.rs
+++ b/crates/decide/tests/presence.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 
 use eelgrasspier_decide::membership::{
-    InstanceState, Liveness, Member, Membership, MembershipChange,
+    Datagram, InstanceState, Liveness, Member, Membership, MembershipChange, PROBE_INTERVAL_MS,
+    Purpose,
 };
 
+const TICK_MS: u64 = 50;
+
 fn addr(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], 1000 + number).into()
 }
@@ -102,3 +105,43 @@
     assert!(!merge(&mut own, &Member { revision: 3, is_store_reached: true, ..announced }));
     assert!(!merge(&mut own, &Member { incarnation: 2, ..other }));
 }
+
+/// Runs ticks until a probe was sent; returns the time.
+fn tick_until_probe(own: &mut Membership, mut now_ms: u64) -> u64 {
+    loop {
+        now_ms += TICK_MS;
+        if own.tick(now_ms, 1).iter().any(|s| s.datagram.purpose() == Purpose::Probe) {
+            return now_ms;
+        }
+    }
+}
+
+/// Returns true if the other instance is suspected after a probe without an answer.
+///
+/// `meanwhile` is a record that arrives before the probe expires.
+fn is_suspected_after_probe(meanwhile: Option<&Member>) -> bool {
+    let mut own = knowing(&member(1));
+    let sent_ms = tick_until_probe(&mut own, 0);
+    if let Some(record) = meanwhile {
+        let datagram = Datagram { members: vec![record.clone()], ..Datagram::default() };
+        own.receive(sent_ms + TICK_MS, addr(1), &datagram);
+    }
+    own.take_changes();
+    for now_ms in (1..=PROBE_INTERVAL_MS / TICK_MS).map(|tick| sent_ms + tick * TICK_MS) {
+        own.tick(now_ms, 1);
+    }
+    own.take_changes().contains(&MembershipChange::Suspected(member(1).name))
+}
+
+#[test]
+fn instance_that_does_not_answer_a_probe_is_suspected() {
+    assert!(is_suspected_after_probe(None));
+    // A record may have been delayed on its way; only a new process proves that the probe is void.
+    assert!(is_suspected_after_probe(Some(&Member { revision: 2, ..member(1) })));
+}
+
+/// Guards against the suspicion of a new process for a probe that its predecessor was sent.
+#[test]
+fn probe_of_a_previous_process_does_not_suspect_its_successor() {
+    assert!(!is_suspected_after_probe(Some(&Member { incarnation: 2, ..member(1) })));
+}
