Publish a view when the assumed fleet size has changed

After a first start, an instance that doesn't watch the store takes the fleet for 16 instances until the member table counts as complete at an age of 10 s. While it knows no majority, an owner of a rate limit grants only the deputy's small reserve, and the rest of its customers' requests get 503. Shares of retries and connections were too small for as long.

The numbers depend on the age of the process, but were computed only when something else caused a view. The control thread now compares them with the published view at each tick. A changed size by the store's entries is published with the next tick too.

--- a/crates/router/src/control/instances.rs
+++ b/crates/router/src/control/instances.rs
@@ -143,9 +143,8 @@
             let others = listed.iter().filter(|l| l.name != self.identity.name);
             self.probe_instances(others.map(|l| l.peer_addr));
         }
-        if self.listed_fleet_size.replace(Some(fleet)) != Some(fleet) {
-            self.publish();
-        }
+        // The next tick publishes it.
+        self.listed_fleet_size.set(Some(fleet));
         self.delete_stale_entries(&listed, entries).await;
         Ok(())
     }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -246,7 +246,7 @@
                 self.publish();
             }
             self.tick_members();
-            if self.has_member_changes.get() {
+            if self.has_member_changes.get() || self.has_fleet_size_changed() {
                 self.publish();
             }
             tokio::time::sleep(TICK_INTERVAL).await;
--- a/crates/router/src/control/roles.rs
+++ b/crates/router/src/control/roles.rs
@@ -92,6 +92,11 @@
         known.max(self.listed_fleet_size.get().unwrap_or(DEFAULT_INSTANCES))
     }
 
+    /// Returns the number of all instances, including those that this one doesn't know.
+    pub(super) fn fleet_size(&self) -> u64 {
+        self.instances().max(self.listed_fleet_size.get().unwrap_or(0))
+    }
+
     /// Returns the keys of the instances that gather for others in a zone.
     fn gatherers(&self, zone: &str) -> Vec<u64> {
         let membership = self.membership.borrow();
--- a/crates/router/src/control/views.rs
+++ b/crates/router/src/control/views.rs
@@ -65,6 +65,14 @@
         Arc::new(gatherer_stability.clone())
     }
 
+    /// True if the numbers of instances differ from those in the published view.
+    ///
+    /// They also change with the age of the process, without any change of a record.
+    pub(super) fn has_fleet_size_changed(&self) -> bool {
+        let view = self.shared.view.load();
+        (view.instance_count, view.fleet_size) != (self.instances(), self.fleet_size())
+    }
+
     pub(super) fn publish(&self) {
         self.has_member_changes.set(false);
         let peers = self.peers();
@@ -85,7 +93,7 @@
             replicas: Arc::clone(&self.replicas.borrow()),
             has_confirmed_replicas,
             instance_count: self.instances(),
-            fleet_size: self.instances().max(self.listed_fleet_size.get().unwrap_or(0)),
+            fleet_size: self.fleet_size(),
             is_gatherer,
             gatherer_stability,
             cold_until_ms: Arc::clone(&self.cold_until_ms.borrow()),
