Bound the memory of all answers of replicas together

Each answer was bounded by 4 MiB, but not all of them together, and a chunked body kept a buffer for each of its chunks.

Bodies are now read into one buffer each, whose memory comes from a budget of the instance: an eighth of its memory (limits.ram_mb, 256 if absent). The first 16 KiB of an answer need none, so that usual answers are read while endless ones have spent it; beyond, an answer that doesn't fit fails at once (E756 kind no_memory), may have run, and may be tried at another replica. The memory stays reserved until the last copy of the body is dropped, so answers that wait for a merge count as well. The read buffer of a connection, and so a head, is limited to 64 KiB in place of 400.

The largest documented answers have 20 KB, so usual work reserves next to nothing.

Not covered: answers of other instances (8 MiB a frame), the store's client (8 MiB an answer, 64 MiB together), the own daemon's client, interim answers without end (refused at the deadline).

--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -25,6 +25,8 @@
     Status(u16),
     /// the answer is longer than {0} bytes
     TooLarge(usize),
+    /// the answer does not fit into the {0} bytes for all answers
+    NoMemory(usize),
     /// all connections that may be open to the backend server are in use
     Crowded,
     /// another backend server has the address now
@@ -48,6 +50,7 @@
             | Self::TimedOut
             | Self::Status(_)
             | Self::TooLarge(_)
+            | Self::NoMemory(_)
             | Self::Unusable(_) => Verdict::MayHaveRun,
         }
     }
@@ -64,6 +67,7 @@
             Self::TimedOut => "timed_out",
             Self::Status(_) => "status",
             Self::TooLarge(_) => "too_large",
+            Self::NoMemory(_) => "no_memory",
             Self::Crowded => "crowded",
             Self::Misdirected => "misdirected",
             Self::Unusable(_) => "unusable",
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -7,12 +7,14 @@
 //! `DELETE /requests/{id}` cancels a request. Status 503 means that the server shed the request
 //! without running it; 409 means that it does not hold the requested version.
 
+mod answer_budget;
 mod connect;
 mod exchange;
 mod failure;
 mod pool;
 mod report;
 
+pub use answer_budget::AnswerBudget;
 pub use connect::refuses_connections;
 pub use exchange::{
     BackendClient, HttpBackendClient, PartAnswer, PartFuture, PartRequest, RequestKind,
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -17,11 +17,12 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 
+use crate::answer_budget::AnswerBudget;
 use crate::connect::{RECHECK_DELAY, check_listening, connect, connect_timed_out, is_final};
 use crate::failure::PartFailure;
 
@@ -37,6 +38,8 @@
 const MAX_TAGS: usize = 512;
 /// Number of stored tags after which those of expired requests are removed.
 const TAGS_PER_SWEEP: usize = 64;
+/// Maximum size of the read buffer of a connection in bytes, and so of an answer's head.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections that are tried before a new one is opened.
 const MAX_REUSE_ATTEMPTS: usize = 4;
 
@@ -116,6 +119,7 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     servers: RefCell<HashMap<Arc<str>, Rc<ServerPool>, foldhash::fast::RandomState>>,
+    budget: AnswerBudget,
 }
 
 #[derive(Debug, Default)]
@@ -178,6 +182,12 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool whose answers share a budget.
+    #[must_use]
+    pub fn new(budget: AnswerBudget) -> Self {
+        Self { servers: RefCell::default(), budget }
+    }
+
     /// Sends a request and reads its complete answer.
     ///
     /// # Errors
@@ -203,6 +213,7 @@
             keep_alive: exchange.keep_alive,
             max_bytes: exchange.max_bytes,
             answer_id: exchange.answer_id,
+            budget: self.budget.clone(),
         };
         let mut request = exchange.request;
         let reuse_attempts = if exchange.needs_new_connection { 0 } else { MAX_REUSE_ATTEMPTS };
@@ -337,7 +348,10 @@
             log::debug!("failed to set TCP_NODELAY on the connection to {addr}: {error}");
         }
         metrics::counter!("eelgrasspier_backend_connections_total").increment(1);
-        let handshaken = handshake(TokioIo::new(stream)).await;
+        let handshaken = Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let not_reached = |e: hyper::Error| PartFailure::NotReached(e.to_string());
         let (sender, connection) = handshaken.map_err(not_reached)?;
         let driver = actix_rt::spawn(async move {
@@ -385,31 +399,33 @@
     keep_alive: bool,
     max_bytes: usize,
     answer_id: Option<(HeaderName, HeaderValue)>,
+    budget: AnswerBudget,
 }
 
 async fn read_answer(
     pool: Rc<ServerPool>,
     mut connection: Connection,
     answer: Response<Incoming>,
-    AnswerLimits { keep_alive, max_bytes, answer_id }: AnswerLimits,
+    AnswerLimits { keep_alive, max_bytes, answer_id, budget }: AnswerLimits,
 ) -> Result<RawAnswer, PartFailure> {
-    let (head, body) = answer.into_parts();
+    let (head, mut incoming) = answer.into_parts();
     let is_first = !std::mem::replace(&mut connection.is_used, true);
     // On a mismatch the connection is closed: the answer to this request is still to come on it.
     let names_request = match &answer_id {
         Some((name, id)) => check_answer_id(head.headers.get(name), id, is_first)?,
         None => true,
     };
-    let body = Limited::new(body, max_bytes).collect().await.map_err(|error| match error
-        .downcast_ref::<LengthLimitError>(
-    ) {
-        Some(_) => PartFailure::TooLarge(max_bytes),
-        None => PartFailure::Lost(error.to_string()),
-    })?;
+    let mut body = budget.body(max_bytes);
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|e| PartFailure::Lost(e.to_string()))?;
+        if let Some(part) = frame.data_ref() {
+            body.append(part)?;
+        }
+    }
     if keep_alive && names_request && !has_close_token(&head.headers) {
         release(pool, connection, stated_idle_timeout(&head.headers));
     }
-    Ok(RawAnswer { status: head.status, headers: head.headers, body: body.to_bytes() })
+    Ok(RawAnswer { status: head.status, headers: head.headers, body: body.finish() })
 }
 
 /// Checks the id in an answer; returns false if there is none.
