Test that no cut answer of a replica is taken for a whole one

Other operators report a 200 with an empty or short body after a replica stopped in the middle of its answer's head. Not possible here: the test cuts four answers (with a length, chunked, chunked with trailers, HTTP/1.0) after each of their bytes, with the connection closed and reset, and each exchange fails as lost. A number in a cut Content-Length or chunk size has no end of line and is never read.

An answer without a length ends with its connection, so that a cut in its body can't be told; a cut in its head can.

--- a/crates/backend/tests/answer_bytes.rs
+++ b/crates/backend/tests/answer_bytes.rs
@@ -142,3 +142,30 @@
     drop(part);
     assert_eq!(budget.used_bytes(), 0);
 }
+
+/// Guards against a cut answer that is taken for a whole one with an empty or shorter body.
+#[actix_rt::test]
+async fn no_cut_answer_is_taken_for_a_whole_one() {
+    const ANSWERS: [&str; 4] = [
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 12\r\nx-last: 2\r\n\r\nabcdefghijkl",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nx-last: 2\r\n\r\nc\r\nabcdefghijkl\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntrailer: x-sum\r\n\r\n0c\r\nabcdefghijkl\r\n0\r\nx-sum: 34\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nx-last: 2\r\n\r\nabcdefghijkl",
+    ];
+    for answer in ANSWERS {
+        for is_reset in [false, true] {
+            for length in 0..answer.len() {
+                let cut = &answer.as_bytes()[..length];
+                let addr = answering_server(cut.to_vec(), is_reset).await;
+                let result = get(&ConnectionPool::default(), addr).await;
+                assert!(
+                    matches!(result, Err(PartFailure::Lost(_))),
+                    "{result:?} of {:?}, reset: {is_reset}",
+                    &answer[..length]
+                );
+            }
+        }
+        let addr = answering_server(answer.as_bytes().to_vec(), false).await;
+        assert_eq!(get(&ConnectionPool::default(), addr).await.unwrap().body, "abcdefghijkl");
+    }
+}
