Test cut heads of answers that end with their connection

The test cuts it after each byte, with the connection closed and reset, and each exchange fails as lost.

--- a/crates/backend/tests/answer_bytes.rs
+++ b/crates/backend/tests/answer_bytes.rs
@@ -169,3 +169,17 @@
         assert_eq!(get(&ConnectionPool::default(), addr).await.unwrap().body, "abcdefghijkl");
     }
 }
+
+/// Guards against a cut head that is taken for a whole one where the connection's end is the
+/// answer's.
+#[actix_rt::test]
+async fn no_cut_head_is_taken_for_an_answer_without_a_length() {
+    for length in 0..BODY_WITHOUT_LENGTH.len() {
+        for is_reset in [false, true] {
+            let cut = BODY_WITHOUT_LENGTH.as_bytes()[..length].to_vec();
+            let addr = answering_server(cut, is_reset).await;
+            let result = get(&ConnectionPool::default(), addr).await;
+            assert!(matches!(result, Err(PartFailure::Lost(_))), "{result:?} after {length} bytes");
+        }
+    }
+}
