Test crowds of callers that never finish their requests

Callers that the operators don't control ended a process in a trial: it ran out of memory. What they sent were many large bodies, with a length or in chunks, most of them short of their end, on connections that stayed open.

The tests start the real programs with 64 MB of memory, or with 300 descriptors for sockets, and crowds of 60 to 3,500 callers. They check that the process lives, that its peak memory together with the unread bytes in its sockets and its descriptors stay under these bounds, and that an ordinary request is answered beside the crowd and after it. One of them runs at a time.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backends;
 pub mod cluster;
 pub mod compare;
+pub mod crowd;
 pub mod demo;
 pub mod gossip_net;
 pub mod load;
