Keep data of unknown size in pieces of one size

Answers of replicas were read into a buffer that doubled its size. The blocks that it outgrew have other sizes than the next ones, so that the allocator kept them beside the memory in use. Pieces of 16 KiB are used again as they are; the data is put together once it is complete.

--- a/crates/backend/src/answer_budget.rs
+++ b/crates/backend/src/answer_budget.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
+use eelgrasspier_decide::piece_buffer::PieceBuffer;
 
 use crate::failure::PartFailure;
 
@@ -43,7 +44,7 @@
     /// Returns an empty body of at most `max_bytes`.
     pub(crate) fn body(&self, max_bytes: usize) -> Body {
         let reservation = Reservation { used_bytes: Arc::clone(&self.used_bytes), bytes: 0 };
-        Body { data: Vec::new(), reservation, budget_bytes: self.max_bytes, max_bytes }
+        Body { data: PieceBuffer::default(), reservation, budget_bytes: self.max_bytes, max_bytes }
     }
 }
 
@@ -77,7 +78,7 @@
 /// Body that is being read.
 #[derive(Debug)]
 pub(crate) struct Body {
-    data: Vec<u8>,
+    data: PieceBuffer,
     reservation: Reservation,
     budget_bytes: usize,
     max_bytes: usize,
@@ -89,28 +90,29 @@
     /// # Errors
     /// Fails if the body would exceed its maximum, or the budget has not enough left.
     pub(crate) fn append(&mut self, part: &[u8]) -> Result<(), PartFailure> {
-        let size = self.data.len() + part.len();
-        if size > self.max_bytes {
+        if part.len() > self.max_bytes - self.data.len() {
             return Err(PartFailure::TooLarge(self.max_bytes));
         }
-        if size > self.data.capacity() {
-            let capacity = size.max(self.data.capacity() * 2).min(self.max_bytes);
-            let counted = capacity.saturating_sub(FREE_BYTES);
+        let mut rest = self.data.fill(part);
+        while !rest.is_empty() {
+            let piece_bytes = self.data.next_piece_bytes(rest);
+            let counted = (self.data.capacity() + piece_bytes).saturating_sub(FREE_BYTES);
             if !self.reservation.try_raise(counted, self.budget_bytes) {
                 return Err(PartFailure::NoMemory(self.budget_bytes));
             }
-            self.data.reserve_exact(capacity - self.data.len());
+            self.data.add_piece(piece_bytes);
+            rest = self.data.fill(rest);
         }
-        self.data.extend_from_slice(part);
         Ok(())
     }
 
     /// Returns the whole body, whose memory stays reserved until the last copy is dropped.
     pub(crate) fn finish(self) -> Bytes {
         if self.reservation.bytes == 0 {
-            return self.data.into();
+            return self.data.into_vec().into();
         }
-        Bytes::from_owner(ReservedBody { data: self.data, _reservation: self.reservation })
+        let data = self.data.into_vec();
+        Bytes::from_owner(ReservedBody { data, _reservation: self.reservation })
     }
 }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod merge;
 pub mod mirror;
 pub mod pauses;
+pub mod piece_buffer;
 pub mod prelude;
 pub mod pulls;
 pub mod quarantine;
