Bound what callers hold by one account

What callers saw: a process that ran out of memory, or one without descriptors, which nobody reached. Bodies were read whole whatever came of their requests, without a limit for all of them together; each chunk of one byte took a buffer of its own; idle connections, heads and trailers had only limits of their own; sockets kept megabytes unread.

All connections of callers are now in one account of memory and connections, which is derived from `limits.ram_mb` (a fifth) and `limits.max_fds` (half of what is not for files). It charges the connection with its receive buffer, the head, trailers and the body in the capacity of its buffer, and follows answers that are not read. When it is full, the connection that has cost most (bytes times waiting time) loses what it holds: its request is refused (503, not run) if its body is incomplete, otherwise the connection is closed. One whose request is being served never does. A usual request is small and arrives in milliseconds, so it is never the costliest beside a crowd. A refused request's rest is read for a second, so that its answer isn't lost to a reset.

Ruled out: a limit for each shape (the sum of them has to fit in the memory at once, and each new shape needs one), first come first kept (the crowd keeps everything).

--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -56,6 +56,8 @@
     match reason {
         R::BadRequest(_) => (StatusCode::BAD_REQUEST, "bad-request"),
         R::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        R::BodyTimeout => (StatusCode::REQUEST_TIMEOUT, "body-timeout"),
+        R::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no-room"),
         R::UnknownService(_) => (StatusCode::NOT_FOUND, "unknown-service"),
         R::UnknownRoute(_) => (StatusCode::NOT_FOUND, "unknown-route"),
         R::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 mod apply_result;
 pub mod authentication;
+pub mod caller_budget;
 pub mod changes;
 pub mod claim;
 pub mod cold_limit;
--- a/crates/decide/src/verdict.rs
+++ b/crates/decide/src/verdict.rs
@@ -18,6 +18,10 @@
     BadRequest(String),
     /// the body is longer than {0} bytes
     BodyTooLarge(usize),
+    /// the body was not complete in time
+    BodyTimeout,
+    /// callers hold all the memory or connections that they may
+    NoRoom,
     /// no route leads to {0}
     UnknownRoute(String),
     /// unknown service {0}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -10,13 +10,14 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use bytes::Bytes;
 use displaydoc::Display;
-use eelgrasspier_caller::{Handler, ResponseFuture, ShutdownPhase, serve};
+use eelgrasspier_caller::{
+    CallerAccount, CallerBody, Handler, ResponseFuture, ShutdownPhase, serve,
+};
 use eelgrasspier_decide::route::CallerLimits;
 use eelgrasspier_store::{Collections, DecodeContent};
 use eelgrasspier_telemetry::{LatencyHistogram, MetricsExporter, TelemetryError};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -99,8 +100,8 @@
     adapters: Adapters,
     metrics: MetricsExporter,
 ) -> Result<(), RunError> {
-    let front = bind(settings.caller_addr).await?;
-    let ready = bind(settings.readiness_addr).await?;
+    let front = bind_callers(settings.caller_addr)?;
+    let ready = bind_callers(settings.readiness_addr)?;
     let Adapters { make_store, decoder, backend, make_handler, settings_file } = adapters;
     let shared = Arc::new(SharedState::new());
     log::info!(
@@ -168,12 +169,13 @@
     let (_keep_open, until_exit) = watch::channel(ShutdownPhase::Serving);
     let readiness =
         Rc::new(ReadinessProbe { shared: Arc::clone(&shared), phase: phase_changes.clone() });
-    actix_rt::spawn(serve(ready, readiness, until_exit.clone()));
+    let account = CallerAccount::new(settings.caller_budget);
+    actix_rt::spawn(serve(ready, readiness, Rc::clone(&account), until_exit.clone()));
     if let Some(addr) = settings.metrics_addr {
-        match bind(addr).await {
+        match bind_callers(addr) {
             Ok(listener) => {
                 let page = Rc::new(MetricsPage(metrics));
-                actix_rt::spawn(serve(listener, page, until_exit));
+                actix_rt::spawn(serve(listener, page, Rc::clone(&account), until_exit));
             }
             // Serving callers matters more than metrics.
             Err(error) => log::error!("event=metrics_not_served cause=\"{error}\""),
@@ -184,7 +186,7 @@
     let hangup_signals = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
     actix_rt::spawn(active_settings.follow(hangup_signals));
     let stop = stop_signal()?;
-    let serving = actix_rt::spawn(serve(front, make_handler(router), phase_changes));
+    let serving = actix_rt::spawn(serve(front, make_handler(router), account, phase_changes));
     stop.await;
     let grace_period = grace_period.get().saturating_sub(GRACE_MARGIN);
     log::info!("event=stopping grace_ms={}", grace_period.as_millis());
@@ -200,6 +202,10 @@
     Ok(())
 }
 
+fn bind_callers(addr: SocketAddr) -> Result<TcpListener, RunError> {
+    eelgrasspier_caller::bind(addr).map_err(|e| RunError::Bind(addr, e))
+}
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(addr).await.map_err(|e| RunError::Bind(addr, e))
 }
@@ -222,7 +228,7 @@
 }
 
 impl Handler for ReadinessProbe {
-    fn answer(&self, _request: Request<Incoming>) -> ResponseFuture {
+    fn answer(&self, _request: Request<CallerBody>) -> ResponseFuture {
         let is_serving = *self.phase.borrow() == ShutdownPhase::Serving;
         let is_ready = is_serving && self.shared.view.load().is_ready();
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -238,7 +244,7 @@
 struct MetricsPage(MetricsExporter);
 
 impl Handler for MetricsPage {
-    fn answer(&self, _request: Request<Incoming>) -> ResponseFuture {
+    fn answer(&self, _request: Request<CallerBody>) -> ResponseFuture {
         match self.0.render() {
             Ok(text) => page(StatusCode::OK, text.into()),
             Err(error) => {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -107,6 +107,9 @@
     event(800, "watch_report"),
     event(801, "delay_assumed"),
     event(802, "instance_recovered"),
+    event(803, "caller_budget"),
+    event(804, "caller_evicted"),
+    event(805, "caller_usage_peak"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use backend::{Attempt, Backend, BackendFuture, Reply};
 pub use daemon::{Adapters, RunError, run};
+pub use log_budget::LogBudget;
 pub use log_output::{flush_log, init_stdout_log};
 pub use model::{Credential, Merged, Outcome, Request, RequestProgress};
 pub use reload::SettingsFile;
--- a/crates/router/src/log_budget.rs
+++ b/crates/router/src/log_budget.rs
@@ -9,7 +9,7 @@
 
 /// Number of lines that may still be written in the current second.
 #[derive(Debug)]
-pub(crate) struct LogBudget {
+pub struct LogBudget {
     max_lines_per_s: u32,
     state: Cell<State>,
 }
@@ -29,13 +29,14 @@
 
 impl LogBudget {
     /// Creates a budget of `max_lines_per_s` lines in each second.
-    pub(crate) fn new(max_lines_per_s: u32) -> Self {
+    #[must_use]
+    pub fn new(max_lines_per_s: u32) -> Self {
         Self { max_lines_per_s, state: Cell::default() }
     }
 
     /// Takes a line; returns the number of lines skipped since the previous one, or `None` if this
     /// line must be skipped too.
-    pub(crate) fn try_take(&self, now_ms: u64) -> Option<u64> {
+    pub fn try_take(&self, now_ms: u64) -> Option<u64> {
         let mut state = self.state.get();
         if now_ms >= state.window_end_ms {
             (state.window_end_ms, state.written) = (now_ms + WINDOW_MS, 0);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eelgrasspier_decide::caller_budget::CallerBudget;
 use eelgrasspier_decide::cold_limit::ColdTolerance;
 use eelgrasspier_decide::customer_limits::LimitTolerance;
 use eelgrasspier_decide::regions::Regions;
@@ -25,6 +26,8 @@
     pub seed_addrs: Vec<SocketAddr>,
     /// Its CPU capacity, in thousandths of a core.
     pub capacity_milli: u32,
+    /// Memory and connections that callers may hold.
+    pub caller_budget: CallerBudget,
     /// True if the whole system starts for the first time.
     pub is_bootstrap: bool,
     /// Address at which metrics are served.
--- a/crates/router/tests/catalogue.rs
+++ b/crates/router/tests/catalogue.rs
@@ -25,6 +25,7 @@
     let mut text = String::new();
     read_sources(&root().join("crates/router/src"), &mut text);
     read_sources(&root().join("crates/peer/src"), &mut text);
+    read_sources(&root().join("crates/caller/src"), &mut text);
     read_sources(&root().join("platform/src"), &mut text);
     let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
     let mut event_names: BTreeSet<String> = text
@@ -55,6 +56,8 @@
     let docs = std::fs::read_to_string(root().join("docs/METRICS.md")).unwrap();
     let mut text = String::new();
     read_sources(&root().join("crates/router/src"), &mut text);
+    read_sources(&root().join("crates/caller/src"), &mut text);
+    read_sources(&root().join("platform/src"), &mut text);
     let names = text.split('"').filter(|part| part.starts_with("eelgrasspier_"));
     for name in names {
         assert!(docs.contains(name), "{name}");
--- a/crates/standin/tests/crowds.rs
+++ b/crates/standin/tests/crowds.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -43,10 +44,11 @@
 impl Scene {
     async fn start(max_descriptors: usize) -> Self {
         let mut spec: ClusterSpec = common::cluster_spec(1, 2);
-        spec.settings += &format!("\nmemory_mb = {MEMORY_MB}\nmax_descriptors = {max_descriptors}");
+        write!(spec.settings, "\nmemory_mb = {MEMORY_MB}\nmax_descriptors = {max_descriptors}")
+            .unwrap();
         for service in &mut spec.services {
-            service.text +=
-                &format!("max_request_bytes = {MAX_BODY_BYTES}\nmax_deadline_ms = 60000\n");
+            let text = format!("max_request_bytes = {MAX_BODY_BYTES}\nmax_deadline_ms = 60000\n");
+            service.text.push_str(&text);
         }
         Self { cluster: TestCluster::start(spec).await.unwrap(), max_descriptors }
     }
