Refuse what can't be served before the body is read

Callers without a valid API key or route sent their whole body before they got 401 or 404, and a body that never ended held its request beyond its deadline: nothing looked at the head before the body was complete, and no limit of time applied to it.

--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -61,6 +61,15 @@
 /// a dozen look-ups, and the standard hasher took 5 % of the instructions of a send.
 pub(crate) type NameMap<T> = HashMap<Arc<str>, T, foldhash::fast::RandomState>;
 
+/// Route of a request, or why it is refused.
+struct Admission {
+    /// View by which it was decided.
+    view: Arc<View>,
+    /// Route of the request, even if its API key is refused.
+    route: Option<Arc<Route>>,
+    result: Result<Arc<Route>, Refusal>,
+}
+
 /// State of the traffic thread.
 pub struct Router {
     pub(crate) shared: Arc<SharedState>,
@@ -135,26 +144,61 @@
 
     /// Serves one request; dropping the future cancels everything that is in flight.
     pub async fn serve(self: &Rc<Self>, mut request: Request) -> Outcome {
+        let Admission { view, route, result } = self.admit(&mut request);
+        let request = Rc::new(request);
+        let outcome = match result {
+            Ok(route) => self.serve_route(&view, &route, &request).await,
+            Err(refusal) => Outcome::Refused(refusal),
+        };
+        self.finish(&request, route.as_deref(), &view, outcome)
+    }
+
+    /// Checks a request whose body has not arrived yet, without running anything.
+    ///
+    /// Returns the time after its arrival within which it must be answered, in milliseconds, or the
+    /// outcome if the request can't be served.
+    ///
+    /// # Errors
+    /// Fails if no configuration is loaded, no route matches or the API key is refused.
+    pub fn check(&self, request: &mut Request) -> Result<u64, Box<Outcome>> {
+        let Admission { view, route, result } = self.admit(request);
+        match result {
+            Ok(route) => Ok(request.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms)),
+            Err(refusal) => {
+                let refused = Outcome::Refused(refusal);
+                Err(Box::new(self.finish(request, route.as_deref(), &view, refused)))
+            }
+        }
+    }
+
+    /// Finds the route of a request and checks its API key.
+    fn admit(&self, request: &mut Request) -> Admission {
         // Before the view, so that the sources confirm no newer configuration than the view's.
         let sources = self.shared.configuration_sources();
         let view = self.shared.view.load_full();
-        let (route, result) = match self.resolve_route(&view, &request) {
+        let (route, result) = match self.resolve_route(&view, request) {
             Ok(route) => {
-                let result = self.authenticate(&view, &sources, &route, &mut request);
+                let result = self.authenticate(&view, &sources, &route, request);
                 (Some(result.clone().unwrap_or(route)), result)
             }
             Err(refusal) => (None, Err(refusal)),
         };
-        let request = Rc::new(request);
-        let mut outcome = match result {
-            Ok(route) => self.serve_route(&view, &route, &request).await,
-            Err(refusal) => Outcome::Refused(refusal),
-        };
-        if let (Outcome::Refused(refusal), Some(route)) = (&mut outcome, &route) {
-            limit_retry_delay(refusal, &request, route);
+        Admission { view, route, result }
+    }
+
+    /// Records the outcome of a request and returns it with its final retry delay.
+    fn finish(
+        &self,
+        request: &Request,
+        route: Option<&Route>,
+        view: &View,
+        mut outcome: Outcome,
+    ) -> Outcome {
+        if let (Outcome::Refused(refusal), Some(route)) = (&mut outcome, route) {
+            limit_retry_delay(refusal, request, route);
         }
-        let name = record_outcome(&request, route.as_deref(), &view, &outcome);
-        self.count_customer_outcome(&request, name);
+        let name = record_outcome(request, route, view, &outcome);
+        self.count_customer_outcome(request, name);
         outcome
     }
 
