Don't let unfinished requests hold a planned stop

Bodies that never end, and answers that nobody reads, held a stopping process for its whole grace period (cut_short=true): it waited for every connection. When it closes, requests whose body is incomplete are now refused (503, not run), so that their callers go elsewhere at once, and connections whose callers have not read their answer for a second are closed. Requests that are being served are finished as before.

planned_stop_is_not_held_by_unfinished_requests: failed on, passes.

--- a/crates/caller/src/account.rs
+++ b/crates/caller/src/account.rs
@@ -52,6 +52,8 @@
     Answers,
     /// connections
     Connections,
+    /// stop
+    Stop,
 }
 
 /// Reason why a request is refused before its body is complete.
@@ -59,6 +61,8 @@
 pub(crate) enum Eviction {
     /// The memory or the connections of all callers are used up.
     NoRoom,
+    /// The process stops.
+    Stopping,
 }
 
 /// Memory and connections that the callers of one thread hold.
@@ -267,6 +271,11 @@
         self.phase.get()
     }
 
+    /// Returns the time since the phase began.
+    pub(crate) fn waiting(&self) -> Duration {
+        self.phase_started.get().elapsed()
+    }
+
     pub(crate) fn set_phase(&self, phase: Phase) {
         match phase {
             Phase::Head => {
@@ -402,7 +411,8 @@
     fn evict(&self, bound: Bound) {
         self.account.record_eviction(self, bound);
         if self.phase.get() == Phase::Body && self.eviction.get().is_none() {
-            self.eviction.set(Some(Eviction::NoRoom));
+            let eviction = if bound == Bound::Stop { Eviction::Stopping } else { Eviction::NoRoom };
+            self.eviction.set(Some(eviction));
             self.account.evicted_count.set(self.account.evicted_count.get() + 1);
             self.body.replace(BodyBuffer::new(&self.account.used_bytes));
             self.evicted.notify_one();
@@ -411,6 +421,13 @@
         }
     }
 
+    /// Refuses the request if its body is incomplete, since the process stops.
+    pub(crate) fn stop(&self) {
+        if self.phase.get() == Phase::Body && self.eviction.get().is_none() {
+            self.evict(Bound::Stop);
+        }
+    }
+
     /// Closes the connection without an answer.
     fn close(&self) {
         if !self.is_closed() {
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -29,6 +29,8 @@
     TimedOut,
     /// there is no memory or connection left for the body
     NoRoom,
+    /// the process stops
+    Stopping,
     /// {0}
     Refused(E),
 }
@@ -37,6 +39,7 @@
     fn from(eviction: Eviction) -> Self {
         match eviction {
             Eviction::NoRoom => Self::NoRoom,
+            Eviction::Stopping => Self::Stopping,
         }
     }
 }
@@ -52,7 +55,8 @@
     /// waited for. It returns the time by which the body must be complete.
     ///
     /// # Errors
-    /// Fails if the body is too large, incomplete or late, if there is no memory for it, or if `check` fails.
+    /// Fails if the body is too large, incomplete or late, if there is no memory for it, if the
+    /// process stops, or if `check` fails.
     pub async fn read<E>(
         mut self,
         max_bytes: usize,
--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -40,6 +40,8 @@
 pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// Time for which a closing instance waits for callers to read their answers.
+const UNREAD_GRACE: Duration = Duration::from_secs(1);
 /// Time for which the rest of a refused request is read.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
@@ -174,6 +176,12 @@
             _ = phase.wait_for(|p| *p == ShutdownPhase::Closing), if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut http).graceful_shutdown();
+                connection.stop();
+            }
+            () = tokio::time::sleep(UNREAD_GRACE), if is_closing => {
+                if connection.phase() != Phase::Service && connection.waiting() >= UNREAD_GRACE {
+                    return;
+                }
             }
         }
     };
