Give ordinary callers descriptors when there are none left

A process whose limit of descriptors is lower than its settings say accepted connections until none was left and then paused 20 ms after each failed accept; no ordinary caller got an answer until the crowd left. Now a failed accept lowers the number of connections that callers may hold by a quarter of those there are, and the costliest are evicted before the next accept.

--- a/crates/caller/src/account.rs
+++ b/crates/caller/src/account.rs
@@ -27,6 +27,9 @@
 const EVICTION_TIME: Duration = Duration::from_millis(20);
 /// Number of levels of use of which each is logged when it is first reached.
 const LOGGED_LEVELS: usize = 8;
+/// Part of the connections that end when the process has no descriptors left; replicas and the
+/// store need some too.
+const EXHAUSTION_DIVISOR: usize = 4;
 /// Interval between two lines on evictions.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -69,6 +72,8 @@
 #[derive(Debug)]
 pub struct CallerAccount {
     budget: CallerBudget,
+    /// Lowered if the process runs out of descriptors earlier.
+    max_connections: Cell<usize>,
     used_bytes: Arc<AtomicUsize>,
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
     last_id: Cell<u64>,
@@ -97,6 +102,7 @@
         );
         Rc::new(Self {
             budget,
+            max_connections: Cell::new(budget.max_connections),
             used_bytes: Arc::default(),
             connections: RefCell::default(),
             last_id: Cell::default(),
@@ -139,8 +145,8 @@
 
     /// Waits until there are no more connections than permitted; evicts some if there are.
     pub(crate) async fn settle(&self) {
-        while self.connections.borrow().len() > self.budget.max_connections {
-            let excess = self.connections.borrow().len() - self.budget.max_connections;
+        while self.connections.borrow().len() > self.max_connections.get() {
+            let excess = self.connections.borrow().len() - self.max_connections.get();
             if self.evicted_count.get() < excess {
                 self.evict_for_descriptor();
             }
@@ -159,6 +165,19 @@
         }
     }
 
+    /// Permits fewer connections, since the process has no descriptors left.
+    pub(crate) fn record_exhaustion(&self) {
+        let connections = self.connections.borrow().len();
+        let max_connections = (connections - connections / EXHAUSTION_DIVISOR).max(1);
+        if max_connections < self.max_connections.get() {
+            self.max_connections.set(max_connections);
+            log::warn!(
+                "event=descriptors_exhausted connections={connections} \
+                 max_connections={max_connections}"
+            );
+        }
+    }
+
     /// Evicts connections until `bytes` more fit; false if they don't.
     ///
     /// `requester` is the connection that needs them, which gets nothing if it would then be the
@@ -218,7 +237,7 @@
             self.used_bytes.load(Ordering::Relaxed),
             self.budget.max_bytes,
             self.connections.borrow().len(),
-            self.budget.max_connections,
+            self.max_connections.get(),
             self.skipped_lines.take()
         );
     }
@@ -229,7 +248,7 @@
         let to_f64 = |value: usize| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
         metrics::gauge!("eelgrasspier_caller_connections").set(to_f64(connections));
         metrics::gauge!("eelgrasspier_caller_bytes").set(to_f64(used_bytes));
-        let (max_bytes, max_connections) = (self.budget.max_bytes, self.budget.max_connections);
+        let (max_bytes, max_connections) = (self.budget.max_bytes, self.max_connections.get());
         let level = |used: usize, max: usize| used.saturating_mul(LOGGED_LEVELS) / max.max(1);
         let level = level(used_bytes, max_bytes).max(level(connections, max_connections));
         if level > self.logged_level.get() {
--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -34,6 +34,8 @@
 
 /// Pause after a failed accept, which is most likely caused by a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Error of the system if the process has no descriptors left (`EMFILE`).
+const TOO_MANY_DESCRIPTORS: i32 = 24;
 /// Minimum buffer size that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Receive buffer of each connection in bytes; the system would let it grow to megabytes.
@@ -117,6 +119,10 @@
             }
             Err(error) => {
                 log::warn!("failed to accept a caller's connection: {error}");
+                if error.raw_os_error() == Some(TOO_MANY_DESCRIPTORS) {
+                    account.record_exhaustion();
+                    account.settle().await;
+                }
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -110,6 +110,7 @@
     event(803, "caller_budget"),
     event(804, "caller_evicted"),
     event(805, "caller_usage_peak"),
+    event(806, "descriptors_exhausted"),
 ];
 
 /// Returns the number of the event that a line names, if the catalogue has it.
