Bound what callers of the own daemon hold by the same account

Callers of eelgrasspierd could make it take any memory: bodies were collected without a limit for all of them, each chunk of one byte took an entry in a queue, an edit of the operators' text was read (4 MiB) before its token was checked, and nothing bounded the connections. Unfinished requests held a stop for `stop_limit_ms`.

The daemon accepts connections itself and hands them to actix-http, whose server can't end a connection from outside. Each thread has its part of the account, which comes from the settings `memory_mb` and `max_descriptors`, or else from the machine and the limit of the process. Bodies are read until the request's deadline (408, not run); copies for the shards are charged too. Its HTTP library reads a socket until nothing is left, so the stream makes it pause every 8 KiB.

--- a/crates/caller/src/account.rs
+++ b/crates/caller/src/account.rs
@@ -14,13 +14,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::serve::RECEIVE_BUFFER_BYTES;
+use crate::serve::{RECEIVE_BUFFER_BYTES, UNREAD_GRACE};
 
 /// Memory of a connection without requests, in bytes: buffers of the HTTP library, its task and the
 /// receive buffer of the socket.
 const CONNECTION_BYTES: usize = (20 << 10) + RECEIVE_BUFFER_BYTES as usize;
-/// Memory that the HTTP library takes beyond that for chunks and trailers, in bytes.
-const CHUNKED_BODY_BYTES: usize = 40 << 10;
 /// Size up to which an answer is part of [`CONNECTION_BYTES`].
 const FREE_ANSWER_BYTES: usize = 4 << 10;
 /// Time in which evicted connections end before more of them are evicted.
@@ -35,7 +33,7 @@
 
 /// What a connection is doing.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Phase {
+pub enum Phase {
     /// head
     Head,
     /// body
@@ -117,7 +115,8 @@
     }
 
     /// Adds a connection, and evicts others if the account is full.
-    pub(crate) fn open(self: &Rc<Self>) -> OpenConnection {
+    #[must_use]
+    pub fn open(self: &Rc<Self>) -> OpenConnection {
         let id = self.last_id.get() + 1;
         self.last_id.set(id);
         let connection = Rc::new(Connection {
@@ -143,8 +142,24 @@
         OpenConnection(connection)
     }
 
+    /// Ends all connections that wait for their callers, since the process stops.
+    ///
+    /// Callers have a second to read their answers. Returns true if no connections are left.
+    pub fn stop(&self) -> bool {
+        let all: Vec<_> = self.connections.borrow().values().cloned().collect();
+        for connection in &all {
+            match connection.phase.get() {
+                Phase::Body => connection.stop(),
+                Phase::Head => connection.close(),
+                Phase::Answer if connection.waiting() >= UNREAD_GRACE => connection.close(),
+                Phase::Answer | Phase::Service => {}
+            }
+        }
+        all.is_empty()
+    }
+
     /// Waits until there are no more connections than permitted; evicts some if there are.
-    pub(crate) async fn settle(&self) {
+    pub async fn settle(&self) {
         while self.connections.borrow().len() > self.max_connections.get() {
             let excess = self.connections.borrow().len() - self.max_connections.get();
             if self.evicted_count.get() < excess {
@@ -166,7 +181,7 @@
     }
 
     /// Permits fewer connections, since the process has no descriptors left.
-    pub(crate) fn record_exhaustion(&self) {
+    pub fn record_exhaustion(&self) {
         let connections = self.connections.borrow().len();
         let max_connections = (connections - connections / EXHAUSTION_DIVISOR).max(1);
         if max_connections < self.max_connections.get() {
@@ -263,7 +278,7 @@
 
 /// One connection of a caller in the account.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     account: Rc<CallerAccount>,
     id: u64,
     phase: Cell<Phase>,
@@ -295,7 +310,8 @@
         self.phase_started.get().elapsed()
     }
 
-    pub(crate) fn set_phase(&self, phase: Phase) {
+    /// Records what the connection does from now on.
+    pub fn set_phase(&self, phase: Phase) {
         match phase {
             Phase::Head => {
                 self.release_answer();
@@ -350,12 +366,12 @@
     }
 
     /// Charges the buffers for a chunked body; fails if there is no memory for them.
-    pub(crate) fn charge_chunks(&self) -> Result<(), Eviction> {
-        if !self.account.make_room(CHUNKED_BODY_BYTES, Some(self)) {
+    pub(crate) fn charge_chunks(&self, bytes: usize) -> Result<(), Eviction> {
+        if !self.account.make_room(bytes, Some(self)) {
             self.evict(Bound::Memory);
             return Err(Eviction::NoRoom);
         }
-        self.head_bytes.set(self.head_bytes.get() + CHUNKED_BODY_BYTES);
+        self.head_bytes.set(self.head_bytes.get() + bytes);
         self.set_unparsed(self.unparsed_bytes.get());
         Ok(())
     }
@@ -400,11 +416,24 @@
         self.body.replace(BodyBuffer::new(&self.account.used_bytes)).into_bytes()
     }
 
+    /// Charges copies of the body that are made while its request is served.
+    ///
+    /// Returns `None` if there is no memory for them.
+    #[must_use]
+    pub fn charge_copies(&self, bytes: usize) -> Option<Charge> {
+        if !self.account.make_room(bytes, None) {
+            return None;
+        }
+        let mut charge = Charge::new(&self.account.used_bytes);
+        charge.set(bytes);
+        Some(charge)
+    }
+
     /// Records an answer that is about to be written.
     ///
     /// Its memory belongs to the budget for answers of replicas. Connections whose callers don't
     /// read are evicted before their answers use up that budget.
-    pub(crate) fn record_answer(&self, bytes: usize) {
+    pub fn record_answer(&self, bytes: usize) {
         if bytes <= FREE_ANSWER_BYTES {
             return;
         }
@@ -477,7 +506,7 @@
     }
 
     /// Waits until the connection is to be closed without an answer.
-    pub(crate) async fn wait_closed(&self) {
+    pub async fn wait_closed(&self) {
         while !self.is_closed() {
             self.closed.notified().await;
         }
@@ -491,10 +520,12 @@
 
 /// Connection in the account, removed on drop.
 #[derive(Debug)]
-pub(crate) struct OpenConnection(Rc<Connection>);
+pub struct OpenConnection(Rc<Connection>);
 
 impl OpenConnection {
-    pub(crate) fn connection(&self) -> &Rc<Connection> {
+    /// Returns the connection.
+    #[must_use]
+    pub fn connection(&self) -> &Rc<Connection> {
         &self.0
     }
 }
@@ -518,7 +549,7 @@
 
 /// Memory in the account, released on drop.
 #[derive(Debug)]
-struct Charge {
+pub struct Charge {
     used_bytes: Arc<AtomicUsize>,
     bytes: usize,
 }
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -1,16 +1,24 @@
 //! Body of a caller's request, read into memory that is accounted for.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::task::Poll;
 
+use actix_web::web::Payload;
 use bytes::Bytes;
 use displaydoc::Display;
+use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
 use crate::account::{Connection, Eviction, Phase};
 
+/// Memory that `hyper` takes for chunks and trailers, in bytes.
+const CHUNKED_BODY_BYTES: usize = 40 << 10;
+/// Memory that `actix-http` takes for chunks, each of which has an entry in a queue, in bytes.
+const CHUNKED_PAYLOAD_BYTES: usize = 96 << 10;
+
 /// Body of a request that has not been read.
 #[derive(Debug)]
 pub struct CallerBody {
@@ -73,7 +81,7 @@
         if !self.read_available(max_bytes).await? {
             let until = check().map_err(BodyError::Refused)?;
             if self.incoming.size_hint().upper().is_none() {
-                self.connection.charge_chunks()?;
+                self.connection.charge_chunks(CHUNKED_BODY_BYTES)?;
             }
             self.read_until(until, max_bytes).await?;
         }
@@ -132,11 +140,51 @@
         let frame = frame.map_err(|_| BodyError::Incomplete)?;
         self.connection.record_parsed();
         if let Some(data) = frame.data_ref() {
-            if data.len() > max_bytes - self.connection.body_len() {
-                return Err(BodyError::TooLarge(max_bytes));
-            }
-            self.connection.append(data)?;
+            append(&self.connection, data, max_bytes)?;
         }
         Ok(false)
     }
 }
+
+fn append<E>(connection: &Connection, data: &[u8], max_bytes: usize) -> Result<(), BodyError<E>> {
+    if data.len() > max_bytes - connection.body_len() {
+        return Err(BodyError::TooLarge(max_bytes));
+    }
+    Ok(connection.append(data)?)
+}
+
+/// Reads the whole body of at most `max_bytes` from an `actix-web` payload.
+///
+/// `until` is the time by which it must be complete.
+///
+/// # Errors
+/// Fails if the body is too large, incomplete or late, if there is no memory for it, or if the
+/// process stops.
+pub async fn read_payload(
+    connection: &Connection,
+    mut payload: Payload,
+    is_chunked: bool,
+    max_bytes: usize,
+    until: Instant,
+) -> Result<Bytes, BodyError<Infallible>> {
+    connection.set_phase(Phase::Body);
+    if is_chunked {
+        connection.charge_chunks(CHUNKED_PAYLOAD_BYTES)?;
+    }
+    let mut evicted = std::pin::pin!(connection.wait_evicted());
+    let mut timeout = std::pin::pin!(tokio::time::sleep_until(until));
+    loop {
+        let part = tokio::select! {
+            biased;
+            eviction = &mut evicted => return Err(eviction.into()),
+            () = &mut timeout => return Err(BodyError::TimedOut),
+            part = payload.next() => part,
+        };
+        let Some(part) = part else { break };
+        let part = part.map_err(|_| BodyError::Incomplete)?;
+        connection.record_parsed();
+        append(connection, &part, max_bytes)?;
+    }
+    connection.set_phase(Phase::Service);
+    Ok(connection.take_whole_body())
+}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -13,10 +13,13 @@
 mod serve;
 mod stream;
 
-pub use account::CallerAccount;
+pub use account::{CallerAccount, Charge, Connection, OpenConnection, Phase};
 pub use answer::{Answer, Missed, Part, RunAnswer};
-pub use body::{BodyError, CallerBody};
-pub use machine::max_open_descriptors;
+pub use body::{BodyError, CallerBody, read_payload};
+pub use machine::{max_open_descriptors, memory_bytes};
 pub use problem::{Problem, problem_response};
 pub use request::{RequestError, RequestParams, RunParams, headers};
-pub use serve::{Handler, ResponseFuture, ShutdownPhase, bind, serve};
+pub use serve::{
+    ACCEPT_PAUSE, Handler, ResponseFuture, ShutdownPhase, bind, is_out_of_descriptors, serve,
+};
+pub use stream::AccountedStream;
--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -33,7 +33,7 @@
 use crate::stream::AccountedStream;
 
 /// Pause after a failed accept, which is most likely caused by a lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Error of the system if the process has no descriptors left (`EMFILE`).
 const TOO_MANY_DESCRIPTORS: i32 = 24;
 /// Minimum buffer size that the HTTP library accepts, in bytes.
@@ -43,7 +43,7 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// Time for which a closing instance waits for callers to read their answers.
-const UNREAD_GRACE: Duration = Duration::from_secs(1);
+pub(crate) const UNREAD_GRACE: Duration = Duration::from_secs(1);
 /// Time for which the rest of a refused request is read.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
@@ -84,6 +84,12 @@
     socket.listen(BACKLOG)
 }
 
+/// True if a connection can't be accepted because the process has no descriptors left.
+#[must_use]
+pub fn is_out_of_descriptors(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(TOO_MANY_DESCRIPTORS)
+}
+
 /// Accepts connections until [`ShutdownPhase::Closing`]; returns after the last one has ended.
 pub async fn serve(
     listener: TcpListener,
@@ -119,7 +125,7 @@
             }
             Err(error) => {
                 log::warn!("failed to accept a caller's connection: {error}");
-                if error.raw_os_error() == Some(TOO_MANY_DESCRIPTORS) {
+                if is_out_of_descriptors(&error) {
                     account.record_exhaustion();
                     account.settle().await;
                 }
--- a/crates/caller/src/stream.rs
+++ b/crates/caller/src/stream.rs
@@ -10,16 +10,38 @@
 
 use crate::account::{Connection, Phase};
 
+/// Bytes that `actix-http` reads before it processes them.
+const MAX_READ_BYTES: usize = 8 << 10;
+
 /// Stream whose reads and writes are recorded in the account.
 #[derive(Debug)]
-pub(crate) struct AccountedStream {
+pub struct AccountedStream {
     stream: TcpStream,
     connection: Rc<Connection>,
+    /// Bytes after which a reader has to process what it has read.
+    max_read_bytes: usize,
+    read_bytes: usize,
 }
 
 impl AccountedStream {
+    /// Creates a stream that is read without pauses.
     pub(crate) fn new(stream: TcpStream, connection: Rc<Connection>) -> Self {
-        Self { stream, connection }
+        Self { stream, connection, max_read_bytes: usize::MAX, read_bytes: 0 }
+    }
+
+    /// Creates a stream for `actix-http`, which reads on until nothing is left.
+    ///
+    /// The stream makes it process what it has read every few kilobytes, so that its buffer stays
+    /// small.
+    #[must_use]
+    pub fn with_pauses(stream: TcpStream, connection: Rc<Connection>) -> Self {
+        Self { stream, connection, max_read_bytes: MAX_READ_BYTES, read_bytes: 0 }
+    }
+
+    /// Returns the connection in the account.
+    #[must_use]
+    pub fn connection(&self) -> &Rc<Connection> {
+        &self.connection
     }
 
     pub(crate) fn into_inner(self) -> TcpStream {
@@ -33,9 +55,19 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.read_bytes >= self.max_read_bytes {
+            self.read_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() {
+            self.read_bytes = 0;
+        }
+        ready!(read)?;
         let bytes = buf.filled().len() - before;
+        self.read_bytes += bytes;
         if bytes > 0 && !self.connection.record_read(bytes) {
             return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
         }
--- a/crates/eelgrasspier/src/daemon.rs
+++ b/crates/eelgrasspier/src/daemon.rs
@@ -5,13 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix_web::web::Data;
-use actix_web::{App, HttpServer};
 use arc_swap::ArcSwap;
 use displaydoc::Display;
 use eelgrasspier_decide::prelude::InstanceId;
 use eelgrasspier_telemetry::{LatencyHistogram, MetricsExporter, TelemetryError};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::clock::epoch_ms;
 use crate::control::{Control, Sockets};
@@ -20,9 +18,8 @@
 use crate::settings::Settings;
 use crate::shared::{ControlRequest, Shared, SharedRef};
 use crate::timeline::Timeline;
-use crate::traffic::TrafficThread;
 use crate::view::View;
-use crate::web;
+use crate::worker::Worker;
 
 /// Maximum number of ports tried to find one that is free for both TCP and UDP.
 const MAX_PORT_ATTEMPTS: usize = 50;
@@ -39,10 +36,6 @@
         labels: &[],
     },
 ];
-/// Maximum size of the body of an administration request: the text, escaped as JSON.
-const MAX_ADMIN_BODY_BYTES: usize = 4 << 20;
-/// Time after which an idle caller connection is closed.
-const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
 
 /// Error that prevents the daemon from starting or continuing.
 #[derive(Debug, Display, thiserror::Error)]
@@ -65,7 +58,9 @@
 }
 
 async fn serve(settings: Settings, metrics: MetricsExporter) -> Result<(), StartError> {
-    let http = TcpListener::bind(settings.http_addr).map_err(StartError::Bind)?;
+    let http =
+        eelgrasspier_caller::bind(settings.http_addr).and_then(tokio::net::TcpListener::into_std);
+    let http = http.map_err(StartError::Bind)?;
     let peer = bind_peer(settings.peer_addr).map_err(StartError::Bind)?;
     let http_addr = http.local_addr().map_err(StartError::Bind)?;
     let peer_addr = peer.local_addr().map_err(StartError::Bind)?;
@@ -144,29 +139,27 @@
     shared: SharedRef,
     metrics: MetricsExporter,
 ) -> io::Result<()> {
-    let stop_limit_s = shared.settings.stop_limit_ms.div_ceil(1000);
-    let workers = shared.settings.traffic_threads;
-    let worker_shared = Arc::clone(&shared);
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(Data::new(TrafficThread::start(Arc::clone(&worker_shared))))
-            .app_data(Data::new(metrics.clone()))
-            .app_data(actix_web::web::JsonConfig::default().limit(MAX_ADMIN_BODY_BYTES))
-            .configure(web::routes)
-    })
-    .workers(workers)
-    .keep_alive(CALLER_KEEP_ALIVE)
-    .shutdown_timeout(stop_limit_s)
-    .disable_signals()
-    .listen(listener)?
-    .run();
-    let handle = server.handle();
-    actix_rt::spawn(async move {
-        wait_for_signal().await;
-        begin_stop(&shared).await;
-        handle.stop(true).await;
-    });
-    server.await
+    let stop_limit = Duration::from_millis(shared.settings.stop_limit_ms);
+    let (closing, is_closing) = watch::channel(false);
+    let mut workers = Vec::new();
+    for _ in 0..shared.settings.traffic_threads {
+        let worker = Worker {
+            listener: listener.try_clone()?,
+            shared: Arc::clone(&shared),
+            metrics: metrics.clone(),
+            is_closing: is_closing.clone(),
+            stop_limit,
+        };
+        workers.push(worker.start().await?);
+    }
+    drop(listener);
+    wait_for_signal().await;
+    begin_stop(&shared).await;
+    closing.send_replace(true);
+    for worker in workers {
+        worker.wait_until_ended().await;
+    }
+    Ok(())
 }
 
 /// Announces the stop and waits while still serving, until load balancers have noticed.
--- a/crates/eelgrasspier/src/lib.rs
+++ b/crates/eelgrasspier/src/lib.rs
@@ -24,6 +24,7 @@
 mod traffic;
 mod view;
 mod web;
+mod worker;
 
 pub use daemon::{StartError, run};
 pub use settings::{Policy, Settings, SettingsError};
--- a/crates/eelgrasspier/src/settings.rs
+++ b/crates/eelgrasspier/src/settings.rs
@@ -5,10 +5,16 @@
 use std::str::FromStr;
 
 use displaydoc::Display;
+use eelgrasspier_caller::{max_open_descriptors, memory_bytes};
+use eelgrasspier_decide::caller_budget::CallerBudget;
 use eelgrasspier_decide::replica::SelectionPolicy;
 use eelgrasspier_decide::service_config::is_valid_name;
 use ini::Ini;
 
+/// Memory of a machine whose size can't be read, in bytes.
+const DEFAULT_MEMORY_BYTES: u64 = 256_000_000;
+/// Descriptors of a process whose limit can't be read.
+const DEFAULT_MAX_DESCRIPTORS: u64 = 1024;
 /// Default time in milliseconds for which a stopping instance continues to serve.
 const DEFAULT_LAME_DUCK_MS: u64 = 5_000;
 /// Default time in milliseconds for requests in progress to finish.
@@ -40,6 +46,8 @@
     pub stop_limit_ms: u64,
     /// Token required to submit edits; without it all edits are refused.
     pub admin_token: Option<String>,
+    /// Memory and connections that callers may hold.
+    pub caller_budget: CallerBudget,
     /// Base URL of the platform's object API.
     pub platform_url: String,
     /// Timeout of a call to the platform, in milliseconds.
@@ -97,7 +105,7 @@
 const POLICY: &str = "policy";
 
 /// All known settings; any other key is rejected, which catches misspellings.
-const KNOWN_SETTINGS: [(&str, &str); 13] = [
+const KNOWN_SETTINGS: [(&str, &str); 15] = [
     (INSTANCE, "name"),
     (INSTANCE, "zone"),
     (INSTANCE, "http"),
@@ -107,6 +115,8 @@
     (INSTANCE, "lame_duck_ms"),
     (INSTANCE, "stop_limit_ms"),
     (INSTANCE, "admin_token"),
+    (INSTANCE, "memory_mb"),
+    (INSTANCE, "max_descriptors"),
     (PLATFORM, "url"),
     (PLATFORM, "timeout_ms"),
     (POLICY, "replica_choice"),
@@ -153,6 +163,7 @@
             stop_limit_ms: optional(&ini, INSTANCE, "stop_limit_ms")?
                 .unwrap_or(DEFAULT_STOP_LIMIT_MS),
             admin_token: optional(&ini, INSTANCE, "admin_token")?,
+            caller_budget: read_caller_budget(&ini)?,
             platform_url: required(&ini, PLATFORM, "url")?,
             platform_timeout_ms: optional(&ini, PLATFORM, "timeout_ms")?
                 .unwrap_or(DEFAULT_PLATFORM_TIMEOUT_MS),
@@ -161,6 +172,17 @@
     }
 }
 
+fn read_caller_budget(ini: &Ini) -> Result<CallerBudget, SettingsError> {
+    const MB: u64 = 1_000_000;
+    let memory_mb: Option<u64> = optional(ini, INSTANCE, "memory_mb")?;
+    let memory_bytes = memory_mb.map(|mb| mb.saturating_mul(MB)).or_else(memory_bytes);
+    let max_descriptors = optional(ini, INSTANCE, "max_descriptors")?.or_else(max_open_descriptors);
+    Ok(CallerBudget::of_machine(
+        memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES),
+        max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
+    ))
+}
+
 fn read_policy(ini: &Ini) -> Result<Policy, SettingsError> {
     let key = "replica_choice";
     let choice = match ini.get_from(Some(POLICY), key) {
--- a/crates/eelgrasspier/src/web.rs
+++ b/crates/eelgrasspier/src/web.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use actix_web::http::header;
-use actix_web::web::{self, Bytes, Data, Json, Path, Payload, Query as UrlQuery};
+use actix_web::web::{self, Bytes, Data, Path, Payload, Query as UrlQuery};
 use actix_web::{HttpRequest, HttpResponse};
 use eelgrasspier_caller::{
-    Answer, RequestError, RequestParams, RunAnswer, RunParams, problem_response,
+    Answer, BodyError, Charge, Connection, RequestError, RequestParams, RunAnswer, RunParams,
+    problem_response, read_payload,
 };
 use eelgrasspier_decide::prelude::{Refusal, RefusalReason};
 use eelgrasspier_operator::{SubmitRequest, SubmitResponse, tokens_match};
@@ -25,6 +26,13 @@
 /// Retry delay suggested by an instance that is not ready or is stopping.
 const NOT_READY_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Retry delay for requests that are refused since callers hold all the memory or connections.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 250;
+/// Maximum size of the body of an administration request: the text, escaped as JSON.
+const MAX_ADMIN_BODY_BYTES: usize = 4 << 20;
+/// Time within which the body of an administration request must be complete.
+const ADMIN_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Registers all routes.
 pub(crate) fn routes(config: &mut web::ServiceConfig) {
     config
@@ -74,8 +82,10 @@
 ) -> Result<Answer, Refusal> {
     let started = Instant::now();
     let parse = |service: &ServiceState| RequestParams::try_from((request, &*service.spec));
-    let (service, params, body) = prepare(name, payload, traffic, parse).await?;
+    let (service, params) = parse_request(name, traffic, parse)?;
     let deadline = started + Duration::from_millis(params.deadline_ms);
+    let body = read_body(request, payload, service.spec.max_request_bytes, deadline).await?;
+    let _copies = charge_copies(request, &service, &body)?;
     let request_id = Rc::clone(request_id);
     Query { service, params, request_id, body, deadline }.execute(traffic).await
 }
@@ -109,8 +119,9 @@
 ) -> Result<RunAnswer, Refusal> {
     let started = Instant::now();
     let parse = |service: &ServiceState| RunParams::parse(request, &service.spec, epoch_ms());
-    let (service, params, body) = prepare(name, payload, traffic, parse).await?;
+    let (service, params) = parse_request(name, traffic, parse)?;
     let deadline = started + Duration::from_millis(params.common.deadline_ms);
+    let body = read_body(request, payload, service.spec.max_request_bytes, deadline).await?;
     let run = Run { service, params, request_id: Rc::clone(request_id), body, deadline };
     let traffic = Rc::clone(traffic);
     // Run in a separate task, so that a caller that disconnects does not abort a started run.
@@ -118,28 +129,55 @@
     task.await.unwrap_or_else(|_| Err(Refusal::may_have_run(RefusalReason::AnswerLost)))
 }
 
-/// Finds the service, validates the headers and reads the body.
-///
-/// No backend server is contacted.
-async fn prepare<C>(
+/// Finds the service and validates the headers.
+fn parse_request<C>(
     name: &str,
-    payload: Payload,
     traffic: &Rc<TrafficThread>,
     parse: impl FnOnce(&ServiceState) -> Result<C, RequestError>,
-) -> Result<(Rc<ServiceState>, C, Bytes), Refusal> {
+) -> Result<(Rc<ServiceState>, C), Refusal> {
     let service = find_service(traffic, name)?;
     let params = parse(&service).map_err(|error| bad_request(&error))?;
-    let limit = service.spec.max_request_bytes;
-    let body = payload.to_bytes_limited(limit).await;
-    let body = match body {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            let reason = RefusalReason::BadRequest(error.to_string());
-            return Err(Refusal::not_run(reason, None));
-        }
-        Err(_) => return Err(Refusal::not_run(RefusalReason::BodyTooLarge(limit), None)),
+    Ok((service, params))
+}
+
+/// Reads the body; no backend server is contacted.
+async fn read_body(
+    request: &HttpRequest,
+    payload: Payload,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let Some(connection) = request.conn_data::<Rc<Connection>>() else {
+        return Err(Refusal::not_run(RefusalReason::NoRoom, Some(NO_ROOM_RETRY_AFTER_MS)));
     };
-    Ok((service, params, body))
+    let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let body = read_payload(connection, payload, is_chunked, max_bytes, deadline.into()).await;
+    body.map_err(|error| match error {
+        BodyError::TooLarge(max_bytes) => {
+            Refusal::not_run(RefusalReason::BodyTooLarge(max_bytes), None)
+        }
+        BodyError::TimedOut => Refusal::not_run(RefusalReason::BodyTimeout, None),
+        BodyError::NoRoom => Refusal::not_run(RefusalReason::NoRoom, Some(NO_ROOM_RETRY_AFTER_MS)),
+        BodyError::Stopping => {
+            Refusal::not_run(RefusalReason::Stopping, Some(NOT_READY_RETRY_AFTER_MS))
+        }
+        error @ BodyError::Incomplete => {
+            Refusal::not_run(RefusalReason::BadRequest(error.to_string()), None)
+        }
+        BodyError::Refused(never) => match never {},
+    })
+}
+
+/// Charges the copies of a body in the buffers of its requests to shards.
+fn charge_copies(
+    request: &HttpRequest,
+    service: &ServiceState,
+    body: &Bytes,
+) -> Result<Option<Charge>, Refusal> {
+    let Some(connection) = request.conn_data::<Rc<Connection>>() else { return Ok(None) };
+    let bytes = body.len().saturating_mul(service.shards.len());
+    let no_room = || Refusal::not_run(RefusalReason::NoRoom, Some(NO_ROOM_RETRY_AFTER_MS));
+    connection.charge_copies(bytes).map(Some).ok_or_else(no_room)
 }
 
 fn find_service(traffic: &Rc<TrafficThread>, name: &str) -> Result<Rc<ServiceState>, Refusal> {
@@ -158,7 +196,17 @@
 fn refusal_response(refusal: &Refusal, request_id: &str) -> HttpResponse {
     let verdict = refusal.verdict.to_string();
     metrics::counter!("eelgrasspier_refusals_total", "verdict" => verdict).increment(1);
-    problem_response(refusal, request_id)
+    let mut response = problem_response(refusal, request_id);
+    if is_body_unread(&refusal.reason) {
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
+
+/// True if the rest of the request's body may still arrive.
+fn is_body_unread(reason: &RefusalReason) -> bool {
+    use RefusalReason as R;
+    matches!(reason, R::BodyTooLarge(_) | R::BodyTimeout | R::NoRoom | R::Stopping)
 }
 
 /// Asks callers to close their connections while the instance is stopping.
@@ -225,15 +273,19 @@
     }
 }
 
-async fn submit_text(
-    request: HttpRequest,
-    submit_request: Json<SubmitRequest>,
-    traffic: TrafficData,
-) -> HttpResponse {
+async fn submit_text(request: HttpRequest, payload: Payload, traffic: TrafficData) -> HttpResponse {
     if !may_submit(&request, traffic.shared.settings.admin_token.as_deref()) {
         return HttpResponse::Forbidden().json(SubmitResponse::Forbidden);
     }
-    let submit_request = submit_request.into_inner();
+    let until = Instant::now() + ADMIN_BODY_TIMEOUT;
+    let body = match read_body(&request, payload, MAX_ADMIN_BODY_BYTES, until).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal_response(&refusal, &new_request_id()),
+    };
+    let submit_request: SubmitRequest = match serde_json::from_slice(&body) {
+        Ok(submit_request) => submit_request,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
     let answer =
         traffic.shared.call_control(|reply| ControlRequest::Submit { submit_request, reply }).await;
     let Some(answer) = answer else { return HttpResponse::ServiceUnavailable().finish() };
