Release the answers to pipelined requests once they are written

Two large answers on one connection, the second before the first was written, left the first one's size counted for good, so that unread answers of others would be given up too early. Sizes are added up now. `written_answers_make_room_for_others` fails without it.

--- a/crates/caller/src/account.rs
+++ b/crates/caller/src/account.rs
@@ -402,9 +402,14 @@
     }
 
     /// Takes the whole body, whose memory stays charged until the last copy is dropped.
-    pub(crate) fn take_whole_body(&self) -> Bytes {
+    ///
+    /// Fails if the body was dropped meanwhile.
+    pub(crate) fn take_whole_body(&self) -> Result<Bytes, Eviction> {
+        if let Some(eviction) = self.eviction.get() {
+            return Err(eviction);
+        }
         self.has_read_body.set(true);
-        self.take_body()
+        Ok(self.take_body())
     }
 
     /// True if the body of the current request was read to its end.
@@ -437,7 +442,8 @@
         if bytes <= FREE_ANSWER_BYTES {
             return;
         }
-        self.answer_bytes.set(bytes);
+        // Answers to pipelined requests may be written one after another.
+        self.answer_bytes.set(self.answer_bytes.get() + bytes);
         let account = &self.account;
         account.unread_bytes.set(account.unread_bytes.get() + bytes);
         while account.unread_bytes.get() > account.budget.max_unread_bytes {
--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -85,8 +85,9 @@
             }
             self.read_until(until, max_bytes).await?;
         }
+        let body = self.connection.take_whole_body()?;
         self.connection.set_phase(Phase::Service);
-        Ok(self.connection.take_whole_body())
+        Ok(body)
     }
 
     /// Reads what has arrived; true if the body is complete.
@@ -185,6 +186,7 @@
         connection.record_parsed();
         append(connection, &part, max_bytes)?;
     }
+    let body = connection.take_whole_body()?;
     connection.set_phase(Phase::Service);
-    Ok(connection.take_whole_body())
+    Ok(body)
 }
