--- a/crates/caller/src/serve.rs
+++ b/crates/caller/src/serve.rs
@@ -1,8 +1,7 @@
 //! Server for callers' connections, which drains them without aborting requests.
 //!
-//! `actix-web`, which serves the HTTP interface of the `eelgrasspier` daemon, lets a handler finish
-//! after its caller has disconnected, and closes idle connections as soon as a shutdown begins.
-//! This server drops the future of a request when its caller disconnects, and shuts down in two
+//! The `eelgrasspier` daemon serves its HTTP interface by `actix-http`, which lets a handler finish
+//! after its caller has disconnected. This server drops the future of a request when its caller disconnects, and shuts down in two
 //! steps: answers first ask the caller to close the connection, and idle connections are closed
 //! only later. What its callers hold is bounded by a [`CallerAccount`].
 
