Saturate sums with numbers of entries

Seen in tests only: a replica's entry with the greatest 64-bit number as `cold_left_ms` ends the control thread's task in a build with overflow checks, so that the process serves nobody; in the release build the sum wraps and the replica counts as warm. The number of refusals in the record of a suspected request is the same: it would start over at 0.

Cause: sums of numbers that other writers give.

Change: both saturate. The other times of such a record are bounded before they are added.

Evidence: a_replica_that_is_cold_for_the_longest_time_stays_cold and a_record_with_the_greatest_number_of_refusals_is_kept panic before ("attempt to add with overflow", "attempt to add with overflow" at refusals) and pass after.

--- a/crates/decide/src/directory.rs
+++ b/crates/decide/src/directory.rs
@@ -132,7 +132,7 @@
     /// arrive, so the computed end is slightly late.
     fn update_warm_up(&mut self, entry: &ReplicaEntry, now_ms: u64) -> bool {
         let known_ms = self.warm_at_ms.get(&entry.name).map_or(now_ms, |&at| at.max(now_ms));
-        let until_ms = now_ms + entry.cold_left_ms;
+        let until_ms = now_ms.saturating_add(entry.cold_left_ms);
         if known_ms.abs_diff(until_ms) < WARM_UP_TOLERANCE_MS {
             return false;
         }
--- a/crates/decide/src/quarantine/record.rs
+++ b/crates/decide/src/quarantine/record.rs
@@ -174,7 +174,7 @@
         if is_proven && now_ms >= self.refused_until_ms {
             let doublings = self.refusals.min(MAX_REFUSAL_DOUBLINGS);
             self.refused_until_ms = now_ms + (FIRST_REFUSAL_MS << doublings);
-            self.refusals += 1;
+            self.refusals = self.refusals.saturating_add(1);
         }
     }
 
--- a/crates/decide/tests/mirror_and_directory.rs
+++ b/crates/decide/tests/mirror_and_directory.rs
@@ -197,3 +197,14 @@
     );
     assert_eq!(names(&polling), ["a@3"]);
 }
+
+/// Guards against a panic, or a cold replica taken for a warm one, at the greatest number.
+#[test]
+fn a_replica_that_is_cold_for_the_longest_time_stays_cold() {
+    let mut directory = ReplicaDirectory::default();
+    let cold = ReplicaEntry { cold_left_ms: u64::MAX, ..entry("a", false) };
+    for now_ms in [1, 2_000] {
+        directory.apply(EntryChange::Set(cold.clone()), now_ms);
+        assert_eq!(directory.warm_at_ms(&cold), u64::MAX);
+    }
+}
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -407,3 +407,22 @@
     losses.discard_answered(INNOCENT);
     assert_eq!(losses.record_server_state(1, true, 3), [crashed(CRASHING, 7, true)]);
 }
+
+/// Guards against a refusal that starts over, or a panic, after a stored record with the greatest
+/// number of refusals.
+#[test]
+fn a_record_with_the_greatest_number_of_refusals_is_kept() {
+    let mut quarantine = Quarantine::default();
+    let report = Report {
+        fingerprint: CRASHING.0,
+        ended: vec![1, 2],
+        refusals: u32::MAX,
+        left_ms: u64::MAX,
+        ..Report::default()
+    };
+    quarantine.merge_report(&report, 0);
+    quarantine.record_crash(crashed(CRASHING, 3, true), SECOND_MS);
+    quarantine.record_crash(crashed(CRASHING, 4, true), SECOND_MS);
+    assert!(is_refused(&quarantine, CRASHING, 2 * SECOND_MS));
+    assert_eq!(quarantine.report(CRASHING, 2 * SECOND_MS).unwrap().refusals, u32::MAX);
+}
