Log odd names and contents in bounded lines

Seen in a test only: the value of an entry's `state` goes into the log as it is, 600 KB of it with 300,000 line breaks, on each start; a name with a line break begins a line that looks like one of the process's own. The queue holds 2,048 lines, whatever their length.

Change: a message has at most 8 KiB, and its control characters are escaped, at the one place that writes lines.

Evidence: both requests_are_served_beside_entries_with_odd_names and ..._odd_contents fail with the check of the lines and without the change ("x" begins a line), and pass with it.

--- a/crates/router/src/log_output.rs
+++ b/crates/router/src/log_output.rs
@@ -9,6 +9,8 @@
 
 /// Maximum number of lines in the queue; at about 150 bytes each they take under 400 KB.
 const MAX_QUEUED_LINES: usize = 2048;
+/// Maximum length of a message in bytes; the rest is left out.
+const MAX_MESSAGE_BYTES: usize = 8 << 10;
 
 /// Time for writing the queued lines when the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
@@ -54,6 +56,28 @@
     }
 }
 
+/// Returns a message as one line: bounded, with its control characters escaped.
+///
+/// A message may contain names and values of other writers.
+fn to_printable(message: String) -> String {
+    if message.len() <= MAX_MESSAGE_BYTES && !message.contains(char::is_control) {
+        return message;
+    }
+    let mut line = String::new();
+    for character in message.chars() {
+        if character.is_control() {
+            line.extend(character.escape_default());
+        } else {
+            line.push(character);
+        }
+        if line.len() >= MAX_MESSAGE_BYTES {
+            line.push_str("...");
+            break;
+        }
+    }
+    line
+}
+
 /// Starts logging to standard output, one structured line for each event.
 pub fn init_stdout_log() {
     let (sender, lines) = sync_channel::<Vec<u8>>(MAX_QUEUED_LINES);
@@ -76,7 +100,7 @@
     }
     builder.format(|to, record| {
         let (time, level) = (to.timestamp_millis(), record.level().as_str());
-        let line = record.args().to_string();
+        let line = to_printable(record.args().to_string());
         match number_of(&line) {
             Some(number) => writeln!(to, "t={time} level={level} E{number} {line}"),
             // A line of a library, or one without an event number.
