Refuse answers with a status outside 200 to 599

Callers saw: a replica's answer with status 600 or 999 as it was. RFC 9110, section 15, calls such a status invalid. A 101, which nobody asked for, was taken for an empty answer.

Cause: the pool checked no status; the HTTP library refuses three digits below 100 and everything that is not three digits.

Change: the pool refuses a final status outside 200 to 599 and closes the connection; the request may have run. The own daemon's client uses an answer with status 200 only.

Evidence: answers_with_odd_statuses_are_refused, before: the connection is kept after "HTTP/1.1 101" (open connections: 1, expected 0), and an earlier print of the outcomes shows Ok(b"right") for 600 and 999. It passes after the change, for both clients. The other ten statuses (000, 001, 099, 20, 0200, 2000, none, OK, -200, "2 0") were refused before as well.

--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -40,6 +41,8 @@
 const TAGS_PER_SWEEP: usize = 64;
 /// Maximum size of the read buffer of a connection in bytes, and so of an answer's head.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+/// Statuses of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of idle connections that are tried before a new one is opened.
 const MAX_REUSE_ATTEMPTS: usize = 4;
 
@@ -409,6 +412,9 @@
     AnswerLimits { keep_alive, max_bytes, answer_id, budget }: AnswerLimits,
 ) -> Result<RawAnswer, PartFailure> {
     let (head, mut incoming) = answer.into_parts();
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        return Err(PartFailure::Unusable(format!("status {}", head.status.as_u16())));
+    }
     let is_first = !std::mem::replace(&mut connection.is_used, true);
     // On a mismatch the connection is closed: the answer to this request is still to come on it.
     let names_request = match &answer_id {
--- /dev/null
+++ b/crates/backend/tests/odd_answers.rs
@@ -0,0 +1,104 @@
+//! Answers that are none in the protocol: odd statuses, heads and framing.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrasspier_backend::{
+    BackendClient, ConnectionPool, DispatchFlag, ExchangeRequest, HttpBackendClient, PartFailure,
+    PartRequest, RequestKind,
+};
+use eelgrasspier_decide::verdict::Verdict;
+use http::Request;
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const SOUND: &str = "HTTP/1.1 200 OK\r\nindex-version: 1\r\ncontent-length: 5\r\n\r\nright";
+/// Timeout of a request whose answer may be waited for without end.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Starts a server that answers the first request on each connection, which stays open if
+/// `is_kept`.
+async fn start_server(answer: String, is_kept: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            actix_rt::spawn(async move {
+                let mut buffer = [0; 4096];
+                let _bytes = stream.read(&mut buffer).await.unwrap();
+                stream.write_all(answer.as_bytes()).await.unwrap();
+                if is_kept {
+                    while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {}
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Sends a request to a backend server of the router.
+async fn send_by_pool(pool: &ConnectionPool, addr: SocketAddr) -> Result<Bytes, PartFailure> {
+    let exchange = pool.exchange(ExchangeRequest {
+        server: addr.to_string().into(),
+        addr,
+        request: Request::builder().uri("/x").body(Full::new(Bytes::new())).unwrap(),
+        max_connections: 100,
+        is_repeatable: true,
+        keep_alive: true,
+        time_left: TIMEOUT,
+        max_bytes: 1 << 20,
+        tag: None,
+        answer_id: None,
+        needs_new_connection: false,
+        dispatched: DispatchFlag::default(),
+    });
+    exchange.await.map(|answer| answer.body)
+}
+
+/// Sends a request to a backend server of the own daemon.
+async fn send_by_client(
+    client: &HttpBackendClient,
+    addr: SocketAddr,
+) -> Result<Bytes, PartFailure> {
+    let exchange = client.exchange(PartRequest {
+        addr,
+        kind: RequestKind::Query,
+        service: Rc::from("search"),
+        shard: 0,
+        version: None,
+        time_left: TIMEOUT,
+        id: "id".to_owned(),
+        body: "body".into(),
+        max_bytes: 1 << 20,
+    });
+    exchange.await.map(|answer| answer.body)
+}
+
+/// Checks that no client takes any of the answers for one, nor uses their connections again.
+async fn assert_refused(answers: &[String]) {
+    for answer in answers {
+        for is_kept in [true, false] {
+            let addr = start_server(answer.clone(), is_kept).await;
+            let pool = ConnectionPool::default();
+            let by_pool = send_by_pool(&pool, addr).await;
+            assert_eq!(pool.open_connections(&addr.to_string()), 0, "{answer:?}");
+            let by_client = send_by_client(&HttpBackendClient::new(TIMEOUT), addr).await;
+            for result in [by_pool, by_client] {
+                let failure = result.expect_err(answer);
+                assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{failure:?} of {answer:?}");
+            }
+        }
+    }
+}
+
+/// Guards against an answer with a status that HTTP doesn't have, given to a caller as it is.
+#[actix_rt::test]
+async fn answers_with_odd_statuses_are_refused() {
+    let statuses =
+        ["000", "001", "099", "20", "0200", "2000", "", "OK", "-200", "2 0", "101", "600", "999"];
+    assert_refused(&statuses.map(|status| SOUND.replace("200", status))).await;
+}
