Refuse answers with an unsupported transfer coding

Seen in a test only: an answer with `transfer-encoding: gzip`, `identity` or any other word but `chunked` is given to a caller with its body still encoded, and without the header that says so; the own daemon's client takes one with `identity` for an empty body.

Cause: neither HTTP library decodes such a body, and none of our clients looked at the coding.

Change: both clients of backend servers refuse any transfer coding but a single `chunked`. The request may have run.

Evidence: answers_with_other_transfer_codings_are_refused. An earlier print of the outcomes on the code before: Ok(b"5\r\nright\r\n0\r\n\r\n") at the pool for gzip, identity, xchunked and an empty value once the connection ends, Ok(b"right") for "gzip, chunked"; Ok(b"") at the own client for identity. The test fails before (the connection stays in use) and passes after.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -7,12 +7,12 @@
 
 use awc::error::PayloadError;
 use awc::http::StatusCode;
-use awc::http::header::{HeaderMap, HeaderValue};
+use awc::http::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use awc::{Client, ClientRequest, Connector};
 use bytes::Bytes;
 use eelgrasspier_decide::prelude::{IndexVersion, ShardId};
 
-use crate::failure::PartFailure;
+use crate::failure::{PartFailure, check_transfer_codings};
 use crate::headers;
 use crate::report::{ServerReport, header_number};
 
@@ -145,6 +145,8 @@
         let sent = request.send_body(part.body.clone()).await;
         let mut answer = sent.map_err(|e| PartFailure::from(&e))?;
         check_request_id(answer.headers(), Some(&part.id))?;
+        let codings = answer.headers().get_all(TRANSFER_ENCODING);
+        check_transfer_codings(codings.map(HeaderValue::as_bytes))?;
         let report = ServerReport::from(answer.headers());
         check_status(answer.status(), &report)?;
         let version = header_number(answer.headers(), &headers::VERSION);
--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -116,3 +116,20 @@
         _ => false,
     }
 }
+
+/// Checks that a body has no transfer coding but `chunked`, which the clients decode.
+///
+/// They would give out other bodies encoded, or as empty ones.
+pub(crate) fn check_transfer_codings<'a>(
+    mut codings: impl Iterator<Item = &'a [u8]>,
+) -> Result<(), PartFailure> {
+    let is_supported = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.eq_ignore_ascii_case(b"chunked"),
+        (Some(_), Some(_)) => false,
+    };
+    if is_supported {
+        return Ok(());
+    }
+    Err(PartFailure::Unusable("the transfer coding is not supported".to_owned()))
+}
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -16,7 +16,7 @@
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use http::header::CONNECTION;
+use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -25,7 +25,7 @@
 
 use crate::answer_budget::AnswerBudget;
 use crate::connect::{RECHECK_DELAY, check_listening, connect, connect_timed_out, is_final};
-use crate::failure::PartFailure;
+use crate::failure::{PartFailure, check_transfer_codings};
 
 /// Idle timeout of a connection if the server states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -415,6 +415,8 @@
     if !FINAL_STATUSES.contains(&head.status.as_u16()) {
         return Err(PartFailure::Unusable(format!("status {}", head.status.as_u16())));
     }
+    let codings = head.headers.get_all(TRANSFER_ENCODING).iter();
+    check_transfer_codings(codings.map(HeaderValue::as_bytes))?;
     let is_first = !std::mem::replace(&mut connection.is_used, true);
     // On a mismatch the connection is closed: the answer to this request is still to come on it.
     let names_request = match &answer_id {
--- a/crates/backend/tests/odd_answers.rs
+++ b/crates/backend/tests/odd_answers.rs
@@ -180,3 +180,25 @@
     ];
     assert_refused(&bodies.map(|body| encoded("chunked", body))).await;
 }
+
+/// Guards against a body that is given to a caller still encoded, or as empty.
+#[actix_rt::test]
+async fn answers_with_other_transfer_codings_are_refused() {
+    let codings = [
+        "gzip",
+        "identity",
+        "xchunked",
+        "",
+        "chunked, identity",
+        "gzip, chunked",
+        "chunked, chunked",
+        "chunked\r\ntransfer-encoding: chunked",
+        "chunked\r\ntransfer-encoding: gzip",
+    ];
+    assert_refused(&codings.map(|coding| encoded(coding, "5\r\nright\r\n0\r\n\r\n"))).await;
+    let sound = encoded("Chunked", "5\r\nright\r\n0\r\n\r\n");
+    let addr = start_server(sound, true).await;
+    assert_eq!(send_by_pool(&ConnectionPool::default(), addr).await.unwrap(), "right");
+    let client = HttpBackendClient::new(TIMEOUT);
+    assert_eq!(send_by_client(&client, addr).await.unwrap(), "right");
+}
