Refuse cut answers in the own daemon's client

Seen in a test only, at the own daemon: an answer that is cut anywhere behind its head is taken for a whole one, whether it has a length or is chunked, and its shorter body is given to callers as the shard's part. An answer of HTTP/1.1 without a length is taken for an empty one.

Cause: awc ends a body without an error where its connection ends. Of HTTP/1.1 it doesn't read bodies without a length at all.

Change: the client's connections report their end as an error, which fails a body that lacks bytes; one of HTTP/1.0 without a length still ends with its connection, unless it is reset.

Evidence: cut_answers_are_refused cuts four answers after each byte, closed and reset. On the code before, an earlier print of the outcomes shows Ok(b"abc") for a length of 12, Ok(b"") for a chunked body without a chunk, and so on for all cuts behind the head.

--- a/crates/backend/src/exchange.rs
+++ b/crates/backend/src/exchange.rs
@@ -8,13 +8,14 @@
 use awc::error::PayloadError;
 use awc::http::StatusCode;
 use awc::http::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use awc::{Client, ClientRequest, Connector};
+use awc::{Client, ClientRequest};
 use bytes::Bytes;
 use eelgrasspier_decide::prelude::{IndexVersion, ShardId};
 
 use crate::failure::{PartFailure, check_transfer_codings};
 use crate::headers;
 use crate::report::{ServerReport, header_number};
+use crate::whole_bodies::{read_body, strict_connector};
 
 /// Idle time after which a pooled connection is closed.
 ///
@@ -29,6 +30,9 @@
 /// others. Permits limit the connections to each replica instead.
 const POOL_CONNECTION_LIMIT: usize = 1 << 20;
 
+/// Maximum size of the body of an answer that is read for its headers only, in bytes.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
 /// Kind of request that a part belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RequestKind {
@@ -109,7 +113,7 @@
     /// Creates a client, which must be used on the calling thread only.
     #[must_use]
     pub fn new(connect_timeout: Duration) -> Self {
-        let connector = || Connector::new().limit(POOL_CONNECTION_LIMIT).timeout(connect_timeout);
+        let connector = || strict_connector().limit(POOL_CONNECTION_LIMIT).timeout(connect_timeout);
         let pooled = connector().conn_keep_alive(POOL_IDLE_TIMEOUT).conn_lifetime(POOL_MAX_AGE);
         // Following redirects would require a copy of all headers and the body.
         let client = |connector| {
@@ -153,7 +157,7 @@
         if part.version.is_some() && version != part.version {
             return Err(PartFailure::WrongVersion(Box::new(report)));
         }
-        let body = answer.body().limit(part.max_bytes).await;
+        let body = read_body(&mut answer, part.max_bytes).await;
         let body = body.map_err(|e| classify_body_error(&e, part.max_bytes))?;
         Ok(PartAnswer { body, version, report })
     }
@@ -203,7 +207,7 @@
     check_request_id(answer.headers(), None)?;
     let report = ServerReport::from(answer.headers());
     check_status(answer.status(), &report)?;
-    let drained = answer.body().await;
+    let drained = read_body(&mut answer, MAX_REPORT_BYTES).await;
     drained.map_err(|e| PartFailure::Lost(e.to_string()))?;
     Ok(report)
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -13,6 +13,7 @@
 mod failure;
 mod pool;
 mod report;
+mod whole_bodies;
 
 pub use answer_budget::AnswerBudget;
 pub use connect::refuses_connections;
@@ -22,6 +23,7 @@
 pub use failure::PartFailure;
 pub use pool::{ConnectionPool, DispatchFlag, ExchangeRequest, RawAnswer};
 pub use report::ServerReport;
+pub use whole_bodies::{StrictStream, read_body, strict_connector};
 
 /// Headers of the backend protocol.
 pub mod headers {
--- a/crates/backend/tests/odd_answers.rs
+++ b/crates/backend/tests/odd_answers.rs
@@ -19,9 +19,16 @@
 /// Timeout of a request whose answer may be waited for without end.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Starts a server that answers the first request on each connection, which stays open if
-/// `is_kept`.
-async fn start_server(answer: String, is_kept: bool) -> SocketAddr {
+/// What a server does with a connection after its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Then {
+    Keeps,
+    Closes,
+    Resets,
+}
+
+/// Starts a server that answers the first request on each connection.
+async fn start_server(answer: String, then: Then) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     actix_rt::spawn(async move {
@@ -31,8 +38,12 @@
                 let mut buffer = [0; 4096];
                 let _bytes = stream.read(&mut buffer).await.unwrap();
                 stream.write_all(answer.as_bytes()).await.unwrap();
-                if is_kept {
-                    while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {}
+                match then {
+                    Then::Keeps => {
+                        while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {}
+                    }
+                    Then::Closes => {}
+                    Then::Resets => stream.set_zero_linger().unwrap(),
                 }
             });
         }
@@ -81,8 +92,8 @@
 /// Checks that no client takes any of the answers for one, nor uses their connections again.
 async fn assert_refused(answers: &[String]) {
     for answer in answers {
-        for is_kept in [true, false] {
-            let addr = start_server(answer.clone(), is_kept).await;
+        for then in [Then::Keeps, Then::Closes] {
+            let addr = start_server(answer.clone(), then).await;
             let pool = ConnectionPool::default();
             let by_pool = send_by_pool(&pool, addr).await;
             assert_eq!(pool.open_connections(&addr.to_string()), 0, "{answer:?}");
@@ -197,8 +208,58 @@
     ];
     assert_refused(&codings.map(|coding| encoded(coding, "5\r\nright\r\n0\r\n\r\n"))).await;
     let sound = encoded("Chunked", "5\r\nright\r\n0\r\n\r\n");
-    let addr = start_server(sound, true).await;
+    let addr = start_server(sound, Then::Keeps).await;
     assert_eq!(send_by_pool(&ConnectionPool::default(), addr).await.unwrap(), "right");
     let client = HttpBackendClient::new(TIMEOUT);
     assert_eq!(send_by_client(&client, addr).await.unwrap(), "right");
 }
+
+/// Guards against a cut answer that the own daemon takes for a whole one.
+#[actix_rt::test]
+async fn cut_answers_are_refused() {
+    const ANSWERS: [&str; 4] = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nx-last: 2\r\n\r\nabcdefghijkl",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nabcdefghijkl\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\nabcdef\r\n6\r\nghijkl\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nx-last: 2\r\n\r\nabcdefghijkl",
+    ];
+    let client = HttpBackendClient::new(TIMEOUT);
+    for answer in ANSWERS {
+        for then in [Then::Closes, Then::Resets] {
+            for length in 0..answer.len() {
+                let cut = &answer[..length];
+                let addr = start_server(cut.to_owned(), then).await;
+                let failure = send_by_client(&client, addr).await.expect_err(cut);
+                assert_eq!(failure.verdict(), Verdict::MayHaveRun, "{failure:?} of {cut:?}");
+            }
+        }
+        let addr = start_server(answer.to_owned(), Then::Closes).await;
+        assert_eq!(send_by_client(&client, addr).await.unwrap(), "abcdefghijkl");
+    }
+}
+
+/// Guards against refusing, or cutting, answers of HTTP/1.0, whose end is that of their connection.
+#[actix_rt::test]
+async fn answers_may_end_with_their_connection() {
+    let client = HttpBackendClient::new(TIMEOUT);
+    for body in ["", "abcdefghijkl"] {
+        let answer = format!("HTTP/1.0 200 OK\r\nx-last: 2\r\n\r\n{body}");
+        let addr = start_server(answer.clone(), Then::Closes).await;
+        assert_eq!(send_by_client(&client, addr).await.unwrap(), body);
+        let addr = start_server(answer, Then::Resets).await;
+        send_by_client(&client, addr).await.expect_err("it may be cut");
+    }
+}
+
+/// Guards against an empty body in place of one whose end the own daemon's client doesn't see.
+#[actix_rt::test]
+async fn answers_without_an_end_are_not_taken_for_empty_ones() {
+    let client = HttpBackendClient::new(TIMEOUT);
+    for then in [Then::Keeps, Then::Closes, Then::Resets] {
+        for line in ["x-last: 2", "connection: close"] {
+            let answer = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\nabcdefghijkl");
+            let addr = start_server(answer, then).await;
+            send_by_client(&client, addr).await.expect_err("its body is not empty");
+        }
+    }
+}
