Refuse cut answers of the own daemon's platform

Seen in a test only, at the own daemon: an object of the platform whose answer is cut behind its head is taken for the whole one. A bucket of claims that is read in part is written back without the rest (by reading: the version in the head matches), so that a request could run a second time; a list of instances in chunks that ends early in its frame is taken for complete.

Change: the platform's client uses the same connections and reader of bodies. Its package depends on that of backend servers for it, as the users' platform's adapter does for its store.

Evidence: cut_objects_are_not_read and cut_lists_of_instances_are_not_read (cut after each byte) fail before, the second one with Ok([ListedInstance { name: "a", .. }]), and pass after. odd_statuses_confirm_nothing passes before as well.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{StatusCode, header};
-use awc::{Client, Connector};
 use bytes::Bytes;
+use eelgrasspier_backend::{read_body, strict_connector};
 use eelgrasspier_decide::history::{EraComparison, EraTracker, Position};
 
 use crate::store::{ListedInstance, Object, ObjectStore, ReadError, StoreFuture, UpdateError};
@@ -44,7 +45,7 @@
     #[must_use]
     pub fn new(base: &str, timeout_ms: u64) -> Self {
         let connector =
-            Connector::new().limit(MAX_CONNECTIONS).timeout(Duration::from_millis(timeout_ms));
+            strict_connector().limit(MAX_CONNECTIONS).timeout(Duration::from_millis(timeout_ms));
         let client = Client::builder()
             .connector(connector)
             .timeout(Duration::from_millis(timeout_ms))
@@ -110,7 +111,7 @@
         }
         let version =
             self.version_of(answer.headers(), request_era).map_err(ReadError::Malformed)?;
-        let body = answer.body().limit(MAX_OBJECT_BYTES).await;
+        let body = read_body(&mut answer, MAX_OBJECT_BYTES).await;
         let value = body.map_err(|e| ReadError::Unavailable(e.to_string()))?;
         Ok(Some(Object { version, value }))
     }
@@ -217,7 +218,7 @@
             if answer.status() != StatusCode::OK {
                 return Err(ReadError::Unavailable(format!("status {}", answer.status())));
             }
-            let body = answer.body().limit(MAX_OBJECT_BYTES).await;
+            let body = read_body(&mut answer, MAX_OBJECT_BYTES).await;
             let body = body.map_err(|e| ReadError::Unavailable(e.to_string()))?;
             serde_json::from_slice(&body).map_err(|e| ReadError::Malformed(e.to_string()))
         })
