Answer requests that outlast a planned stop

Callers saw: in a planned stop, requests that were still in progress at the end of the grace period were cut without an answer, among them ones that must not be repeated. A caller can't tell that from a request that was never read.

Cause: the process ended with its connections open. Late requests are not the cause here: half way through the grace period the instance takes none, and closes its idle connections.

Those that finish before get their own answers, as until now.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use displaydoc::Display;
 use eelgrasspier_caller::{
@@ -20,6 +21,7 @@
 use http_body_util::Full;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 
 use crate::backend::Backend;
 use crate::control::{Control, ControlRequest, Identity};
@@ -36,6 +38,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(3200);
 /// Part of the grace period reserved for ending before the kill.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which the answers to unfinished requests are written before the process ends.
+const UNFINISHED_TIME: Duration = Duration::from_millis(200);
 /// Latency histograms; docs/METRICS.md lists them with the other metrics.
 const LATENCY_METRICS: &[LatencyHistogram] = &[
     LatencyHistogram {
@@ -186,22 +190,33 @@
     let hangup_signals = signal(SignalKind::hangup()).map_err(RunError::Signals)?;
     actix_rt::spawn(active_settings.follow(hangup_signals));
     let stop = stop_signal()?;
-    let serving = actix_rt::spawn(serve(front, make_handler(router), account, phase_changes));
+    let handler = make_handler(Rc::clone(&router));
+    let serving = actix_rt::spawn(serve(front, handler, account, phase_changes));
     stop.await;
     let grace_period = grace_period.get().saturating_sub(GRACE_MARGIN);
     log::info!("event=stopping grace_ms={}", grace_period.as_millis());
-    let stop_started = tokio::time::Instant::now();
+    let stop_started = Instant::now();
     phase.send_replace(ShutdownPhase::Draining);
     // If the control thread has ended, there is nobody to notify.
     let _is_disconnected = control.send(ControlRequest::Stop).is_err();
     tokio::time::sleep(DRAIN_TIME.min(grace_period / 2)).await;
     phase.send_replace(ShutdownPhase::Closing);
-    let drained = tokio::time::timeout_at(stop_started + grace_period, serving).await;
-    log::info!("event=stopped cut_short={}", drained.is_err());
+    wait_for_callers(serving, &router, stop_started + grace_period).await;
     arbiter.stop();
     Ok(())
 }
 
+/// Waits until all callers are served; answers requests that are still in progress before `end_at`.
+async fn wait_for_callers(mut serving: JoinHandle<()>, router: &Router, end_at: Instant) {
+    let mut drained = tokio::time::timeout_at(end_at - UNFINISHED_TIME, &mut serving).await;
+    let has_unfinished = drained.is_err();
+    if has_unfinished {
+        router.end_requests();
+        drained = tokio::time::timeout_at(end_at, serving).await;
+    }
+    log::info!("event=stopped unfinished={has_unfinished} cut_short={}", drained.is_err());
+}
+
 fn bind_callers(addr: SocketAddr) -> Result<TcpListener, RunError> {
     eelgrasspier_caller::bind(addr).map_err(|e| RunError::Bind(addr, e))
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,6 +18,7 @@
 use eelgrasspier_decide::route::{Route, Target};
 use eelgrasspier_decide::wait_policy;
 use eelgrasspier_peer::PeerConnections;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::authentication::Authentication;
@@ -93,6 +94,8 @@
     pub(crate) priority_lines: LogBudget,
     regions: RefCell<Regions>,
     pub(crate) authentication: Authentication,
+    /// True once requests in progress are answered without waiting for replicas.
+    is_ending: watch::Sender<bool>,
 }
 
 impl std::fmt::Debug for Router {
@@ -132,9 +135,20 @@
             priority_lines: LogBudget::default(),
             regions: RefCell::default(),
             authentication: Authentication::default(),
+            is_ending: watch::Sender::new(false),
         })
     }
 
+    /// Answers all requests in progress as unfinished, since the process is about to end.
+    pub fn end_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    async fn ended(&self) {
+        // The sender lives as long as this router.
+        let _is_closed = self.is_ending.subscribe().wait_for(|is_ending| *is_ending).await.is_err();
+    }
+
     /// Returns the limits for callers from the current configuration.
     #[must_use]
     pub fn caller_limits(&self) -> eelgrasspier_decide::route::CallerLimits {
@@ -147,7 +161,13 @@
         let Admission { view, route, result } = self.admit(&mut request);
         let request = Rc::new(request);
         let outcome = match result {
-            Ok(route) => self.serve_route(&view, &route, &request).await,
+            Ok(route) => tokio::select! {
+                biased;
+                outcome = self.serve_route(&view, &route, &request) => outcome,
+                () = self.ended() => {
+                    Outcome::Refused(Refusal::may_have_run(RefusalReason::Stopping))
+                }
+            },
             Err(refusal) => Outcome::Refused(refusal),
         };
         self.finish(&request, route.as_deref(), &view, outcome)
