--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -170,8 +170,7 @@
     }
 }
 
-/// Parses an entry of the list of instances; a malformed one is logged and skipped, so that it can't
-/// hide the others.
+/// Parses an entry of the list of instances; logs a malformed one, which must not hide the others.
 fn parse_instance(entry: &RawValue) -> Option<ListedInstance> {
     let read = serde_json::from_str::<ListedInstance>(entry.get());
     // The error's text may quote the whole entry.
